--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,378 @@
+//! The interface of the decision module: what a gateway is told and what it may do.
+//!
+//! Nothing here decides. Ids carry no meaning beyond equality and order.
+
+use std::ops::{Add, Sub};
+
+/// A point in time or a span, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// The span in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+    /// The span scaled by `k` (never below zero).
+    pub fn times(self, k: f64) -> Micros {
+        Micros((self.0 as f64 * k).max(0.0) as u64)
+    }
+}
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, o: Micros) -> Micros {
+        Micros(self.0.saturating_add(o.0))
+    }
+}
+impl Sub for Micros {
+    type Output = Micros;
+    /// Stops at zero.
+    fn sub(self, o: Micros) -> Micros {
+        Micros(self.0.saturating_sub(o.0))
+    }
+}
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    };
+}
+id!(/// One try of a client.
+    RequestId, u64);
+id!(/// A customer, whose quota all gateways share.
+    CustomerId, u64);
+id!(/// A server of the back end; every gateway knows it by the same number.
+    ServerId, u64);
+id!(/// A place in `Settings::classes`.
+    ClassId, usize);
+id!(/// A place in `Settings::plans`.
+    PlanId, usize);
+id!(/// A zone, numbered as the gateway was told.
+    ZoneId, u32);
+id!(/// A group of servers that share which keys they have seen.
+    CellId, u64);
+id!(/// A number kept by the counter service.
+    CountName, u64);
+id!(/// A timer, chosen by the module.
+    TimerId, u64);
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat.
+    Safe,
+    /// Carries a key; the servers of one group drop a repeat within the window.
+    Keyed,
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// Which servers drop the repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every server.
+    All,
+    /// The servers of one zone.
+    Zone,
+    /// The servers of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// How long a client waits, all tries together.
+    pub deadline: Micros,
+    /// What a request is worth.
+    pub worth: f64,
+    /// The part of the worth that an answer after the aim earns.
+    pub late_worth: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// Who drops repeats, where keyed.
+    pub group: Group,
+    /// How long they drop them, where keyed.
+    pub window: Micros,
+    /// The answer comes as a stream.
+    pub stream: bool,
+}
+
+/// A plan. Its quota holds for each customer over all gateways together.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Units a second; 0: no quota on the rate.
+    pub rate: f64,
+    /// The most units the quota's store holds.
+    pub burst: f64,
+    /// Attempts out at once; 0: no such cap.
+    pub open: f64,
+    /// Multiplies the worth.
+    pub price: f64,
+    /// Part of the worth earned beyond the quota.
+    pub over_worth: f64,
+    /// Part of the worth lost by sending on beyond the quota.
+    pub over_cost: f64,
+    /// Units a second of the hard ceiling; 0: none.
+    pub ceiling_rate: f64,
+    /// The most units the ceiling's store holds.
+    pub ceiling_burst: f64,
+    /// How far that store may fall below nothing.
+    pub ceiling_slack: f64,
+}
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Number of gateways.
+    pub gateways: u32,
+    /// This gateway's number among them.
+    pub me: u32,
+    /// This gateway's zone.
+    pub zone: ZoneId,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// The most attempts for one request.
+    pub max_attempts: usize,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// Attempts may be called off.
+    pub may_cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// Clients receive a retry-after.
+    pub retry_after: bool,
+    /// The longest retry-after that a client follows.
+    pub max_retry_after: Micros,
+    /// The counter service may be called.
+    pub counter: bool,
+    /// A count call ends unanswered after this.
+    pub count_timeout: Micros,
+    /// The largest request in units.
+    pub most_units: f64,
+    /// List changes must be asked for.
+    pub must_subscribe: bool,
+    /// How long past its deadline a final answer still counts.
+    pub answer_slack: Micros,
+    /// A server starts at no less than this part of its capacity.
+    pub cold_from: f64,
+    /// A server is warm after this.
+    pub cold: Micros,
+    /// A cold server falls over when sent this many times its present capacity,
+    pub fall_multiple: f64,
+    /// for this long.
+    pub tip_after: Micros,
+    /// The shortest gap between two calls of the module.
+    pub tick: Micros,
+}
+
+/// Whether a server takes new work, as the list tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes work.
+    InService,
+    /// It finishes what it has.
+    Draining,
+    /// It was taken away.
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Debug)]
+pub struct ServerEntry {
+    /// The server.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its state.
+    pub listed: Listed,
+    /// Its size against the others.
+    pub weight: f64,
+    /// When it last started; `None`: long ago.
+    pub started: Option<Micros>,
+}
+
+/// What a list event holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// Only entries that changed.
+    Changes,
+    /// The complete list.
+    Whole,
+    /// A call for the list or the subscription failed; the earlier list stays.
+    Lost,
+}
+
+/// How an attempt, a probe or a count call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; may have run.
+    Timeout,
+    /// No connection was made.
+    ConnectFailed,
+    /// The connection broke; may have run.
+    Reset,
+    /// Called off; may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    /// The outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What a server said of its load, where it did.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests being handled.
+    pub inflight: Option<f64>,
+    /// Requests waiting.
+    pub queue: Option<f64>,
+    /// Part of its cores in use.
+    pub busy: Option<f64>,
+}
+
+/// A request that came in.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its customer's plan.
+    pub plan: PlanId,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Through how many gateways this customer's requests come.
+    pub spread: u32,
+    /// The client gives up then.
+    pub deadline: Micros,
+    /// Its units.
+    pub units: f64,
+    /// The client repeats a try that was refused, failed or given up (where clients say so).
+    pub resent: bool,
+}
+
+/// An attempt that ended.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: usize,
+    /// The server.
+    pub server: ServerId,
+    /// How.
+    pub outcome: Outcome,
+    /// How long it was out.
+    pub took: Micros,
+    /// The request has had its final answer.
+    pub ended: bool,
+    /// The true units, where they are settled afterwards.
+    pub settled: Option<f64>,
+    /// The server's load report.
+    pub report: Report,
+}
+
+/// What a gateway is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the server list.
+    Servers(ListScope, Vec<ServerEntry>),
+    /// A request came in.
+    Request(Arrival),
+    /// A timer came due.
+    Timer(TimerId),
+    /// A streamed answer has started; the request is the client's now.
+    StreamStarted(RequestId),
+    /// The client is gone.
+    ClientGone(RequestId),
+    /// A probe ended.
+    Probed(ServerId, Outcome, Report),
+    /// A count call ended, with the total where it was answered.
+    Counted(CountName, Outcome, f64),
+    /// An attempt ended.
+    AttemptEnded(AttemptEnd),
+}
+
+/// What a gateway does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an attempt, to be given up at that time.
+    Send(RequestId, ServerId, Micros),
+    /// Final answer: refused, with advice when to come back.
+    Refuse(RequestId, Option<Micros>),
+    /// Final answer: failed.
+    Fail(RequestId),
+    /// Call off an attempt.
+    Cancel(RequestId, usize),
+    /// Ask a server for its load.
+    Probe(ServerId),
+    /// Add to a count that lives that long, and hear the total.
+    Count(CountName, f64, Micros),
+    /// Wake the module after this time.
+    SetTimer(TimerId, Micros),
+    /// Ask for changes of the server list.
+    Subscribe,
+    /// Ask for the whole server list.
+    FetchList,
+}
+
+/// Settings that make no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Whether these settings make sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let fail = |what: &str| Err(SettingsError(what.to_string()));
+        let sound = |v: f64| v.is_finite() && v >= 0.0;
+        if self.gateways == 0 || self.me >= self.gateways {
+            return fail("gateways: expected at least one, and this one's number below it");
+        }
+        if self.max_attempts == 0 {
+            return fail("max_attempts: expected at least 1");
+        }
+        if ![self.cold_from, self.fall_multiple, self.most_units].into_iter().all(sound) {
+            return fail("cold_from, fall_multiple, most_units: expected numbers of 0 or more");
+        }
+        if !self.classes.iter().all(|c| sound(c.worth) && sound(c.late_worth) && c.deadline.0 > 0) {
+            return fail("class: expected a worth of 0 or more and a deadline above 0");
+        }
+        for p in &self.plans {
+            let quota = [p.rate, p.burst, p.open, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack];
+            let worth = [p.price, p.over_worth, p.over_cost];
+            if !quota.into_iter().chain(worth).all(sound) {
+                return fail("plan: expected numbers of 0 or more");
+            }
+            if p.rate > 0.0 && p.burst <= 0.0 || p.ceiling_rate > 0.0 && p.ceiling_burst <= 0.0 {
+                return fail("plan: expected a burst above 0 where there is a rate");
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/chalkdeck-drill.rs
@@ -0,0 +1,33 @@
+//! The decisions on the drill's wire: batches on standard input, replies on standard output.
+#![forbid(unsafe_code)]
+
+use chalkdeck::wire::Drill;
+use std::io::{self, BufRead, BufWriter, Write};
+use std::process::ExitCode;
+
+fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let mut input = io::stdin().lock();
+    let mut output = BufWriter::new(io::stdout().lock());
+    let mut drill = Drill::default();
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if input.read_line(&mut line)? == 0 {
+            return Ok(drill.finish()?);
+        }
+        if let Some(reply) = drill.line(line.trim_end_matches(['\n', '\r']))? {
+            output.write_all(reply.as_bytes())?;
+            output.flush()?;
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("chalkdeck-drill: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+#![doc = include_str!("../README.md")]
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod rules;
+mod state;
+pub mod wire;
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,118 @@
+//! What holds where hundreds of gateways see a request or two a second each.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+use std::collections::BTreeMap;
+
+fn one_of(gateways: u32, me: u32, servers: u32) -> Rig {
+    Rig::seeded(u64::from(me), Settings { gateways, me, ..settings() }, servers)
+}
+
+/// A request of a customer that comes through many gateways.
+fn wide(rig: &mut Rig, resent: bool) -> (RequestId, Vec<Action>) {
+    let id = RequestId(rig.next);
+    rig.next += 1;
+    let deadline = Micros(rig.now + 3 * S);
+    let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(rig.next));
+    let arrival = Arrival { id, class, plan, customer, spread: 200, deadline, units: 2.0, resent };
+    (id, rig.tell(Event::Request(arrival)))
+}
+
+#[test]
+fn each_gateway_keeps_to_its_own_part_and_the_parts_cover_the_fleet_evenly() {
+    let mut gateways_at = BTreeMap::new();
+    for me in 0..100 {
+        let mut rig = one_of(100, me, 50);
+        let mut used = BTreeMap::new();
+        for _ in 0..100 {
+            rig.pass(500 * MS);
+            let (id, server) = rig.sent(0);
+            rig.ended(id, 0, server, Outcome::Ok);
+            *used.entry(server).or_insert(0) += 1;
+        }
+        assert!(used.len() <= 12, "gateway {me} used {} of 50", used.len());
+        used.into_keys().for_each(|server| *gateways_at.entry(server).or_insert(0) += 1);
+    }
+    assert_eq!(gateways_at.len(), 50, "no server is left out");
+    let (least, most) = (gateways_at.values().min(), gateways_at.values().max());
+    assert!(most <= least.map(|l| l * 4).as_ref(), "{gateways_at:?}");
+}
+
+#[test]
+fn late_answers_make_a_small_gateway_shed_and_quick_ones_do_not() {
+    let refusals = |took: u64| {
+        let mut rig = one_of(200, 3, 50);
+        let mut refusals = 0;
+        for _ in 0..200 {
+            rig.pass(700 * MS);
+            let (id, out) = rig.request(0, 3, 1, 1.0);
+            refusals += u32::from(refused(&out, id));
+            for (_, server) in sends(&out) {
+                rig.pass(took);
+                let (outcome, report, took) = (Outcome::Ok, Report::default(), Micros(took));
+                let end =
+                    AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+                rig.tell(Event::AttemptEnded(end));
+            }
+        }
+        refusals
+    };
+    assert_eq!(refusals(50 * MS), 0);
+    assert!(refusals(700 * MS) > 100, "one at a time, never two out, and still it sheds");
+}
+
+#[test]
+fn while_calls_fail_repeats_are_not_guessed_but_first_tries_are() {
+    let mut rig = one_of(200, 3, 50);
+    let mut went = [0, 0];
+    for i in 0..120 {
+        rig.pass(300 * MS);
+        let resent = i % 2 == 1;
+        let (id, mut out) = wide(&mut rig, resent);
+        // Every third call is turned away, so the breaker stays closed.
+        for (name, _) in counts(&out) {
+            let outcome = if i % 3 == 0 { Outcome::Full } else { Outcome::Ok };
+            out.extend(rig.tell(Event::Counted(name, outcome, 2.0)));
+        }
+        let guessed = i % 3 == 0 && !sends(&out).is_empty();
+        went[usize::from(resent)] += u32::from(guessed);
+        sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+    }
+    assert!(went[0] > 10, "first tries: {went:?}");
+    assert_eq!(went[1], 0, "repeats");
+}
+
+#[test]
+fn a_share_of_less_than_one_request_still_lets_one_go() {
+    let mut rig = one_of(200, 3, 50);
+    rig.pass(300 * MS);
+    let (id, out) = wide(&mut rig, false);
+    let out = rig.tell(Event::Counted(counts(&out)[0].0, Outcome::Full, 0.0));
+    assert_eq!(sends(&out).first().map(|s| s.0), Some(id));
+}
+
+#[test]
+fn with_the_counter_down_hundreds_of_gateways_keep_one_ceiling_by_their_sum() {
+    // 20 units a second up to 40, over 200 gateways that each have a request every second.
+    let mut rigs: Vec<Rig> = (0..200).map(|me| one_of(200, me, 50)).collect();
+    let (mut level, mut lowest) = (40.0f64, 40.0f64);
+    for _ in 0..20 {
+        level = (level + 20.0).min(40.0);
+        for rig in &mut rigs {
+            rig.pass(S);
+            let id = RequestId(rig.next);
+            rig.next += 1;
+            let deadline = Micros(rig.now + 3 * S);
+            let (plan, customer) = (PlanId(1), CustomerId(9));
+            let a = Arrival { id, plan, customer, spread: 200, deadline, units: 1.0, ..Arrival::default() };
+            let mut out = rig.tell(Event::Request(a));
+            for (name, _) in counts(&out) {
+                out.extend(rig.tell(Event::Counted(name, Outcome::Full, 0.0)));
+            }
+            level -= sends(&out).len() as f64;
+            lowest = lowest.min(level);
+            sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+        }
+    }
+    assert!(lowest >= -4.0, "{lowest}");
+}
--- /dev/null
+++ b/tests/window.rs
@@ -0,0 +1,177 @@
+//! The window count: its edges, refusals, late answers, lost adds, and the local bucket.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+
+/// One request whose call is answered with this total.
+fn with_total(rig: &mut Rig, units: f64, total: f64) -> (RequestId, Vec<Action>) {
+    let (id, out) = rig.request(0, 0, 1, units);
+    let add = adds(&out);
+    assert_eq!(add.len(), 1, "one add before sending on");
+    assert!(sends(&out).is_empty(), "nothing is sent on before the answer");
+    (id, rig.tell(Event::Counted(add[0].0, Outcome::Ok, total)))
+}
+
+#[test]
+fn one_add_of_the_units_then_the_send() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, out) = rig.request(0, 0, 1, 3.0);
+    assert_eq!(adds(&out).iter().map(|a| a.1).collect::<Vec<_>>(), [3.0]);
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Ok, 3.0));
+    assert_eq!(sends(&out)[0].0, id);
+}
+
+#[test]
+fn the_allowance_itself_still_goes_on() {
+    let mut rig = Rig::new(settings(), 4);
+    let (_, out) = with_total(&mut rig, 2.0, 20.0);
+    assert_eq!(sends(&out).len(), 1);
+}
+
+#[test]
+fn over_the_allowance_is_refused_added_back_and_told_when_to_come() {
+    let mut rig = Rig::new(settings(), 4);
+    // Far beyond what any store can hold: twice the burst and more.
+    let (id, out) = with_total(&mut rig, 4.0, 43.0);
+    let Some(Action::Refuse(_, Some(wait))) =
+        out.iter().find(|a| matches!(a, Action::Refuse(r, _) if *r == id))
+    else {
+        panic!("refused with advice: {out:?}");
+    };
+    assert!(wait.0 > 0 && wait.0 <= 2 * S);
+    assert!(sends(&out).is_empty());
+    // Nobody could use what the add takes up: it goes back with the next call, no call is spent on it.
+    assert!(adds(&out).is_empty());
+}
+
+#[test]
+fn a_known_full_window_is_refused_without_a_call() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 2.0, 43.0);
+    let (id, out) = rig.request(0, 0, 1, 2.0);
+    assert!(refused(&out, id) && adds(&out).is_empty());
+}
+
+#[test]
+fn a_new_window_asks_again_under_a_new_name() {
+    let mut rig = Rig::new(settings(), 4);
+    let first = adds(&rig.request(0, 0, 1, 2.0).1)[0].0;
+    rig.tell(Event::Counted(first, Outcome::Ok, 43.0));
+    rig.pass(2 * S);
+    let (_, out) = rig.request(0, 0, 1, 2.0);
+    assert_eq!(adds(&out).len(), 1);
+    assert_ne!(adds(&out)[0].0, first);
+}
+
+#[test]
+fn gateways_agree_on_the_name() {
+    let mut other = settings();
+    other.me = 1;
+    let (mut a, mut b) = (Rig::new(settings(), 4), Rig::new(other, 2));
+    assert_eq!(adds(&a.request(0, 0, 1, 2.0).1)[0].0, adds(&b.request(0, 0, 1, 2.0).1)[0].0);
+}
+
+#[test]
+fn an_emptied_counter_gets_our_spend_back() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 4.0, 4.0);
+    with_total(&mut rig, 4.0, 8.0);
+    // The memory is lost: only this add is there.
+    let (_, out) = with_total(&mut rig, 2.0, 2.0);
+    assert_eq!(adds(&out).iter().map(|a| a.1).sum::<f64>(), 8.0);
+}
+
+#[test]
+fn a_refused_add_goes_back_at_once_where_others_could_use_the_room() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 1.0, 40.0);
+    rig.pass(2 * S); // A full window before: nothing is left over.
+    let (id, out) = rig.request(0, 0, 1, 4.0);
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Ok, 22.0));
+    assert!(refused(&out, id), "{out:?}");
+    assert_eq!(adds(&out).iter().map(|a| a.1).collect::<Vec<_>>(), [-4.0]);
+}
+
+#[test]
+fn local_spend_goes_out_with_the_next_call() {
+    let mut rig = Rig::new(settings(), 4);
+    let (_, out) = rig.request(0, 0, 1, 2.0);
+    // Turned away: nothing was added, the local bucket lets it go on.
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Full, 0.0));
+    assert_eq!(sends(&out).len(), 1);
+    let next = (0..50).find_map(|_| adds(&rig.request(0, 0, 1, 1.0).1).first().map(|a| a.1));
+    assert!(next.expect("somebody asks") >= 3.0, "its own unit and what went on unheard");
+}
+
+#[test]
+fn without_a_counter_the_share_decides() {
+    let mut set = settings();
+    set.counter = false;
+    let mut rig = Rig::new(set, 8);
+    let mut through = 0;
+    for _ in 0..400 {
+        rig.pass(100 * MS);
+        let (id, out) = rig.request(0, 0, 1, 1.0);
+        assert!(counts(&out).is_empty());
+        if let Some((_, server)) = sends(&out).first() {
+            through += 1;
+            rig.ended(id, 0, *server, Outcome::Ok);
+        }
+    }
+    // 40 s at a share of 5 units a second, and at most one burst's share on top.
+    assert!((190..=212).contains(&through), "{through}");
+}
+
+#[test]
+fn the_cap_on_attempts_out_is_asked_and_let_go() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, out) = rig.request(0, 2, 1, 1.0);
+    let (name, one) = adds(&out)[0];
+    assert_eq!(one, 1.0);
+    let out = rig.tell(Event::Counted(name, Outcome::Ok, 1.0));
+    let server = sends(&out)[0].1;
+    let out = rig.ended(id, 0, server, Outcome::Ok);
+    assert_eq!(adds(&out), [(name, -1.0)]);
+    rig.tell(Event::Counted(name, Outcome::Ok, 0.0));
+    let (id, out) = rig.request(0, 2, 1, 1.0);
+    assert_eq!(adds(&out), [(name, 1.0)]);
+    let out = rig.tell(Event::Counted(name, Outcome::Ok, 3.0));
+    assert!(refused(&out, id), "two are out elsewhere");
+    assert_eq!(adds(&out), [(name, -1.0)], "and the place goes back");
+}
+
+#[test]
+fn an_answer_to_a_call_never_made_changes_nothing() {
+    let mut rig = Rig::new(settings(), 4);
+    assert!(rig.tell(Event::Counted(CountName(5), Outcome::Ok, 1.0)).is_empty());
+}
+
+#[test]
+fn unheard_a_gateway_that_carries_nearly_all_gets_the_larger_share() {
+    let passed = |others: f64| {
+        let mut rig = Rig::new(settings(), 8);
+        // Four windows in which this gateway adds four units of a total that others raise.
+        for _ in 0..4 {
+            rig.pass(2 * S);
+            let (id, out) = rig.request(0, 0, 1, 4.0);
+            for (name, amount) in counts(&out) {
+                let total = if amount > 0.0 { 4.0 + others } else { 0.0 };
+                let out = rig.tell(Event::Counted(name, Outcome::Ok, total));
+                sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+            }
+        }
+        let mut passed = 0;
+        for _ in 0..300 {
+            rig.pass(100 * MS);
+            let (id, mut out) = rig.request(0, 0, 1, 1.0);
+            for (name, _) in counts(&out.clone()) {
+                out.extend(rig.tell(Event::Counted(name, Outcome::Full, 0.0)));
+            }
+            passed += sends(&out).len();
+            sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+        }
+        passed
+    };
+    let (alone, beside) = (passed(0.0), passed(12.0));
+    assert!(alone * 4 > beside * 5, "{alone} against {beside}");
+}
