Rename the crate to starlinghill

Library starlinghill, adapter starlinghill-simhost, and the adapter's type Host, which hosts the instances of one process. No behaviour changes.

--- a/src/bin/chalkdeck-drill.rs
+++ b/src/bin/starlinghill-simhost.rs
@@ -1,21 +1,21 @@
-//! The decisions on the drill's wire: batches on standard input, replies on standard output.
+//! The decisions on the simulator's wire: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
-use chalkdeck::wire::Drill;
+use starlinghill::wire::Host;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let mut input = io::stdin().lock();
     let mut output = BufWriter::new(io::stdout().lock());
-    let mut drill = Drill::default();
+    let mut host = Host::default();
     let mut line = String::new();
     loop {
         line.clear();
         if input.read_line(&mut line)? == 0 {
-            return Ok(drill.finish()?);
+            return Ok(host.finish()?);
         }
-        if let Some(reply) = drill.line(line.trim_end_matches(['\n', '\r']))? {
+        if let Some(reply) = host.line(line.trim_end_matches(['\n', '\r']))? {
             output.write_all(reply.as_bytes())?;
             output.flush()?;
         }
@@ -26,7 +26,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("chalkdeck-drill: {e}");
+            eprintln!("starlinghill-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,4 +1,4 @@
-//! The text protocol of the drill, to and from the types of `api.rs`. Nothing here decides.
+//! The text protocol of the simulator, to and from the types of `api.rs`. Nothing here decides.
 
 use crate::api::*;
 use crate::rules::Gateway;
@@ -315,7 +315,7 @@
 
 /// The gateways of one process, by number, and the batch being read.
 #[derive(Default)]
-pub struct Drill {
+pub struct Host {
     instances: BTreeMap<u32, Instance>,
     current: Option<u32>,
     now: Micros,
@@ -326,7 +326,7 @@
     actions: Vec<Action>,
 }
 
-impl Drill {
+impl Host {
     /// Takes one line of input; at the end of a batch, returns the reply.
     pub fn line(&mut self, text: &str) -> Result<Option<String>> {
         self.line += 1;
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -1,7 +1,7 @@
 //! Choice of a server, health, further attempts and what waits.
 mod common;
-use chalkdeck::api::*;
 use common::*;
+use starlinghill::api::*;
 
 #[test]
 fn work_spreads_by_what_is_out() {
@@ -132,7 +132,7 @@
     let bad = |change: fn(&mut Settings)| {
         let mut set = settings();
         change(&mut set);
-        chalkdeck::rules::Gateway::new(1, set).is_err()
+        starlinghill::rules::Gateway::new(1, set).is_err()
     };
     assert!(bad(|s| s.gateways = 0));
     assert!(bad(|s| s.me = 2));
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter on good and bad text.
-use chalkdeck::wire::Drill;
+use starlinghill::wire::Host;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -11,12 +11,12 @@
     ITEM backend=10.0.0.1:80 rack_zone=a model=m pod=0 status=in_service heft=1";
 
 fn talk(text: &str) -> Result<Vec<String>, String> {
-    let mut drill = Drill::default();
+    let mut host = Host::default();
     let mut replies = Vec::new();
     for line in text.lines() {
-        replies.extend(drill.line(line).map_err(|e| e.0)?);
+        replies.extend(host.line(line).map_err(|e| e.0)?);
     }
-    drill.finish().map_err(|e| e.0)?;
+    host.finish().map_err(|e| e.0)?;
     Ok(replies)
 }
 
@@ -82,7 +82,7 @@
 
 #[test]
 fn the_program_exits_with_one_plain_line() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_chalkdeck-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_starlinghill-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
