--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod net;
 pub mod rules;
+mod settings;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,190 @@
+//! What the platform tells a gateway: the environment and the configuration file.
+
+use crate::settings::{flatten, Fields, Site};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::env;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A configuration that a gateway can't start with; one plain line.
+#[derive(Debug)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for ConfigError {}
+
+impl From<crate::api::SettingsError> for ConfigError {
+    fn from(e: crate::api::SettingsError) -> ConfigError {
+        ConfigError(format!("settings: {e}"))
+    }
+}
+
+/// Discovery's form of the list of backends, whole or as changes.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct MemberList {
+    /// The list's version.
+    pub revision: u64,
+    /// It holds every member, not just those that changed.
+    #[serde(default)]
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Member>,
+}
+
+/// One backend, as discovery tells of it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Member {
+    /// Its name, the same at every gateway.
+    pub id: String,
+    /// Where it listens, as seen from this gateway.
+    pub host_port: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub locality: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u64,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Its size against the others.
+    #[serde(default = "one")]
+    pub size: f64,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    #[serde(default)]
+    pub up_since_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Whether a backend takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// It takes work.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It was taken away.
+    Gone,
+}
+
+#[derive(Deserialize)]
+struct Document {
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    counter: Option<SocketAddr>,
+    #[serde(default)]
+    known: MemberList,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// All that a gateway is told at its start.
+pub struct Config {
+    pub(crate) name: String,
+    pub(crate) listen: SocketAddr,
+    pub(crate) discovery: SocketAddr,
+    pub(crate) counter: Option<SocketAddr>,
+    pub(crate) seed: u64,
+    pub(crate) known: MemberList,
+    pub(crate) site: Site,
+    pub(crate) sockets: SocketLimits,
+    /// An attempt's connection must be made within this.
+    pub(crate) dial_timeout: std::time::Duration,
+    /// A backend closes a connection that stood idle for this long.
+    pub(crate) conn_idle: std::time::Duration,
+}
+
+/// How the descriptors are shared out, so that no kind of connection can starve another.
+#[derive(Debug, Clone, Copy)]
+pub struct SocketLimits {
+    /// From clients.
+    pub clients: usize,
+    /// To backends.
+    pub backends: usize,
+    /// To the counter, which resets more than 32.
+    pub counter: usize,
+}
+
+impl SocketLimits {
+    fn of(sockets: usize) -> SocketLimits {
+        // The rest, at least a sixteenth, is for standard streams, the listener, epoll and discovery.
+        let counter = (sockets / 16).clamp(1, 32);
+        SocketLimits { clients: (sockets / 2).max(1), backends: (sockets / 4).max(1), counter }
+    }
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn from_environment() -> Result<Config, ConfigError> {
+        let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+        let address = |name: &str| match env::var(name) {
+            Err(_) => Ok(None),
+            Ok(text) => text
+                .parse()
+                .map(Some)
+                .map_err(|_| ConfigError(format!("{name}: expected an address and a port, found '{text}'"))),
+        };
+        Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
+            .map(|c| Config { name: env::var("NODE_NAME").unwrap_or_default(), ..c })
+            .map_err(|e| ConfigError(format!("{path}: {e}")))
+    }
+
+    /// Reads a configuration; addresses from the environment go before its own.
+    pub fn parse(
+        text: &str,
+        listen: Option<SocketAddr>,
+        discovery: Option<SocketAddr>,
+    ) -> Result<Config, ConfigError> {
+        let document: Document = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let seed = u64::from_str_radix(&document.seed, 16)
+            .map_err(|_| ConfigError(format!("seed: expected 16 hex digits, found '{}'", document.seed)))?;
+        let mut names = BTreeMap::new();
+        flatten("", &document.settings, &mut names);
+        let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        let fields = Fields { place: "settings".into(), message: "settings", pairs };
+        let plain = |e: crate::settings::FieldError| ConfigError(e.0);
+        let site = Site::read(&fields).map_err(plain)?;
+        site.settings.check()?;
+        let span = |name, default| {
+            fields.micros_or(name, default).map(|m| std::time::Duration::from_micros(m.0)).map_err(plain)
+        };
+        let missing = |what: &str| ConfigError(format!("{what}: expected an address, found nothing"));
+        if site.settings.counter && document.counter.is_none() {
+            return Err(missing("counter"));
+        }
+        Ok(Config {
+            name: String::new(),
+            listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
+            discovery: discovery.or(document.discovery).ok_or_else(|| missing("discovery"))?,
+            counter: document.counter,
+            seed,
+            known: document.known,
+            dial_timeout: span("bounds.dial_timeout", 250_000)?,
+            conn_idle: span("bounds.conn_idle", 15_000_000)?,
+            site,
+            sockets: SocketLimits::of(document.limits.sockets),
+        })
+    }
+}
--- /dev/null
+++ b/src/net/counter.rs
@@ -0,0 +1,162 @@
+//! The shared counter: calls over a few connections, each made once, their answers told in order.
+
+use super::http::{CallError, Connection};
+use crate::api::{CountName, Micros, Outcome};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{header, Method, Request, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::time::{timeout, Instant};
+use tracing::warn;
+
+/// An idle connection is closed after this; the counter closes it after 10 s or less.
+const LONGEST_IDLE: Duration = Duration::from_secs(4);
+
+/// How one call ended, and the total where it was answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Counted {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The total after this call.
+    pub total: f64,
+}
+
+impl From<Outcome> for Counted {
+    fn from(outcome: Outcome) -> Counted {
+        Counted { outcome, total: 0.0 }
+    }
+}
+
+/// The way to the counter.
+pub struct Counter {
+    address: SocketAddr,
+    timeout: Duration,
+    idle: RefCell<Vec<Connection>>,
+    lines: Semaphore,
+}
+
+impl Counter {
+    /// Calls go over at most so many connections and are given up after `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration, connections: usize) -> Counter {
+        Counter { address, timeout, idle: RefCell::default(), lines: Semaphore::new(connections) }
+    }
+
+    /// Makes one call. An unanswered one closes its connection, so that a late answer meets no later call.
+    pub async fn add(&self, name: CountName, amount: f64, life: Micros) -> Counted {
+        let wrote = Cell::new(false);
+        match timeout(self.timeout, self.exchange(name, amount, life, &wrote)).await {
+            Ok(counted) => counted,
+            Err(_) if wrote.get() => Outcome::Timeout.into(),
+            Err(_) => Outcome::ConnectFailed.into(),
+        }
+    }
+
+    async fn exchange(&self, name: CountName, amount: f64, life: Micros, wrote: &Cell<bool>) -> Counted {
+        // The semaphore is never closed.
+        let Ok(_line) = self.lines.acquire().await else { return Outcome::Moot.into() };
+        loop {
+            let (mut connection, reused) = match self.take() {
+                Some(connection) => (connection, true),
+                None => match Connection::open(self.address).await {
+                    Ok(connection) => (connection, false),
+                    Err(_) => return Outcome::ConnectFailed.into(),
+                },
+            };
+            wrote.set(true);
+            match connection.call(self.request(name, amount, life)).await {
+                Ok(response) => {
+                    if connection.is_usable() {
+                        connection.idle_since = Instant::now();
+                        self.idle.borrow_mut().push(connection);
+                    }
+                    return reading(response.status(), response.body());
+                }
+                Err(CallError::NotSent) if reused => wrote.set(false),
+                Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
+                Err(CallError::Broken) => return Outcome::Reset.into(),
+            }
+        }
+    }
+
+    fn take(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut connection) = idle.pop() {
+            if connection.idle_since.elapsed() < LONGEST_IDLE && connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn request(&self, name: CountName, amount: f64, life: Micros) -> Request<Full<Bytes>> {
+        let life_ms = (life.0 / 1000).max(1);
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::POST;
+        // Digits and signs alone: always a valid URI.
+        if let Ok(uri) = format!("/v1/count/{}?add={amount}&ttl_ms={life_ms}", name.0).parse() {
+            *request.uri_mut() = uri;
+        }
+        if let Ok(host) = self.address.to_string().parse() {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        request
+    }
+}
+
+fn reading(status: StatusCode, body: &Bytes) -> Counted {
+    match status {
+        StatusCode::OK => {
+            let text = std::str::from_utf8(body).unwrap_or("").trim();
+            match text.parse::<f64>() {
+                Ok(total) if total.is_finite() => Counted { outcome: Outcome::Ok, total },
+                _ => {
+                    warn!("the counter answered 200 without a number");
+                    Outcome::Error.into()
+                }
+            }
+        }
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full.into(),
+        // No such call: nothing was added.
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => Outcome::Moot.into(),
+        status => {
+            warn!(%status, "the counter answered what it should not");
+            Outcome::Error.into()
+        }
+    }
+}
+
+/// Puts the answers for one name into the order of their calls, as the module expects them, though they
+/// come over several connections.
+#[derive(Default)]
+pub struct Order {
+    serial: u64,
+    waiting: HashMap<CountName, VecDeque<(u64, Option<Counted>)>>,
+}
+
+impl Order {
+    /// Notes a call and gives the number by which its answer is told.
+    pub fn made(&mut self, name: CountName) -> u64 {
+        self.serial += 1;
+        self.waiting.entry(name).or_default().push_back((self.serial, None));
+        self.serial
+    }
+
+    /// Takes an answer; returns those for its name whose turn has come.
+    pub fn answered(&mut self, name: CountName, serial: u64, counted: Counted) -> Vec<Counted> {
+        let Some(queue) = self.waiting.get_mut(&name) else { return Vec::new() };
+        queue.iter_mut().filter(|call| call.0 == serial).for_each(|call| call.1 = Some(counted));
+        let mut ready = Vec::new();
+        while let Some(Some(counted)) = queue.front().map(|call| call.1) {
+            ready.push(counted);
+            queue.pop_front();
+        }
+        if queue.is_empty() {
+            self.waiting.remove(&name);
+        }
+        ready
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,86 @@
+//! The list of backends: a watch on discovery that never stops.
+
+use super::config::MemberList;
+use super::driver::{Inbox, Input};
+use super::http::Connection;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{header, Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+/// How long a watch waits for news.
+const HOLD: Duration = Duration::from_secs(20);
+/// How long an answer may take beyond what it was asked to wait.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The pause before a failed call is made again; a watch goes on if its next call comes within 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Fetches the whole list, then watches it for ever, telling the driver what is new.
+pub async fn watch(address: SocketAddr, inbox: Inbox) {
+    let mut revision = None;
+    let mut connection = None;
+    let mut silent = false;
+    loop {
+        match next(address, &mut connection, revision).await {
+            Ok(list) => {
+                if std::mem::take(&mut silent) {
+                    info!("discovery answers again");
+                }
+                // Guards against a stale answer that would undo a drain already told.
+                if revision.is_some_and(|held| list.revision < held) {
+                    warn!(revision = list.revision, "discovery told an older list, which is left aside");
+                    sleep(PAUSE).await;
+                    continue;
+                }
+                // A list of changes says nothing to one who holds no list.
+                if revision.is_none() && !list.complete {
+                    warn!("discovery told changes where the whole list was asked for");
+                    sleep(PAUSE).await;
+                    continue;
+                }
+                revision = Some(list.revision);
+                if inbox.send(Input::Members(list)).await.is_err() {
+                    return;
+                }
+            }
+            Err(problem) => {
+                connection = None;
+                if !std::mem::replace(&mut silent, true) {
+                    warn!(problem, "discovery failed; the list stays as it is");
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn next(
+    address: SocketAddr,
+    connection: &mut Option<Connection>,
+    revision: Option<u64>,
+) -> Result<MemberList, &'static str> {
+    let path = match revision {
+        None => "/catalog/members".to_string(),
+        Some(revision) => format!("/catalog/members?from={revision}&hold_ms={}", HOLD.as_millis()),
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().map_err(|_| "no such path")?;
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    if connection.as_mut().is_none_or(|c| !c.is_usable()) {
+        let opened = timeout(PATIENCE, Connection::open(address)).await;
+        *connection = Some(opened.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?);
+    }
+    let Some(line) = connection.as_mut() else { return Err("no connection") };
+    let hold = if revision.is_some() { HOLD } else { Duration::ZERO };
+    let answer = timeout(hold + PATIENCE, line.call(request)).await;
+    let answer = answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")?;
+    if answer.status() != StatusCode::OK {
+        return Err("not answered with 200");
+    }
+    serde_json::from_slice(answer.body()).map_err(|_| "not a list of members")
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,381 @@
+//! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
+//! its request table sees to it that every request gets exactly one final answer.
+
+use super::backend::{Backend, Ended, Forward, Pool};
+use super::config::{Config, ConfigError, MemberList, Phase};
+use super::counter::{Counted, Counter, Order};
+use crate::api::*;
+use crate::rules::Gateway;
+use crate::settings::Site;
+use bytes::Bytes;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, Instant};
+use tracing::{debug, info};
+
+/// How many inputs may wait for the driver; whoever has one more waits with it.
+const INBOX: usize = 1024;
+/// How often connections that stand idle are looked at.
+const RETIRE_EVERY: Duration = Duration::from_secs(1);
+
+/// The way to the driver.
+pub type Inbox = mpsc::Sender<Input>;
+
+/// The final answer to a client.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// A backend's 200, whole.
+    Served(Bytes),
+    /// Refused: trying again is harmless, best after this time.
+    Refused(Option<Micros>),
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// A request that a client has sent whole.
+pub struct Taken {
+    /// What the module is told of it. Its id is new, whatever the client called it.
+    pub arrival: Arrival,
+    /// What goes on to backends.
+    pub forward: Forward,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What the driver hears.
+pub enum Input {
+    /// A request.
+    Taken(Box<Taken>),
+    /// The client of a request closed its connection.
+    Gone(RequestId),
+    /// News of the backends.
+    Members(MemberList),
+    /// A call to the counter ended.
+    Counted(CountName, u64, Counted),
+    /// An attempt ended: its request, number and backend, how, and how long it was out.
+    Ended(RequestId, usize, ServerId, Ended, Micros),
+}
+
+/// The clock of the module: Unix time, which all gateways share, but never going back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the system's clock once; from then on the monotonic one counts.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
+    }
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.at(Instant::now())
+    }
+    /// The time on this clock.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.base + Micros(instant.saturating_duration_since(self.start).as_micros() as u64)
+    }
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at - self.base).0)
+    }
+}
+
+/// A request in the table: until it has its answer and nothing of it is out.
+struct Open {
+    reply: Option<oneshot::Sender<Answer>>,
+    forward: Rc<Forward>,
+    /// One for each attempt made: calls it off while it is out.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+}
+
+impl Open {
+    fn over(&self) -> bool {
+        self.reply.is_none() && self.attempts.iter().all(Option::is_none)
+    }
+}
+
+/// The driver.
+pub struct Driver {
+    gateway: Gateway,
+    site: Site,
+    clock: Clock,
+    tick: Duration,
+    inbox: Inbox,
+    inputs: mpsc::Receiver<Input>,
+    pool: Rc<Pool>,
+    counter: Option<Rc<Counter>>,
+    order: Order,
+    backends: HashMap<ServerId, Rc<Backend>>,
+    requests: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Micros, TimerId)>>,
+    batch: Vec<Event>,
+    actions: Vec<Action>,
+    /// Set once the list of backends is in hand.
+    ready: Rc<Cell<bool>>,
+}
+
+impl Driver {
+    /// A driver that knows nothing yet but the configuration.
+    pub fn new(config: Config, clock: Clock, ready: Rc<Cell<bool>>) -> Result<Driver, ConfigError> {
+        let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
+        let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
+        let (inbox, inputs) = mpsc::channel(INBOX);
+        let counter =
+            counter.map(|a| Counter::new(a, duration(site.settings.count_timeout), sockets.counter));
+        let mut driver = Driver {
+            gateway,
+            clock,
+            // A gateway that calls its module without pause would only burn its core.
+            tick: duration(site.settings.tick).max(Duration::from_millis(1)),
+            site,
+            inbox,
+            inputs,
+            pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle)),
+            counter: counter.map(Rc::new),
+            order: Order::default(),
+            backends: HashMap::new(),
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            batch: Vec::new(),
+            actions: Vec::new(),
+            ready,
+        };
+        // It may be old, but it is what there is until discovery speaks.
+        if !known.members.is_empty() {
+            driver.members(MemberList { complete: true, ..known });
+        }
+        Ok(driver)
+    }
+
+    /// The way in.
+    pub fn inbox(&self) -> Inbox {
+        self.inbox.clone()
+    }
+
+    /// Runs for ever. Like the simulator it tells the module what has come in at most once a tick.
+    pub async fn run(mut self) {
+        let pool = self.pool.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(RETIRE_EVERY).await;
+                pool.retire();
+            }
+        });
+        let mut last = Instant::now() - self.tick;
+        loop {
+            let due = match self.timers.peek() {
+                _ if !self.batch.is_empty() => Some(last + self.tick),
+                Some(Reverse((at, _))) => Some(self.clock.instant(*at).max(last + self.tick)),
+                None => None,
+            };
+            tokio::select! {
+                biased;
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    last = Instant::now();
+                    self.turn();
+                }
+                input = self.inputs.recv() => {
+                    let mut next = input;
+                    while let Some(input) = next {
+                        self.take(input);
+                        next = self.inputs.try_recv().ok();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the module all that has come in and carries out what it decides.
+    fn turn(&mut self) {
+        let now = self.clock.now();
+        while let Some(&Reverse((at, id))) = self.timers.peek().filter(|t| t.0 .0 <= now) {
+            let _: Micros = at;
+            self.timers.pop();
+            self.batch.push(Event::Timer(id));
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        for event in std::mem::take(&mut self.batch) {
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Translates what came in to an event of the module's.
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Taken(taken) => {
+                let Taken { arrival, forward, reply } = *taken;
+                let open = Open { reply: Some(reply), forward: Rc::new(forward), attempts: Vec::new() };
+                self.requests.insert(arrival.id, open);
+                self.batch.push(Event::Request(arrival));
+            }
+            Input::Gone(id) => {
+                if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
+                    open.reply = None;
+                    self.batch.push(Event::ClientGone(id));
+                    self.tidy(id);
+                }
+            }
+            Input::Members(list) => self.members(list),
+            Input::Counted(name, serial, counted) => {
+                let ready = self.order.answered(name, serial, counted);
+                self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
+            }
+            Input::Ended(id, attempt, server, ended, took) => {
+                let Some(open) = self.requests.get_mut(&id) else { return };
+                open.attempts[attempt] = None;
+                // The first 200 is the client's at once and ends the request; the module hears of it.
+                if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
+                    let _ = reply.send(Answer::Served(body));
+                }
+                let (outcome, ended) = (ended.outcome, open.reply.is_none());
+                self.batch.push(Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt,
+                    server,
+                    outcome,
+                    took,
+                    ended,
+                    settled: None,
+                    report: Report::default(),
+                }));
+                self.tidy(id);
+            }
+        }
+    }
+
+    fn members(&mut self, list: MemberList) {
+        let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
+        debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
+        let mut entries = Vec::with_capacity(list.members.len());
+        for member in list.members {
+            let server = self.site.server(&member.id);
+            let listed = match member.phase {
+                Phase::Ready => Listed::InService,
+                Phase::Draining => Listed::Draining,
+                Phase::Gone => Listed::Gone,
+            };
+            let backend = Backend {
+                address: member.host_port,
+                up_since_ms: member.up_since_ms,
+                open: Cell::new(listed == Listed::InService),
+            };
+            if let Some(old) = self.backends.get(&server) {
+                let same = old.address == backend.address && old.up_since_ms == backend.up_since_ms;
+                // Guards against old connections to a backend that moved, restarted or will end soon, and
+                // against attempts that still wait for one.
+                if !same || !backend.open.get() {
+                    self.pool.forget(old.address);
+                    old.open.set(false);
+                }
+            }
+            entries.push(ServerEntry {
+                server,
+                zone: self.site.zone(&member.locality),
+                cell: CellId(member.cell),
+                listed,
+                weight: member.size,
+                started: Some(Micros(member.up_since_ms.saturating_mul(1000))).filter(|at| at.0 > 0),
+            });
+            self.backends.insert(server, Rc::new(backend));
+        }
+        if list.complete {
+            let told: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            self.backends.retain(|server, backend| {
+                let stays = told.contains(server);
+                if !stays {
+                    backend.open.set(false);
+                    self.pool.forget(backend.address);
+                }
+                stays
+            });
+        }
+        if !self.ready.replace(true) {
+            info!(backends = self.backends.len(), "ready");
+        }
+        self.batch.push(Event::Servers(scope, entries));
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send(id, server, until) => self.send(now, id, server, until),
+            Action::Refuse(id, wait) => self.answer(id, Answer::Refused(wait)),
+            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::Cancel(id, attempt) => {
+                let open = self.requests.get_mut(&id);
+                // The attempt tells its end itself, once its connection is closed.
+                if let Some(call_off) = open.and_then(|open| open.attempts.get_mut(attempt)?.as_mut()) {
+                    let (spare, _) = oneshot::channel();
+                    let _ = std::mem::replace(call_off, spare).send(());
+                }
+            }
+            Action::Count(name, amount, life) => self.count(name, amount, life),
+            Action::SetTimer(id, after) => self.timers.push(Reverse((now + after, id))),
+            // Probing is not allowed here, and the watch on the list never stops.
+            Action::Probe(_) | Action::Subscribe | Action::FetchList => {}
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
+            // A client that has just gone needs no answer.
+            let _ = reply.send(answer);
+            self.tidy(id);
+        }
+    }
+
+    fn tidy(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(Open::over) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, until: Micros) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let attempt = open.attempts.len();
+        let backend = self.backends.get(&server).filter(|_| open.reply.is_some()).cloned();
+        let Some(backend) = backend else {
+            // The client went, or the list changed, after the module was told last.
+            open.attempts.push(None);
+            let (outcome, took, ended) = (Outcome::Moot, Micros(0), open.reply.is_none());
+            let (settled, report) = (None, Report::default());
+            let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled, report };
+            return self.batch.push(Event::AttemptEnded(end));
+        };
+        let (call_off, called_off) = oneshot::channel();
+        open.attempts.push(Some(call_off));
+        let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
+        let (until, clock) = (self.clock.instant(until), self.clock);
+        tokio::task::spawn_local(async move {
+            let ended = pool.attempt(&backend, &forward, until, called_off).await;
+            let took = clock.now() - now;
+            // The driver outlives every attempt but for the exit of the process.
+            let _ = inbox.send(Input::Ended(id, attempt, server, ended, took)).await;
+        });
+    }
+
+    fn count(&mut self, name: CountName, amount: f64, life: Micros) {
+        let serial = self.order.made(name);
+        let (counter, inbox) = (self.counter.clone(), self.inbox.clone());
+        tokio::task::spawn_local(async move {
+            let counted = match counter {
+                Some(counter) => counter.add(name, amount, life).await,
+                None => Outcome::ConnectFailed.into(),
+            };
+            let _ = inbox.send(Input::Counted(name, serial, counted)).await;
+        });
+    }
+}
+
+fn duration(span: Micros) -> Duration {
+    Duration::from_micros(span.0)
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,142 @@
+//! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
+//! is written once, and the caller learns whether any of it was.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The longest body of any message.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// Nothing of it was written: it never reached the other side.
+    NotSent,
+    /// It broke after it was written, at least in part: it may have had its effect.
+    Broken,
+}
+
+/// A socket that remembers whether anything was written to it.
+struct Metered {
+    stream: TcpStream,
+    wrote: Rc<Cell<bool>>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
+        done
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
+        done
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection and its protocol machine. Dropping it closes the socket at once, whatever is under way.
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>,
+    wrote: Rc<Cell<bool>>,
+    closed: bool,
+    /// When it was last given back unused.
+    pub idle_since: Instant,
+}
+
+impl Connection {
+    /// Connects. The caller bounds the time.
+    pub async fn open(address: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let wrote = Rc::new(Cell::new(false));
+        let metered = TokioIo::new(Metered { stream, wrote: wrote.clone() });
+        let (sender, machine) = http1::Builder::new()
+            .max_buf_size(2 * MAX_BODY)
+            .handshake(metered)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Connection {
+            sender,
+            machine: Box::pin(machine),
+            wrote,
+            closed: false,
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Whether it can carry another call, as far as the socket has told.
+    pub fn is_usable(&mut self) -> bool {
+        self.turn(&mut Context::from_waker(Waker::noop()));
+        !self.closed && self.sender.is_ready()
+    }
+
+    /// Whether anything of the present call was written.
+    pub fn wrote(&self) -> bool {
+        self.wrote.get()
+    }
+
+    fn turn(&mut self, cx: &mut Context) {
+        // A finished machine must not be polled again.
+        self.closed = self.closed || self.machine.as_mut().poll(cx).is_ready();
+    }
+
+    /// Polls a future with the machine that feeds it; gives up when the machine stops first.
+    async fn drive<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
+        let mut future = pin!(future);
+        std::future::poll_fn(|cx| {
+            self.turn(cx);
+            match future.as_mut().poll(cx) {
+                Poll::Ready(value) => Poll::Ready(Some(value)),
+                Poll::Pending if self.closed => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    /// Makes one call and reads the whole answer. After an error the connection is of no further use.
+    pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        self.wrote.set(false);
+        let sending = self.sender.try_send_request(request);
+        let head = self.drive(sending).await;
+        let failed = if self.wrote.get() { CallError::Broken } else { CallError::NotSent };
+        let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
+        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
+        let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,60 @@
+//! The real gateway: the decision module on sockets.
+
+pub mod backend;
+pub mod config;
+pub mod counter;
+pub mod discovery;
+pub mod driver;
+pub mod http;
+pub mod server;
+
+use config::{Config, ConfigError};
+use driver::{Clock, Driver};
+use server::Front;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tracing::info;
+
+/// Why a gateway could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// Its configuration makes no sense.
+    Config(ConfigError),
+    /// It could not listen.
+    Listen(std::net::SocketAddr, std::io::Error),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Config(e) => e.fmt(f),
+            StartError::Listen(address, e) => write!(f, "can't listen on {address}: {e}"),
+        }
+    }
+}
+impl std::error::Error for StartError {}
+
+/// Runs a gateway until `stopping` turns true and all that it took is answered.
+pub async fn run(config: Config, stopping: watch::Receiver<bool>) -> Result<(), StartError> {
+    let clock = Clock::start();
+    let ready = Rc::new(Cell::new(false));
+    let (listen, discovery, sockets) = (config.listen, config.discovery, config.sockets);
+    let classes = config.site.classes.iter().map(|(name, &i)| {
+        let class = &config.site.settings.classes[i];
+        (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
+    });
+    let classes = classes.collect();
+    let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
+    let name = config.name.clone();
+    let driver = Driver::new(config, clock, ready.clone()).map_err(StartError::Config)?;
+    let inbox = driver.inbox();
+    let listener = TcpListener::bind(listen).await.map_err(|e| StartError::Listen(listen, e))?;
+    info!(name, %listen, "listening");
+    tokio::task::spawn_local(discovery::watch(discovery, inbox.clone()));
+    tokio::task::spawn_local(driver.run());
+    let front = Front { inbox, clock, ready, classes, plans, last: Cell::new(0), stopping };
+    server::serve(listener, Rc::new(front), sockets.clients).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,223 @@
+//! Settings by their dotted names, and the names of what they list. The simulator's adapter and the real
+//! gateway both read them here: one finds them on a line, the other flattens its JSON to the same form.
+
+use crate::api::*;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Display;
+use std::str::FromStr;
+
+/// What was wrong with a named value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FieldError(pub String);
+
+impl Display for FieldError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for FieldError {}
+
+pub(crate) type Result<T> = std::result::Result<T, FieldError>;
+
+/// Named values, and where they stood.
+pub(crate) struct Fields<'a> {
+    /// A line such as 'line 3: START', or another place to name in errors.
+    pub(crate) place: String,
+    pub(crate) message: &'a str,
+    pub(crate) pairs: HashMap<&'a str, &'a str>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
+        let mut parts = line.split(' ');
+        let message = parts.next().unwrap_or("");
+        let place = format!("line {at}: {message}");
+        let mut pairs = HashMap::new();
+        for part in parts {
+            let Some((name, value)) = part.split_once('=') else {
+                return Err(FieldError(format!("{place}: expected name=value, found '{part}'")));
+            };
+            pairs.insert(name, value);
+        }
+        Ok(Fields { place, message, pairs })
+    }
+    pub(crate) fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
+        let found = self.pairs.get(name).map_or("nothing".to_string(), |v| format!("'{v}'"));
+        Err(FieldError(format!("{}: {name}: expected {wanted}, found {found}", self.place)))
+    }
+    pub(crate) fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
+        match self.pairs.get(name) {
+            None => Ok(None),
+            Some(text) => text.parse().map(Some).or_else(|_| self.fail(name, wanted)),
+        }
+    }
+    pub(crate) fn whole(&self, name: &str) -> Result<u64> {
+        self.read(name, "a whole number")?.map_or_else(|| self.fail(name, "a whole number"), Ok)
+    }
+    pub(crate) fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
+        Ok(self.read(name, "a whole number")?.unwrap_or(default))
+    }
+    pub(crate) fn small(&self, name: &str) -> Result<u32> {
+        self.read(name, "a small whole number")?.map_or_else(|| self.fail(name, "a small whole number"), Ok)
+    }
+    pub(crate) fn real_or(&self, name: &str, default: f64) -> Result<f64> {
+        match self.read::<f64>(name, "a number")? {
+            Some(v) if !v.is_finite() => self.fail(name, "a finite number"),
+            v => Ok(v.unwrap_or(default)),
+        }
+    }
+    pub(crate) fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
+        self.whole_or(name, default).map(Micros)
+    }
+    pub(crate) fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
+        match self.pairs.get(name) {
+            None => Ok(default),
+            Some(&"1") | Some(&"true") => Ok(true),
+            Some(&"0") | Some(&"false") => Ok(false),
+            Some(_) => self.fail(name, "1 or 0"),
+        }
+    }
+    pub(crate) fn text(&self, name: &str) -> Result<&'a str> {
+        self.pairs.get(name).copied().map_or_else(|| self.fail(name, "a text"), Ok)
+    }
+}
+
+/// The settings with the names by which the outside knows classes, plans, zones and servers.
+pub(crate) struct Site {
+    pub(crate) settings: Settings,
+    pub(crate) classes: HashMap<String, usize>,
+    pub(crate) plans: HashMap<String, usize>,
+    zones: HashMap<String, u32>,
+    /// The servers seen, by the numbers that stand for their names.
+    pub(crate) servers: HashMap<ServerId, String>,
+}
+
+impl Site {
+    pub(crate) fn read(f: &Fields) -> Result<Site> {
+        let list = |prefix: &str| -> Result<usize> {
+            let count = f.whole_or(&format!("{prefix}.count"), 0)?;
+            if count > 10_000 {
+                return f.fail(&format!("{prefix}.count"), "at most 10000");
+            }
+            Ok(count as usize)
+        };
+        let (mut classes, mut class_list) = (HashMap::new(), Vec::new());
+        for i in 0..list("classes")? {
+            let key = |k: &str| format!("classes.{i}.{k}");
+            classes.insert(f.text(&key("name"))?.to_string(), i);
+            let deadline = Micros(f.whole(&key("deadline"))?);
+            class_list.push(Class {
+                aim: f.micros_or(&key("on_time"), deadline.0)?,
+                deadline,
+                worth: f.real_or(&key("credit"), 1.0)?,
+                late_worth: f.real_or(&key("late_share"), 0.0)?,
+                effect: match f.pairs.get(key("effect").as_str()) {
+                    Some(&"pure") => Effect::Safe,
+                    Some(&"token") => Effect::Keyed,
+                    Some(&"side_effect") | None => Effect::Unsafe,
+                    Some(_) => return f.fail(&key("effect"), "pure, token or side_effect"),
+                },
+                group: match f.pairs.get(key("key_scope").as_str()) {
+                    Some(&"all") => Group::All,
+                    Some(&"zone") => Group::Zone,
+                    Some(&"cell") | None => Group::Cell,
+                    Some(_) => return f.fail(&key("key_scope"), "all, zone or cell"),
+                },
+                window: f.micros_or(&key("window"), 0)?,
+                stream: f.flag_or(&key("streaming"), false)?,
+            });
+        }
+        let (mut plans, mut plan_list) = (HashMap::new(), Vec::new());
+        for i in 0..list("plans")? {
+            let key = |k: &str| format!("plans.{i}.{k}");
+            let real = |k: &str, default| f.real_or(&key(k), default);
+            plans.insert(f.text(&key("name"))?.to_string(), i);
+            plan_list.push(Plan {
+                rate: real("per_second", 0.0)?,
+                burst: real("peak_units", 0.0)?,
+                open: real("open", 0.0)?,
+                price: real("price", 1.0)?,
+                over_worth: real("extra_worth", 0.0)?,
+                over_cost: real("excess_cost", 0.0)?,
+                ceiling_rate: real("ceiling_rate", 0.0)?,
+                ceiling_burst: real("cap_depth", 0.0)?,
+                ceiling_slack: real("tolerance", 0.0)?,
+            });
+        }
+        let mut zones = HashMap::new();
+        for name in f.pairs.get("zones").into_iter().flat_map(|z| z.split(',')) {
+            let next = zones.len() as u32;
+            zones.entry(name.to_string()).or_insert(next);
+        }
+        let zone = zone_id(&mut zones, f.pairs.get("zone").copied().unwrap_or(""));
+        let settings = Settings {
+            gateways: f.whole_or("balancers", 1)?.min(u32::MAX.into()) as u32,
+            me: f.whole_or("my_number", 0)?.min(u32::MAX.into()) as u32,
+            zone,
+            classes: class_list,
+            plans: plan_list,
+            max_attempts: f.whole_or("bounds.max_attempts", 1)? as usize,
+            second_copies: f.flag_or("bounds.second_copies", false)?,
+            may_cancel: f.flag_or("bounds.may_cancel", false)?,
+            probes: f.flag_or("bounds.probing", false)?,
+            retry_after: f.flag_or("bounds.retry_after", false)?,
+            max_retry_after: f.micros_or("bounds.max_retry_after", 0)?,
+            counter: f.flag_or("specifics.counter", false)?,
+            count_timeout: f.micros_or("specifics.count_limit", 0)?,
+            most_units: f.real_or("specifics.units_top", 1.0)?,
+            must_subscribe: f.pairs.get("membership_mode") == Some(&"subscribe"),
+            answer_slack: f.micros_or("rules.answer_slack", 0)?,
+            cold_from: f.real_or("rules.cold_from", 1.0)?,
+            cold: f.micros_or("rules.cold", 0)?,
+            fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
+            tip_after: f.micros_or("rules.tip_after", 0)?,
+            tick: f.micros_or("tick", 0)?,
+        };
+        Ok(Site { settings, classes, plans, zones, servers: HashMap::new() })
+    }
+    /// The number of a server's name.
+    pub(crate) fn server(&mut self, name: &str) -> ServerId {
+        // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
+        let hash = name
+            .bytes()
+            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+        let mut id = ServerId(hash);
+        while self.servers.get(&id).is_some_and(|known| known != name) {
+            id = ServerId(id.0.wrapping_add(1));
+        }
+        self.servers.entry(id).or_insert_with(|| name.to_string());
+        id
+    }
+    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+        zone_id(&mut self.zones, name)
+    }
+}
+
+fn zone_id(zones: &mut HashMap<String, u32>, name: &str) -> ZoneId {
+    let next = zones.len() as u32;
+    ZoneId(*zones.entry(name.to_string()).or_insert(next))
+}
+
+/// Lays nested JSON out as dotted names: lists of plain values joined by commas, lists of objects as their
+/// `.count` and their numbered items.
+pub(crate) fn flatten(prefix: &str, value: &serde_json::Value, into: &mut BTreeMap<String, String>) {
+    use serde_json::Value;
+    let below = |name: &str| if prefix.is_empty() { name.to_string() } else { format!("{prefix}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&below(name), v, into)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            into.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, into));
+        }
+        Value::Array(items) => {
+            let plain: Vec<String> = items.iter().map(plain_text).collect();
+            into.insert(prefix.to_string(), plain.join(","));
+        }
+        Value::Null => {}
+        _ => drop(into.insert(prefix.to_string(), plain_text(value))),
+    }
+}
+
+fn plain_text(value: &serde_json::Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_string)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,83 +2,12 @@
 
 use crate::api::*;
 use crate::rules::Gateway;
-use std::collections::{BTreeMap, HashMap};
-use std::fmt::{Display, Write};
-use std::str::FromStr;
+use crate::settings::{FieldError, Fields, Result, Site};
+use std::collections::BTreeMap;
+use std::fmt::Write;
 
-/// What was wrong with a line.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WireError(pub String);
-
-impl Display for WireError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-impl std::error::Error for WireError {}
-
-type Result<T> = std::result::Result<T, WireError>;
-
-/// The name=value parts of one line.
-struct Fields<'a> {
-    at: u64,
-    message: &'a str,
-    pairs: HashMap<&'a str, &'a str>,
-}
-
-impl<'a> Fields<'a> {
-    fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
-        let mut parts = line.split(' ');
-        let message = parts.next().unwrap_or("");
-        let mut pairs = HashMap::new();
-        for part in parts {
-            let Some((name, value)) = part.split_once('=') else {
-                return Err(WireError(format!("line {at}: {message}: expected name=value, found '{part}'")));
-            };
-            pairs.insert(name, value);
-        }
-        Ok(Fields { at, message, pairs })
-    }
-    fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
-        let found = self.pairs.get(name).map_or("nothing".to_string(), |v| format!("'{v}'"));
-        let Fields { at, message, .. } = self;
-        Err(WireError(format!("line {at}: {message}: {name}: expected {wanted}, found {found}")))
-    }
-    fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
-        match self.pairs.get(name) {
-            None => Ok(None),
-            Some(text) => text.parse().map(Some).or_else(|_| self.fail(name, wanted)),
-        }
-    }
-    fn whole(&self, name: &str) -> Result<u64> {
-        self.read(name, "a whole number")?.map_or_else(|| self.fail(name, "a whole number"), Ok)
-    }
-    fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
-        Ok(self.read(name, "a whole number")?.unwrap_or(default))
-    }
-    fn small(&self, name: &str) -> Result<u32> {
-        self.read(name, "a small whole number")?.map_or_else(|| self.fail(name, "a small whole number"), Ok)
-    }
-    fn real_or(&self, name: &str, default: f64) -> Result<f64> {
-        match self.read::<f64>(name, "a number")? {
-            Some(v) if !v.is_finite() => self.fail(name, "a finite number"),
-            v => Ok(v.unwrap_or(default)),
-        }
-    }
-    fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
-        self.whole_or(name, default).map(Micros)
-    }
-    fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
-        match self.pairs.get(name) {
-            None => Ok(default),
-            Some(&"1") | Some(&"true") => Ok(true),
-            Some(&"0") | Some(&"false") => Ok(false),
-            Some(_) => self.fail(name, "1 or 0"),
-        }
-    }
-    fn text(&self, name: &str) -> Result<&'a str> {
-        self.pairs.get(name).copied().map_or_else(|| self.fail(name, "a text"), Ok)
-    }
+/// What only the wire's events carry.
+impl Fields<'_> {
     fn outcome(&self) -> Result<Outcome> {
         Ok(match self.text("how")? {
             "200" => Outcome::Ok,
@@ -112,116 +41,20 @@
 /// One gateway with the names by which the wire knows what it is told of.
 struct Instance {
     gateway: Gateway,
-    classes: HashMap<String, usize>,
-    plans: HashMap<String, usize>,
-    zones: HashMap<String, u32>,
-    addresses: HashMap<ServerId, String>,
-    class_list: Vec<Class>,
+    site: Site,
 }
 
 impl Instance {
     fn start(f: &Fields) -> Result<Instance> {
-        let seed = f.whole("rng_seed")?;
-        let list = |prefix: &str| -> Result<usize> {
-            let count = f.whole_or(&format!("{prefix}.count"), 0)?;
-            if count > 10_000 {
-                return f.fail(&format!("{prefix}.count"), "at most 10000");
-            }
-            Ok(count as usize)
-        };
-        let (mut classes, mut class_list) = (HashMap::new(), Vec::new());
-        for i in 0..list("classes")? {
-            let key = |k: &str| format!("classes.{i}.{k}");
-            classes.insert(f.text(&key("name"))?.to_string(), i);
-            let deadline = Micros(f.whole(&key("deadline"))?);
-            class_list.push(Class {
-                aim: f.micros_or(&key("on_time"), deadline.0)?,
-                deadline,
-                worth: f.real_or(&key("credit"), 1.0)?,
-                late_worth: f.real_or(&key("late_share"), 0.0)?,
-                effect: match f.pairs.get(key("effect").as_str()) {
-                    Some(&"pure") => Effect::Safe,
-                    Some(&"token") => Effect::Keyed,
-                    Some(&"side_effect") | None => Effect::Unsafe,
-                    Some(_) => return f.fail(&key("effect"), "pure, token or side_effect"),
-                },
-                group: match f.pairs.get(key("key_scope").as_str()) {
-                    Some(&"all") => Group::All,
-                    Some(&"zone") => Group::Zone,
-                    Some(&"cell") | None => Group::Cell,
-                    Some(_) => return f.fail(&key("key_scope"), "all, zone or cell"),
-                },
-                window: f.micros_or(&key("window"), 0)?,
-                stream: f.flag_or(&key("streaming"), false)?,
-            });
-        }
-        let (mut plans, mut plan_list) = (HashMap::new(), Vec::new());
-        for i in 0..list("plans")? {
-            let key = |k: &str| format!("plans.{i}.{k}");
-            let real = |k: &str, default| f.real_or(&key(k), default);
-            plans.insert(f.text(&key("name"))?.to_string(), i);
-            plan_list.push(Plan {
-                rate: real("per_second", 0.0)?,
-                burst: real("peak_units", 0.0)?,
-                open: real("open", 0.0)?,
-                price: real("price", 1.0)?,
-                over_worth: real("extra_worth", 0.0)?,
-                over_cost: real("excess_cost", 0.0)?,
-                ceiling_rate: real("ceiling_rate", 0.0)?,
-                ceiling_burst: real("cap_depth", 0.0)?,
-                ceiling_slack: real("tolerance", 0.0)?,
-            });
-        }
-        let mut zones = HashMap::new();
-        for name in f.pairs.get("zones").into_iter().flat_map(|z| z.split(',')) {
-            let next = zones.len() as u32;
-            zones.entry(name.to_string()).or_insert(next);
-        }
-        let zone = zone_id(&mut zones, f.pairs.get("zone").copied().unwrap_or(""));
-        let settings = Settings {
-            gateways: f.whole_or("balancers", 1)?.min(u32::MAX.into()) as u32,
-            me: f.whole_or("my_number", 0)?.min(u32::MAX.into()) as u32,
-            zone,
-            classes: class_list.clone(),
-            plans: plan_list,
-            max_attempts: f.whole_or("bounds.max_attempts", 1)? as usize,
-            second_copies: f.flag_or("bounds.second_copies", false)?,
-            may_cancel: f.flag_or("bounds.may_cancel", false)?,
-            probes: f.flag_or("bounds.probing", false)?,
-            retry_after: f.flag_or("bounds.retry_after", false)?,
-            max_retry_after: f.micros_or("bounds.max_retry_after", 0)?,
-            counter: f.flag_or("specifics.counter", false)?,
-            count_timeout: f.micros_or("specifics.count_limit", 0)?,
-            most_units: f.real_or("specifics.units_top", 1.0)?,
-            must_subscribe: f.pairs.get("membership_mode") == Some(&"subscribe"),
-            answer_slack: f.micros_or("rules.answer_slack", 0)?,
-            cold_from: f.real_or("rules.cold_from", 1.0)?,
-            cold: f.micros_or("rules.cold", 0)?,
-            fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
-            tip_after: f.micros_or("rules.tip_after", 0)?,
-            tick: f.micros_or("tick", 0)?,
-        };
-        let gateway = Gateway::new(seed, settings)
-            .map_err(|e| WireError(format!("line {}: START: settings: {e}", f.at)))?;
-        let addresses = HashMap::new();
-        Ok(Instance { gateway, classes, plans, zones, addresses, class_list })
-    }
-    fn server(&mut self, address: &str) -> ServerId {
-        // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
-        let hash = address
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
-        let mut id = ServerId(hash);
-        while self.addresses.get(&id).is_some_and(|known| known != address) {
-            id = ServerId(id.0.wrapping_add(1));
-        }
-        self.addresses.entry(id).or_insert_with(|| address.to_string());
-        id
+        let (seed, site) = (f.whole("rng_seed")?, Site::read(f)?);
+        let gateway = Gateway::new(seed, site.settings.clone())
+            .map_err(|e| FieldError(format!("{}: settings: {e}", f.place)))?;
+        Ok(Instance { gateway, site })
     }
     fn entry(&mut self, f: &Fields) -> Result<ServerEntry> {
         Ok(ServerEntry {
-            server: self.server(f.text("backend")?),
-            zone: zone_id(&mut self.zones, f.pairs.get("rack_zone").copied().unwrap_or("")),
+            server: self.site.server(f.text("backend")?),
+            zone: self.site.zone(f.pairs.get("rack_zone").copied().unwrap_or("")),
             cell: CellId(f.whole_or("pod", 0)?),
             listed: match f.text("status")? {
                 "in_service" => Listed::InService,
@@ -236,14 +69,20 @@
     fn event(&mut self, f: &Fields, now: Micros) -> Result<Option<Event>> {
         Ok(Some(match f.message {
             "KNOCK" => {
-                let class =
-                    *self.classes.get(f.text("kind")?).map_or_else(|| f.fail("kind", "a known class"), Ok)?;
-                let plan =
-                    *self.plans.get(f.text("plan")?).map_or_else(|| f.fail("plan", "a known plan"), Ok)?;
+                let class = *self
+                    .site
+                    .classes
+                    .get(f.text("kind")?)
+                    .map_or_else(|| f.fail("kind", "a known class"), Ok)?;
+                let plan = *self
+                    .site
+                    .plans
+                    .get(f.text("plan")?)
+                    .map_or_else(|| f.fail("plan", "a known plan"), Ok)?;
                 let Ok(customer) = u64::from_str_radix(f.text("user_key")?, 16) else {
                     return f.fail("user_key", "16 hex digits");
                 };
-                let longest = self.class_list[class].deadline;
+                let longest = self.site.settings.classes[class].deadline;
                 let units = f.real_or("price_units", 1.0)?;
                 if units < 0.0 {
                     return f.fail("price_units", "a number of 0 or more");
@@ -262,14 +101,14 @@
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
             "FIRST_BYTE" => Event::StreamStarted(RequestId(f.whole("ref")?)),
             "TIMED_OUT_CLIENT" => Event::ClientGone(RequestId(f.whole("ref")?)),
-            "PONG" => Event::Probed(self.server(f.text("backend")?), f.outcome()?, f.report()?),
+            "PONG" => Event::Probed(self.site.server(f.text("backend")?), f.outcome()?, f.report()?),
             "COUNT_RESULT" => {
                 Event::Counted(CountName(f.whole("book")?), f.outcome()?, f.real_or("result_value", 0.0)?)
             }
             "OUTCOME" => Event::AttemptEnded(AttemptEnd {
                 id: RequestId(f.whole("ref")?),
                 attempt: f.whole_or("trial", 0)? as usize,
-                server: self.server(f.text("backend")?),
+                server: self.site.server(f.text("backend")?),
                 outcome: f.outcome()?,
                 took: f.micros_or("took", 0)?,
                 ended: f.flag_or("ended", false)?,
@@ -280,7 +119,7 @@
         }))
     }
     fn write(&self, action: &Action, out: &mut String) {
-        let name = |s: &ServerId| self.addresses.get(s).map_or("", String::as_str);
+        let name = |s: &ServerId| self.site.servers.get(s).map_or("", String::as_str);
         // Writing to a String cannot fail.
         let _ = match action {
             Action::Send(r, s, until) => {
@@ -301,11 +140,6 @@
     }
 }
 
-fn zone_id(zones: &mut HashMap<String, u32>, name: &str) -> ZoneId {
-    let next = zones.len() as u32;
-    ZoneId(*zones.entry(name.to_string()).or_insert(next))
-}
-
 /// A list event whose entry lines are still coming.
 struct OpenList {
     scope: ListScope,
@@ -335,10 +169,10 @@
         }
         let f = Fields::parse(self.line, text)?;
         if f.message != "TICK" && !self.in_batch {
-            return Err(WireError(format!("line {}: {}: expected TICK to begin a batch", f.at, f.message)));
+            return Err(FieldError(format!("{}: expected TICK to begin a batch", f.place)));
         }
         if self.list.is_some() && f.message != "ITEM" {
-            return Err(WireError(format!("line {}: {}: expected ITEM, the list is short", f.at, f.message)));
+            return Err(FieldError(format!("{}: expected ITEM, the list is short", f.place)));
         }
         match f.message {
             "TICK" => {
@@ -385,7 +219,7 @@
             }
             "ITEM" => {
                 let Some(list) = self.list.as_mut() else {
-                    return Err(WireError(format!("line {}: ITEM: expected only inside a FLEET list", f.at)));
+                    return Err(FieldError(format!("{}: expected only inside a FLEET list", f.place)));
                 };
                 let instance = self.current.and_then(|who| self.instances.get_mut(&who));
                 if let Some(instance) = instance {
@@ -406,7 +240,7 @@
         Ok(None)
     }
     fn nobody(&self, f: &Fields) -> Result<Option<String>> {
-        Err(WireError(format!("line {}: {}: expected a FOR line before it", f.at, f.message)))
+        Err(FieldError(format!("{}: expected a FOR line before it", f.place)))
     }
     fn close_list(&mut self) {
         if let (Some(list), Some(who)) = (self.list.take_if(|l| l.left == 0), self.current) {
@@ -426,7 +260,7 @@
     /// What is wrong when the input ends now.
     pub fn finish(&self) -> Result<()> {
         if self.in_batch {
-            return Err(WireError(format!("line {}: expected FLUSH before the input's end", self.line)));
+            return Err(FieldError(format!("line {}: expected FLUSH before the input's end", self.line)));
         }
         Ok(())
     }
