Test the gateway over loopback sockets, and mend what rereading found

Found by reading, each with a test in tests/sockets or tests/counter.rs: - Idle connections were closed only after the last call, when a client whose request crossed the closing could no longer come back. Those from before SIGTERM are now closed at once, while new ones are still taken. - A list older than the one held was left aside for ever, also from a discovery that began anew; now the whole list is asked for and believed. - A gateway was ready with the list from before its start; it now waits a second for discovery first. - A reset or garbled counter call counted as never made, so what it carried could be added twice; only outcomes that prove it never ran are owed again (src/rules.rs). The simulator sends no such outcome. - A driver that ended would have left a gateway that decides nothing; it now ends the process with an error.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,15 +29,12 @@
                 if std::mem::take(&mut silent) {
                     info!("discovery answers again");
                 }
-                // Guards against a stale answer that would undo a drain already told.
-                if revision.is_some_and(|held| list.revision < held) {
-                    warn!(revision = list.revision, "discovery told an older list, which is left aside");
-                    sleep(PAUSE).await;
-                    continue;
-                }
-                // A list of changes says nothing to one who holds no list.
-                if revision.is_none() && !list.complete {
-                    warn!("discovery told changes where the whole list was asked for");
+                // Guards against a stale answer that would undo a drain already told, and against changes to
+                // a list that is not held. The whole list, asked for anew, is what discovery has.
+                let older = revision.is_some_and(|held| list.revision < held);
+                if older || revision.is_none() && !list.complete {
+                    warn!(revision = list.revision, "discovery told what does not follow; asking for all");
+                    revision = None;
                     sleep(PAUSE).await;
                     continue;
                 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -22,6 +22,9 @@
 /// How often connections that stand idle are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 
+/// How long a gateway that knows a list from before waits for news of it before it is ready.
+const WAIT_FOR_DISCOVERY: Duration = Duration::from_secs(1);
+
 /// The way to the driver.
 pub type Inbox = mpsc::Sender<Input>;
 
@@ -90,13 +93,18 @@
 struct Open {
     reply: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
-    /// One for each attempt made: calls it off while it is out.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    attempts: Vec<Attempt>,
+}
+
+struct Attempt {
+    out: bool,
+    /// Calls it off.
+    call_off: Option<oneshot::Sender<()>>,
 }
 
 impl Open {
     fn over(&self) -> bool {
-        self.reply.is_none() && self.attempts.iter().all(Option::is_none)
+        self.reply.is_none() && !self.attempts.iter().any(|a| a.out)
     }
 }
 
@@ -118,6 +126,8 @@
     actions: Vec<Action>,
     /// Set once the list of backends is in hand.
     ready: Rc<Cell<bool>>,
+    /// When the list known from before is taken for it.
+    ready_at: Option<Instant>,
 }
 
 impl Driver {
@@ -145,10 +155,12 @@
             batch: Vec::new(),
             actions: Vec::new(),
             ready,
+            ready_at: None,
         };
-        // It may be old, but it is what there is until discovery speaks.
+        // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
             driver.members(MemberList { complete: true, ..known });
+            driver.ready_at = Some(Instant::now() + WAIT_FOR_DISCOVERY);
         }
         Ok(driver)
     }
@@ -167,7 +179,7 @@
                 pool.retire();
             }
         });
-        let mut last = Instant::now() - self.tick;
+        let mut last = Instant::now();
         loop {
             let due = match self.timers.peek() {
                 _ if !self.batch.is_empty() => Some(last + self.tick),
@@ -180,6 +192,9 @@
                     last = Instant::now();
                     self.turn();
                 }
+                () = sleep_until(self.ready_at.unwrap_or_else(Instant::now)), if self.ready_at.is_some() => {
+                    self.become_ready();
+                }
                 input = self.inputs.recv() => {
                     let mut next = input;
                     while let Some(input) = next {
@@ -194,10 +209,8 @@
     /// Tells the module all that has come in and carries out what it decides.
     fn turn(&mut self) {
         let now = self.clock.now();
-        while let Some(&Reverse((at, id))) = self.timers.peek().filter(|t| t.0 .0 <= now) {
-            let _: Micros = at;
-            self.timers.pop();
-            self.batch.push(Event::Timer(id));
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            self.batch.extend(self.timers.pop().map(|Reverse((_, id))| Event::Timer(id)));
         }
         let mut actions = std::mem::take(&mut self.actions);
         for event in std::mem::take(&mut self.batch) {
@@ -225,34 +238,35 @@
                     self.tidy(id);
                 }
             }
-            Input::Members(list) => self.members(list),
+            Input::Members(list) => {
+                self.members(list);
+                self.become_ready();
+            }
             Input::Counted(name, serial, counted) => {
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
             }
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
-                open.attempts[attempt] = None;
+                open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
                 // The first 200 is the client's at once and ends the request; the module hears of it.
                 if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
                     let _ = reply.send(Answer::Served(body));
                 }
-                let (outcome, ended) = (ended.outcome, open.reply.is_none());
-                self.batch.push(Event::AttemptEnded(AttemptEnd {
-                    id,
-                    attempt,
-                    server,
-                    outcome,
-                    took,
-                    ended,
-                    settled: None,
-                    report: Report::default(),
-                }));
+                self.ended(id, attempt, server, ended.outcome, took);
                 self.tidy(id);
             }
         }
     }
 
+    /// Tells the module of an attempt's end with the next batch.
+    fn ended(&mut self, id: RequestId, attempt: usize, server: ServerId, outcome: Outcome, took: Micros) {
+        let ended = self.requests.get(&id).is_none_or(|open| open.reply.is_none());
+        let (settled, report) = (None, Report::default());
+        let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled, report };
+        self.batch.push(Event::AttemptEnded(end));
+    }
+
     fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
         debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
@@ -286,7 +300,11 @@
                 weight: member.size,
                 started: Some(Micros(member.up_since_ms.saturating_mul(1000))).filter(|at| at.0 > 0),
             });
-            self.backends.insert(server, Rc::new(backend));
+            if listed == Listed::Gone {
+                self.backends.remove(&server);
+            } else {
+                self.backends.insert(server, Rc::new(backend));
+            }
         }
         if list.complete {
             let told: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
@@ -299,10 +317,14 @@
                 stays
             });
         }
+        self.batch.push(Event::Servers(scope, entries));
+    }
+
+    fn become_ready(&mut self) {
+        self.ready_at = None;
         if !self.ready.replace(true) {
             info!(backends = self.backends.len(), "ready");
         }
-        self.batch.push(Event::Servers(scope, entries));
     }
 
     fn act(&mut self, now: Micros, action: Action) {
@@ -311,11 +333,10 @@
             Action::Refuse(id, wait) => self.answer(id, Answer::Refused(wait)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::Cancel(id, attempt) => {
-                let open = self.requests.get_mut(&id);
-                // The attempt tells its end itself, once its connection is closed.
-                if let Some(call_off) = open.and_then(|open| open.attempts.get_mut(attempt)?.as_mut()) {
-                    let (spare, _) = oneshot::channel();
-                    let _ = std::mem::replace(call_off, spare).send(());
+                let attempt = self.requests.get_mut(&id).and_then(|open| open.attempts.get_mut(attempt));
+                if let Some(call_off) = attempt.and_then(|a| a.call_off.take()) {
+                    // The attempt tells its end itself, once its connection is closed; it may have ended.
+                    let _ = call_off.send(());
                 }
             }
             Action::Count(name, amount, life) => self.count(name, amount, life),
@@ -345,14 +366,11 @@
         let backend = self.backends.get(&server).filter(|_| open.reply.is_some()).cloned();
         let Some(backend) = backend else {
             // The client went, or the list changed, after the module was told last.
-            open.attempts.push(None);
-            let (outcome, took, ended) = (Outcome::Moot, Micros(0), open.reply.is_none());
-            let (settled, report) = (None, Report::default());
-            let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled, report };
-            return self.batch.push(Event::AttemptEnded(end));
+            open.attempts.push(Attempt { out: false, call_off: None });
+            return self.ended(id, attempt, server, Outcome::Moot, Micros(0));
         };
         let (call_off, called_off) = oneshot::channel();
-        open.attempts.push(Some(call_off));
+        open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
         let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,27 +17,30 @@
 use tokio::sync::watch;
 use tracing::info;
 
-/// Why a gateway could not start.
+/// Why a gateway could not start or go on.
 #[derive(Debug)]
-pub enum StartError {
+pub enum RunError {
     /// Its configuration makes no sense.
     Config(ConfigError),
     /// It could not listen.
     Listen(std::net::SocketAddr, std::io::Error),
+    /// Its driver ended.
+    Driver,
 }
 
-impl std::fmt::Display for StartError {
+impl std::fmt::Display for RunError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            StartError::Config(e) => e.fmt(f),
-            StartError::Listen(address, e) => write!(f, "can't listen on {address}: {e}"),
+            RunError::Config(e) => e.fmt(f),
+            RunError::Listen(address, e) => write!(f, "can't listen on {address}: {e}"),
+            RunError::Driver => f.write_str("the driver ended"),
         }
     }
 }
-impl std::error::Error for StartError {}
+impl std::error::Error for RunError {}
 
 /// Runs a gateway until `stopping` turns true and all that it took is answered.
-pub async fn run(config: Config, stopping: watch::Receiver<bool>) -> Result<(), StartError> {
+pub async fn run(config: Config, stopping: watch::Receiver<bool>) -> Result<(), RunError> {
     let clock = Clock::start();
     let ready = Rc::new(Cell::new(false));
     let (listen, discovery, sockets) = (config.listen, config.discovery, config.sockets);
@@ -48,13 +51,17 @@
     let classes = classes.collect();
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let name = config.name.clone();
-    let driver = Driver::new(config, clock, ready.clone()).map_err(StartError::Config)?;
+    let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
     let inbox = driver.inbox();
-    let listener = TcpListener::bind(listen).await.map_err(|e| StartError::Listen(listen, e))?;
-    info!(name, %listen, "listening");
+    let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
+    let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
+    info!(name, %address, "listening");
     tokio::task::spawn_local(discovery::watch(discovery, inbox.clone()));
-    tokio::task::spawn_local(driver.run());
+    let driving = tokio::task::spawn_local(driver.run());
     let front = Front { inbox, clock, ready, classes, plans, last: Cell::new(0), stopping };
-    server::serve(listener, Rc::new(front), sockets.clients).await;
-    Ok(())
+    // Guards against living on without a driver, taking requests that nobody decides.
+    tokio::select! {
+        () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
+        _ = driving => Err(RunError::Driver),
+    }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -58,12 +58,23 @@
     }
 }
 
+/// Which idle connections are to be closed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Closing {
+    None,
+    /// Those from before SIGTERM. New ones are still taken, so a client whose request crosses the closing
+    /// comes back on one of them.
+    Old,
+    /// All: the last call is over.
+    All,
+}
+
 /// Takes clients until SIGTERM, answers what was taken, and returns.
 pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
     let places = Arc::new(Semaphore::new(connections));
     let mut stopping = front.stopping.clone();
     let mut last_call: Option<Instant> = None;
-    let (idle_must_close, closing) = watch::channel(false);
+    let (close, closing) = watch::channel(Closing::None);
     loop {
         tokio::select! {
             biased;
@@ -75,12 +86,15 @@
                     drop(place);
                 });
             }
-            Ok(()) = stopping.changed(), if last_call.is_none() => last_call = Some(Instant::now()),
+            Ok(_) = stopping.wait_for(|stop| *stop), if last_call.is_none() => {
+                last_call = Some(Instant::now());
+                close.send_replace(Closing::Old);
+            }
             () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL), if last_call.is_some() => break,
         }
     }
     drop(listener);
-    let _ = idle_must_close.send(true);
+    close.send_replace(Closing::All);
     let left = LAST_ANSWER.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
     let all = u32::try_from(connections).unwrap_or(u32::MAX);
     if timeout(left, places.acquire_many(all)).await.is_err() {
@@ -105,7 +119,8 @@
     }
 }
 
-async fn connection(stream: TcpStream, front: Rc<Front>, mut closing: watch::Receiver<bool>) {
+async fn connection(stream: TcpStream, front: Rc<Front>, mut closing: watch::Receiver<Closing>) {
+    let since = *closing.borrow();
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "a client went at once");
         return;
@@ -123,7 +138,8 @@
     let done = tokio::select! {
         biased;
         done = connection.as_mut() => done,
-        _ = closing.wait_for(|closing| *closing) => {
+        // It carries on with what it is at.
+        _ = closing.wait_for(|closing| *closing > since) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -403,7 +403,7 @@
                 r.counted = (call.purpose == Purpose::Window).then_some(call.span);
             }
         } else {
-            tally.owed += if current && outcome != Outcome::Timeout { call.extra } else { 0.0 };
+            tally.owed += if current && outcome.never_ran() { call.extra } else { 0.0 };
             self.call_failed(call.customer, call.probe);
         }
         if let Some(id) = call.request {
--- /dev/null
+++ b/tests/counter.rs
@@ -0,0 +1,91 @@
+//! The calls to the shared counter, on loopback sockets.
+#[path = "sockets/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use starlinghill::api::{CountName, Micros, Outcome};
+use starlinghill::net::counter::{Counted, Counter, Order};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use world::{http, Reply, Stub};
+
+const TIMEOUT: Duration = Duration::from_millis(80);
+
+fn on_runtime<T>(work: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
+}
+
+async fn add(counter: &Counter, name: u64) -> Counted {
+    counter.add(CountName(name), -2.5, Micros(4_000_000)).await
+}
+
+#[test]
+fn a_call_is_written_as_the_counter_reads_it() {
+    let stub = Stub::start(|_| http("200 OK", "38.5\n"));
+    let counter = Counter::new(stub.address, Duration::from_secs(5), 2);
+    let counted = on_runtime(add(&counter, 9041552));
+    assert_eq!(counted, Counted { outcome: Outcome::Ok, total: 38.5 });
+    assert_eq!(stub.requests()[0].line, "POST /v1/count/9041552?add=-2.5&ttl_ms=4000 HTTP/1.1");
+}
+
+#[test]
+fn each_trouble_has_its_own_outcome_and_no_call_is_made_twice() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let refused = Counter::new(gone, Duration::from_secs(5), 2);
+    assert_eq!(on_runtime(add(&refused, 1)).outcome, Outcome::ConnectFailed);
+    let cases: [(fn() -> Reply, Outcome); 5] = [
+        (|| http("503 Full", ""), Outcome::Full),
+        (|| http("404 Nothing", ""), Outcome::Moot),
+        (|| http("200 OK", "NaN"), Outcome::Error),
+        (|| Reply::RawThenClose(String::new()), Outcome::Reset),
+        (|| Reply::Silence, Outcome::Timeout),
+    ];
+    for (reply, outcome) in cases {
+        let stub = Stub::start(move |_| reply());
+        let timeout = if outcome == Outcome::Timeout { TIMEOUT } else { Duration::from_secs(5) };
+        let counter = Counter::new(stub.address, timeout, 2);
+        assert_eq!(on_runtime(add(&counter, 1)).outcome, outcome);
+        assert_eq!(stub.requests().len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_late_answer_meets_no_later_call_and_blocks_none() {
+    let asked = AtomicUsize::new(0);
+    let stub = Stub::start(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => {
+            std::thread::sleep(TIMEOUT * 3);
+            http("200 OK", "1000")
+        }
+        _ => http("200 OK", "2"),
+    });
+    let counter = Counter::new(stub.address, TIMEOUT, 2);
+    on_runtime(async {
+        assert_eq!(add(&counter, 1).await.outcome, Outcome::Timeout);
+        for _ in 0..4 {
+            assert_eq!(add(&counter, 1).await, Counted { outcome: Outcome::Ok, total: 2.0 });
+        }
+    });
+}
+
+#[test]
+fn a_call_that_found_no_free_line_was_never_made() {
+    let stub = Stub::start(|_| Reply::Silence);
+    let counter = Counter::new(stub.address, TIMEOUT, 1);
+    on_runtime(async {
+        let (first, second) = tokio::join!(add(&counter, 1), add(&counter, 2));
+        assert_eq!((first.outcome, second.outcome), (Outcome::Timeout, Outcome::ConnectFailed));
+    });
+}
+
+#[test]
+fn answers_for_one_name_come_in_the_order_of_their_calls() {
+    let told = |total| Counted { outcome: Outcome::Ok, total };
+    let mut order = Order::default();
+    let (a, b) = (CountName(1), CountName(2));
+    let (first, second, other) = (order.made(a), order.made(a), order.made(b));
+    assert_eq!(order.answered(a, second, told(2.0)), []);
+    assert_eq!(order.answered(b, other, told(9.0)), [told(9.0)], "other names do not wait");
+    assert_eq!(order.answered(a, first, told(1.0)), [told(1.0), told(2.0)]);
+    assert_eq!(order.answered(a, first, told(1.0)), [], "each is told once");
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,313 @@
+//! The gateway on loopback sockets: what real networks do to it that the simulator does not.
+mod world;
+
+use std::time::{Duration, Instant};
+use world::*;
+
+/// One backend, `s-1`, and a gateway before it.
+fn before(answer: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> (Stub, Discovery, Stub, Node) {
+    let backend = Stub::start(answer);
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let counter = counter();
+    let node = Node::start(&discovery, &counter);
+    (backend, discovery, counter, node)
+}
+
+#[test]
+fn what_a_client_sends_goes_on_unchanged_and_the_body_comes_back() {
+    let (backend, _discovery, counter, node) = before(|_| http("200 OK", "the answer"));
+    let mut client = node.client();
+    for class in ["look", "buy", "once"] {
+        let answer = client.ask(&request(class, 3000));
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "the answer"));
+    }
+    let seen = backend.requests();
+    assert_eq!(seen.len(), 3, "one attempt for each");
+    assert_eq!(seen[0].line, "GET /api?customer=00000000b4d65521&x=1 HTTP/1.1");
+    assert_eq!(seen[1].line, "POST /api?customer=00000000b4d65521&x=1 HTTP/1.1");
+    assert_eq!(seen[1].header("x-call-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen[1].header("idempotency-key"), Some("k-17"));
+    assert_eq!(seen[1].body, "hello");
+    let budget: u64 = seen[1].header("x-budget-ms").expect("set").parse().expect("whole");
+    assert!((1..=3000).contains(&budget), "{budget}");
+    assert_eq!(seen[2].connection, seen[0].connection, "connections are kept");
+    assert_eq!(counter.requests().len(), 3, "each request counts once");
+}
+
+#[test]
+fn only_the_header_makes_an_error_a_turn_away() {
+    // An unsafe request may be refused only if it certainly never ran.
+    for (reply, wanted, attempts) in [
+        ("HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", 429, 3),
+        ("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 502, 1),
+        ("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", 502, 1),
+        ("HTTP/1.1 429 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", 502, 1),
+        ("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 502, 1),
+        ("HTTP/1.1 204 No\r\n\r\n", 502, 1),
+    ] {
+        let (backend, _discovery, _counter, node) = before(move |_| Reply::Raw(reply.into()));
+        let answer = node.client().ask(&request("once", 1500));
+        assert_eq!(answer.status(), wanted, "{reply}");
+        assert_eq!(backend.requests().len(), attempts, "{reply}");
+    }
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_and_comes_at_once() {
+    let (_backend, _discovery, _counter, node) = before(|_| http("200 OK", ""));
+    let start = Instant::now();
+    let statuses: Vec<Message> = (0..6)
+        .map(|_| node.client().ask(&request("look", 4000).replace("X-Plan: team", "X-Plan: small")))
+        .collect();
+    let refused = statuses.iter().find(|m| m.status() == 429).expect("beyond its quota");
+    let wait: f64 = refused.header("retry-after").expect("advice").parse().expect("seconds");
+    assert!(wait > 0.0 && wait <= 1.0, "{wait}");
+    assert!(start.elapsed() < Duration::from_secs(3), "refused at once");
+}
+
+#[test]
+fn an_answer_that_breaks_off_may_have_run_and_is_never_served() {
+    for broken in ["", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "no HTTP at all\r\n\r\n"] {
+        let (backend, _discovery, _counter, node) = before(move |_| Reply::RawThenClose(broken.to_string()));
+        let answer = node.client().ask(&request("once", 1500));
+        assert_eq!(answer.status(), 502, "{broken}");
+        assert_eq!(backend.requests().len(), 1, "an unsafe request goes out once");
+    }
+}
+
+#[test]
+fn an_idle_connection_that_the_backend_closed_costs_no_attempt() {
+    let (backend, _discovery, _counter, node) =
+        before(|_| Reply::RawThenClose("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".into()));
+    let mut client = node.client();
+    for _ in 0..5 {
+        assert_eq!(client.ask(&request("once", 2000)).status(), 200);
+    }
+    assert_eq!(backend.requests().len(), 5);
+}
+
+#[test]
+fn a_safe_request_whose_connection_broke_is_tried_elsewhere() {
+    let broken = Stub::start(|_| Reply::RawThenClose(String::new()));
+    let sound = Stub::start(|_| http("200 OK", "ok"));
+    let members = [member("s-1", broken.address, "ready"), member("s-2", sound.address, "ready")].join(",");
+    let (discovery, counter) = (Discovery::start(&members), counter());
+    let node = Node::start(&discovery, &counter);
+    for _ in 0..8 {
+        assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
+    }
+    assert!(!broken.requests().is_empty(), "the broken one was tried");
+    assert_eq!(counter.requests().len(), 8, "a further attempt takes no units");
+}
+
+#[test]
+fn malformed_requests_are_told_so_and_reach_no_backend() {
+    let (backend, _discovery, counter, node) = before(|_| http("200 OK", "ok"));
+    let good = request("buy", 2000);
+    let long = "x".repeat(65 * 1024);
+    let bad = [
+        good.replace("/api", "/elsewhere"),
+        good.replace("X-Call-Class: buy", "X-Call-Class: nothing"),
+        good.replace("X-Plan: team\r\n", ""),
+        good.replace("X-Plan: team", "X-Plan: none"),
+        good.replace("X-Budget-Ms: 2000", "X-Budget-Ms: -5"),
+        good.replace("X-Budget-Ms: 2000", "X-Budget-Ms: 99999999999999999999999"),
+        good.replace("units=2", "units=nan"),
+        good.replace("units=2", "units=-1"),
+        good.replace("spread=2", "spread=0"),
+        good.replace("X-Quota: units=2,spread=2,first=0", "X-Quota: ?"),
+        good.replace("00000000b4d65521", "zz"),
+        good.replace("customer=00000000b4d65521&", ""),
+        good.replace("Idempotency-Key: k-17\r\n", ""),
+        good.replace("X-Call-Id: 9b1f03aa5c7e2d41\r\n", ""),
+        good.replace("POST", "GET"),
+        good.replace(
+            "Content-Length: 5\r\n\r\nhello",
+            &format!("Content-Length: {}\r\n\r\n{long}", long.len()),
+        ),
+        "no HTTP at all\r\n\r\n".to_string(),
+    ];
+    for text in bad {
+        let answer = node.client().ask(&text);
+        let status = answer.status();
+        assert!((400..500).contains(&status) && status != 429, "{status} for {:.300}", text);
+    }
+    assert_eq!((backend.requests().len(), counter.requests().len()), (0, 0));
+    assert_eq!(node.client().ask(&good).status(), 200, "it goes on");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let (backend, _discovery, _counter, node) = before(|_| Reply::Silence);
+    let mut client = node.client();
+    client.send(&request("look", 4000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    let start = Instant::now();
+    drop(client);
+    backend.wait_for("the attempt's connection to close", |log| log.closed == log.opened);
+    assert!(start.elapsed() < Duration::from_secs(2), "at once");
+    assert_eq!(backend.requests().len(), 1, "nothing more goes out");
+}
+
+#[test]
+fn silence_is_answered_before_the_clients_time_is_up() {
+    let (backend, _discovery, _counter, node) = before(|_| Reply::Silence);
+    let start = Instant::now();
+    assert_eq!(node.client().ask(&request("once", 600)).status(), 502);
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    backend.wait_for("the attempt's connection to close", |log| log.closed == log.opened);
+}
+
+#[test]
+fn a_connection_that_was_given_up_is_closed_before_the_next_attempt() {
+    // With one backend the next attempt goes to it as well.
+    let (backend, _discovery, _counter, node) = before(|_| Reply::Silence);
+    let answer = node.client().ask(&request("look", 2500));
+    assert_eq!(answer.status(), 429, "safe to repeat, so it may be refused");
+    let seen = backend.requests();
+    assert!(seen.len() <= 3, "three attempts at most");
+    let mut connections: Vec<usize> = seen.iter().map(|r| r.connection).collect();
+    connections.dedup();
+    assert_eq!(connections.len(), seen.len(), "none was used again");
+}
+
+#[test]
+fn a_drain_is_heard() {
+    let (old, new) = (Stub::start(|_| http("200 OK", "old")), Stub::start(|_| http("200 OK", "new")));
+    let both = [member("s-1", old.address, "ready"), member("s-2", new.address, "ready")].join(",");
+    let (discovery, counter) = (Discovery::start(&both), counter());
+    let node = Node::start(&discovery, &counter);
+    let mut client = node.client();
+    (0..20).for_each(|_| drop(client.ask(&request("look", 3000))));
+    assert!(!old.requests().is_empty() && !new.requests().is_empty(), "both are used");
+    discovery.tell(42, false, &member("s-1", old.address, "draining"));
+    let before = old.requests().len();
+    for _ in 0..20 {
+        assert_eq!(client.ask(&request("look", 3000)).body, "new");
+    }
+    assert_eq!(old.requests().len(), before);
+    old.wait_for("its idle connections to close", |log| log.closed == log.opened);
+    // Whole lists say by what they leave out who is gone.
+    discovery.tell(43, true, &member("s-1", old.address, "ready"));
+    assert_eq!(client.ask(&request("look", 3000)).body, "old");
+}
+
+#[test]
+fn a_backend_that_moved_is_found_at_its_new_address() {
+    let (backend, discovery, _counter, node) = before(|_| http("200 OK", "here"));
+    assert_eq!(node.client().ask(&request("once", 3000)).body, "here");
+    let moved = Stub::start(|_| http("200 OK", "there"));
+    discovery.tell(42, false, &member("s-1", moved.address, "ready"));
+    assert_eq!(node.client().ask(&request("once", 3000)).body, "there");
+    assert_eq!(backend.requests().len(), 1);
+}
+
+#[test]
+fn what_discovery_garbles_or_tells_late_changes_nothing() {
+    let (backend, discovery, _counter, node) = before(|_| http("200 OK", "ok"));
+    discovery.say(42, "{\"revision\":42,\"members\":7}");
+    discovery.stub.wait_for("the watch made again", |log| log.requests.len() >= 4);
+    assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
+    // An older list that lacks the backend: the whole list is asked for, and that one is believed.
+    discovery.tell(43, false, "");
+    let asked = |log: &Log| log.requests.iter().filter(|r| !r.line.contains("from=")).count();
+    discovery.say(40, &list(40, false, &member("s-1", backend.address, "gone")));
+    discovery.stub.wait_for("the whole list asked for", |log| asked(log) >= 2);
+    assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
+    discovery.tell(44, true, &member("s-1", backend.address, "ready"));
+    assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
+}
+
+#[test]
+fn it_is_ready_only_with_a_list_in_hand() {
+    let silent = Stub::start(|_| Reply::Silence);
+    let counter = counter();
+    let empty = Node::spawn(program(&config(silent.address, counter.address)));
+    silent.wait_for("the list asked for", |log| !log.requests.is_empty());
+    let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
+    assert_eq!(empty.client().ask(health).status(), 503);
+    // With discovery silent, the list from before does after a while.
+    let backend = Stub::start(|_| http("200 OK", "known"));
+    let known = list(7, true, &member("s-1", backend.address, "ready"));
+    let config = config(silent.address, counter.address);
+    let config = config.replacen('{', &format!("{{\"known\":{known},"), 1);
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    assert_eq!(node.client().ask(&request("look", 3000)).body, "known");
+}
+
+#[test]
+fn at_sigterm_all_that_was_taken_is_answered() {
+    let (backend, _discovery, _counter, mut node) = before(|_| {
+        std::thread::sleep(Duration::from_millis(300));
+        http("200 OK", "ok")
+    });
+    let (mut early, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    early.send(&request("once", 3000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    node.terminate();
+    assert!(idle.answer().is_none(), "idle connections are closed");
+    let mut late = node.client();
+    assert_eq!(late.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 503);
+    let answer = node.client().ask(&request("once", 3000));
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let answer = early.answer().expect("the answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let good = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:1".parse().unwrap());
+    for (bad, named) in [
+        (String::new(), "config"),
+        (good.replace("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\""), "seed"),
+        (good.replace("\"balancers\":2", "\"balancers\":0"), "gateways"),
+        (good.replace("\"deadline\":8000000", "\"deadline\":-1"), "classes.1.deadline"),
+        (good.replace("\"counter\":\"127.0.0.1:1\",", ""), "counter"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""), "socket address"),
+    ] {
+        let done = program(&bad).output().expect("it runs");
+        let told = String::from_utf8(done.stderr).expect("text");
+        assert_eq!(done.status.code(), Some(1), "{told}");
+        assert!(told.lines().count() == 1 && told.contains(named), "{named}: {told}");
+    }
+}
+
+#[test]
+fn it_lives_on_when_descriptors_run_out() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let counter = counter();
+    let inner = program(&config(discovery.stub.address, counter.address));
+    let mut command = std::process::Command::new("/bin/sh");
+    command.args(["-c", &format!("ulimit -n 24; exec {}", env!("CARGO_BIN_EXE_starlinghill"))]);
+    command.envs(inner.get_envs().filter_map(|(k, v)| Some((k, v?)))).stderr(std::process::Stdio::piped());
+    let node = Node::spawn(command);
+    node.wait_ready();
+    let mut first = node.client();
+    assert_eq!(first.ask(&request("look", 3000)).status(), 200);
+    let crowd: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    assert_eq!(first.ask(&request("look", 3000)).status(), 200, "what is open goes on");
+    drop(crowd);
+    assert_eq!(node.client().ask(&request("look", 3000)).status(), 200, "and new ones come in again");
+}
+
+#[test]
+fn without_a_counter_the_local_bucket_decides() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    for counter in [
+        Stub::start(|_| Reply::RawThenClose(String::new())),
+        Stub::start(|_| Reply::Silence),
+        Stub::start(|_| http("503 Full", "")),
+        Stub::start(|_| http("200 OK", "plenty")),
+    ] {
+        let node = Node::start(&discovery, &counter);
+        for _ in 0..6 {
+            assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
+        }
+        assert_eq!(counter.requests().len(), 3, "three failures open the breaker, and no call is repeated");
+    }
+}
