--- /dev/null
+++ b/tests/backend.rs
@@ -0,0 +1,115 @@
+//! Attempts at a backend and the pool of connections, on loopback sockets.
+#[path = "sockets/world.rs"]
+mod world;
+
+use starlinghill::api::Outcome;
+use starlinghill::net::backend::{Backend, Ended, Forward, Pool};
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use world::{http, on_runtime, Reply, Stub};
+
+const LONG: Duration = Duration::from_secs(5);
+
+fn backend(stub: &Stub) -> Backend {
+    Backend { address: stub.address, up_since_ms: 0, open: Cell::new(true) }
+}
+
+fn post() -> Forward {
+    let (method, uri) = (hyper::Method::POST, "/api?customer=1".parse().expect("a path"));
+    Forward { method, uri, headers: hyper::HeaderMap::new(), body: "hello".into() }
+}
+
+/// An attempt that may take so long and is never called off.
+async fn attempt(pool: &Pool, backend: &Backend, limit: Duration) -> Ended {
+    let (_call_off, called_off) = oneshot::channel();
+    pool.attempt(backend, &post(), Instant::now() + limit, called_off).await
+}
+
+#[test]
+fn a_drain_stops_an_attempt_whose_connection_has_just_come_up() {
+    let stub = Stub::start(|_| http("200 OK", "ok"));
+    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    backend.open.set(false);
+    let ended = on_runtime(attempt(&pool, &backend, LONG));
+    assert_eq!(ended.outcome, Outcome::Moot);
+    stub.wait_for("the connection's end", |log| log.opened == 1 && log.closed == 1);
+    assert_eq!(stub.requests().len(), 0, "nothing was written");
+}
+
+#[test]
+fn a_kept_connection_that_breaks_after_the_request_may_have_carried_it() {
+    let seen = std::sync::atomic::AtomicUsize::new(0);
+    let stub = Stub::start(move |_| match seen.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+        0 => http("200 OK", "ok"),
+        _ => Reply::RawThenClose(String::new()),
+    });
+    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    on_runtime(async {
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Reset);
+    });
+    let seen = stub.requests();
+    assert_eq!(seen.len(), 2, "it is not sent again");
+    assert_eq!(seen[1].connection, seen[0].connection, "it went out on the kept connection");
+}
+
+#[test]
+fn an_attempt_given_up_or_called_off_leaves_no_connection_open() {
+    let stub = Stub::start(|_| Reply::Silence);
+    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    on_runtime(async {
+        let ended = attempt(&pool, &backend, Duration::from_millis(50)).await;
+        assert_eq!(ended.outcome, Outcome::Timeout);
+        let (call_off, called_off) = oneshot::channel();
+        let forward = post();
+        let out = pool.attempt(&backend, &forward, Instant::now() + LONG, called_off);
+        let (ended, ()) = tokio::join!(out, async {
+            while stub.requests().len() < 2 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            call_off.send(()).expect("it is out");
+        });
+        assert_eq!(ended.outcome, Outcome::Cancelled);
+    });
+    stub.wait_for("both connections' end", |log| log.opened == 2 && log.closed == 2);
+}
+
+#[test]
+fn an_unreachable_backend_never_ran_anything() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let backend = Backend { address: gone, up_since_ms: 0, open: Cell::new(true) };
+    let pool = Pool::new(8, LONG, LONG);
+    assert_eq!(on_runtime(attempt(&pool, &backend, LONG)).outcome, Outcome::ConnectFailed);
+}
+
+#[test]
+fn idle_connections_are_retired_before_the_backend_closes_them() {
+    let stub = Stub::start(|_| http("200 OK", "ok"));
+    let (pool, backend) = (Pool::new(8, LONG, Duration::from_millis(40)), backend(&stub));
+    on_runtime(async {
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        pool.retire();
+    });
+    stub.wait_for("the idle connection's end", |log| log.closed == 1);
+}
+
+#[test]
+fn the_number_of_connections_is_bounded() {
+    let (busy, other) = (Stub::start(|_| Reply::Silence), Stub::start(|_| http("200 OK", "ok")));
+    let pool = Pool::new(1, LONG, LONG);
+    let (to_busy, to_other) = (backend(&busy), backend(&other));
+    on_runtime(async {
+        // An idle connection gives way to one that is needed.
+        assert_eq!(attempt(&pool, &to_other, LONG).await.outcome, Outcome::Ok);
+        let (first, second) = tokio::join!(
+            attempt(&pool, &to_busy, Duration::from_millis(50)),
+            attempt(&pool, &to_other, LONG)
+        );
+        assert_eq!((first.outcome, second.outcome), (Outcome::Timeout, Outcome::Moot));
+    });
+    other.wait_for("the idle connection's end", |log| log.closed == 1);
+    assert_eq!(other.requests().len(), 1);
+}
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -1,20 +1,15 @@
 //! The calls to the shared counter, on loopback sockets.
 #[path = "sockets/world.rs"]
-#[allow(dead_code)]
 mod world;
 
 use starlinghill::api::{CountName, Micros, Outcome};
 use starlinghill::net::counter::{Counted, Counter, Order};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use world::{http, Reply, Stub};
+use world::{http, on_runtime, Reply, Stub};
 
 const TIMEOUT: Duration = Duration::from_millis(80);
 
-fn on_runtime<T>(work: impl std::future::Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
-}
-
 async fn add(counter: &Counter, name: u64) -> Counted {
     counter.add(CountName(name), -2.5, Micros(4_000_000)).await
 }
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -1,5 +1,6 @@
 //! What stands round a gateway under test, on loopback sockets: backends, the counter, discovery, a client.
 //! Every read has a time limit, so that a test that fails does so soon.
+#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -10,6 +11,11 @@
 
 pub const LIMIT: Duration = Duration::from_secs(10);
 
+/// Runs what is asynchronous in a test of a part.
+pub fn on_runtime<T>(work: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
+}
+
 /// One HTTP message: its first line, headers in lower case, and body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
