Test that a request crossing the closing at SIGTERM is answered

Sixteen clients that keep their connections busy through SIGTERM, and come back once on a new connection where theirs ends unanswered, all get their answers, and the gateway exits with 0.

--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -257,6 +257,36 @@
     assert_eq!(node.ended(), Some(0));
 }
 
+#[test]
+fn a_request_that_crosses_the_closing_at_sigterm_is_answered_on_a_new_connection() {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    let (_backend, _discovery, _counter, mut node) = before(|_| http("200 OK", "ok"));
+    let (answered, stopped) = (AtomicUsize::new(0), std::sync::OnceLock::<Instant>::new());
+    std::thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(|| {
+                // New connections come for a moment after SIGTERM; old ones are used while they are open.
+                let late = || stopped.get().is_some_and(|at| at.elapsed() > Duration::from_millis(100));
+                while !late() {
+                    let mut client = node.client();
+                    let mut answer = client.answer_to(&request("look", 3000));
+                    assert!(answer.is_some(), "a new connection is answered");
+                    while answer.is_some_and(|a| a.header("connection") != Some("close")) {
+                        answered.fetch_add(1, Ordering::Relaxed);
+                        answer = client.answer_to(&request("look", 3000));
+                    }
+                }
+            });
+        }
+        while answered.load(Ordering::Relaxed) < 200 {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        node.terminate();
+        stopped.set(Instant::now()).expect("once");
+    });
+    assert_eq!(node.ended(), Some(0));
+}
+
 #[test]
 fn a_bad_configuration_is_one_plain_line() {
     let good = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:1".parse().unwrap());
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -310,6 +310,11 @@
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
     }
+    /// The answer to a request; `None` when the connection ends without one.
+    pub fn answer_to(&mut self, text: &str) -> Option<Message> {
+        self.stream.write_all(text.as_bytes()).ok()?;
+        self.answer()
+    }
     pub fn ask(&mut self, text: &str) -> Message {
         self.send(text);
         self.answer().expect("an answer")
