Let idle clients give way, and bound what a client may send

At fault: server.rs, a semaphore of places that idle connections held for 120 s, and a body that had 5 s. Now each connection has a phase; at the bound the longest silent, else the longest idle one gives way, and a request must come whole within 2 s. What can't be believed ends the connection: a chunked body (with a length it may hide a second request), repeated headers, units, sets and customers out of range, heads over 16 KiB, bodies over 64 KiB; a name still open here is answered 409. Bodies share an eighth of the memory.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -91,11 +91,17 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "enough")]
+    memory_mb: usize,
+}
+
+fn enough() -> usize {
+    192
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: enough() }
     }
 }
 
@@ -109,6 +115,8 @@
     pub(crate) known: MemberList,
     pub(crate) site: Site,
     pub(crate) sockets: SocketLimits,
+    /// In bytes.
+    pub(crate) memory: usize,
     /// An attempt's connection must be made within this.
     pub(crate) dial_timeout: std::time::Duration,
     /// A backend closes a connection that stood idle for this long.
@@ -185,6 +193,7 @@
             conn_idle: span("bounds.conn_idle", 15_000_000)?,
             site,
             sockets: SocketLimits::of(document.limits.sockets),
+            memory: document.limits.memory_mb.saturating_mul(1 << 20).min(1 << 32),
         })
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,9 +14,12 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{watch, Semaphore};
 use tracing::info;
 
+/// The part of the memory that clients' bodies may fill.
+const BODIES_PART: usize = 8;
+
 /// Why a gateway could not start or go on.
 #[derive(Debug)]
 pub enum RunError {
@@ -51,6 +54,8 @@
     let classes = classes.collect();
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let name = config.name.clone();
+    let (most_units, gateways) = (config.site.settings.most_units, config.site.settings.gateways);
+    let bodies = config.memory / BODIES_PART;
     let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
     let inbox = driver.inbox();
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
@@ -58,7 +63,9 @@
     info!(name, %address, "listening");
     tokio::task::spawn_local(discovery::watch(discovery, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
-    let front = Front { inbox, clock, ready, classes, plans, last: Cell::new(0), stopping };
+    let (open, last, bodies) = (Default::default(), Default::default(), Semaphore::new(bodies));
+    let front =
+        Front { inbox, clock, ready, classes, plans, most_units, gateways, open, bodies, last, stopping };
     // Guards against living on without a driver, taking requests that nobody decides.
     tokio::select! {
         () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -5,30 +5,51 @@
 use super::http::MAX_BODY;
 use crate::api::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
-use std::collections::HashMap;
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::sync::{oneshot, watch, Notify, Semaphore};
+use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
 use tracing::{debug, warn};
 
-/// A connection on which no request's head comes for so long is closed.
-const LONGEST_IDLE: Duration = Duration::from_secs(120);
-/// A body must come within this.
-const BODY_TIME: Duration = Duration::from_secs(5);
-/// The pause after an accept that failed, which it does at once while descriptors are short.
+/// A request must have come whole so long after its connection was opened, or after the answer before it on a
+/// connection that is being closed. 3 s from connecting are owed to who sends none.
+const RECEIVE_TIME: Duration = Duration::from_millis(2000);
+/// A connection is closed when no request was open on it for so long.
+const LONGEST_IDLE: Duration = Duration::from_secs(15);
+/// A new connection on which nothing came for so long gives way to newer ones; usual clients send at once.
+const SILENT: Duration = Duration::from_millis(250);
+/// How often connections are looked at for these limits.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+/// The pause after an accept that failed, which it does at once while descriptors are short, and between two
+/// looks for a connection that could give way.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The longest head. Guards memory against heads without end.
+const MAX_HEAD: usize = 16 * 1024;
+/// Customers have numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Headers that a request has once.
+const ONCE: [&str; 9] = [
+    "content-length",
+    "host",
+    "idempotency-key",
+    "x-again",
+    "x-budget-ms",
+    "x-call-class",
+    "x-call-id",
+    "x-plan",
+    "x-quota",
+];
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
 /// After SIGTERM all must be answered by then; SIGKILL comes 3.7 s on at the earliest.
@@ -46,6 +67,14 @@
     pub classes: HashMap<String, (ClassId, Effect, Micros)>,
     /// The names of plans.
     pub plans: HashMap<String, PlanId>,
+    /// The most units that a request may take.
+    pub most_units: f64,
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// What the clients call the requests that are open here.
+    pub open: RefCell<HashSet<HeaderValue>>,
+    /// Room for bodies, in bytes.
+    pub bodies: Semaphore,
     /// The number of the last request.
     pub last: Cell<u64>,
     /// Set by SIGTERM.
@@ -58,59 +87,154 @@
     }
 }
 
-/// Which idle connections are to be closed.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Closing {
-    None,
-    /// Those from before SIGTERM. New ones are still taken, so a client whose request crosses the closing
-    /// comes back on one of them.
-    Old,
-    /// All: the last call is over.
-    All,
+/// What a client's connection is at.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It is new, or a request's head has come, but no request whole.
+    Receiving,
+    /// A request was taken and is not answered.
+    Busy,
+    /// Between requests.
+    Idle,
+}
+
+/// A client's connection as those see it who may close it.
+struct Line {
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    /// It is to end with the answer to what it is at.
+    closing: Cell<bool>,
+    /// It is to end at once.
+    cut: Cell<bool>,
+    told: Notify,
+}
+
+impl Line {
+    fn new() -> Line {
+        let (phase, since) = (Cell::new(Phase::Receiving), Cell::new(Instant::now()));
+        Line { phase, since, closing: Cell::new(false), cut: Cell::new(false), told: Notify::new() }
+    }
+    /// A first request's time runs from the opening.
+    fn turn(&self, phase: Phase) {
+        if self.phase.replace(phase) != phase {
+            self.since.set(Instant::now());
+        }
+    }
+    fn close(&self) {
+        if !self.closing.replace(true) {
+            self.since.set(Instant::now());
+            self.told.notify_one();
+        }
+    }
+    fn cut(&self) {
+        self.cut.set(true);
+        self.told.notify_one();
+    }
+    fn is(&self, phase: Phase, longer_than: Duration) -> bool {
+        self.phase.get() == phase && self.since.get().elapsed() > longer_than
+    }
+}
+
+/// The open connections of clients, a bounded number.
+struct Lines {
+    open: RefCell<HashMap<u64, Rc<Line>>>,
+    most: usize,
+    /// One has ended.
+    ended: Notify,
+}
+
+impl Lines {
+    fn all(&self) -> Vec<Rc<Line>> {
+        self.open.borrow().values().cloned().collect()
+    }
+
+    /// Closes what takes too long. Guards against clients that keep a connection and say nothing, send half a
+    /// request, or do not read their answer.
+    fn sweep(&self) {
+        for line in self.open.borrow().values() {
+            let unread = line.closing.get() && line.is(Phase::Idle, RECEIVE_TIME);
+            if line.is(Phase::Receiving, RECEIVE_TIME) || unread {
+                line.cut();
+            } else if line.is(Phase::Idle, LONGEST_IDLE) {
+                line.close();
+            }
+        }
+    }
+
+    /// Waits for a place for one more connection. Guards against clients that keep theirs for good and so
+    /// shut others out: the one silent longest gives way, else the one idle longest.
+    async fn place(&self) {
+        while self.open.borrow().len() >= self.most {
+            let mut lines = self.all();
+            lines.retain(|line| !line.closing.get());
+            let longest =
+                |phase, over| lines.iter().filter(|l| l.is(phase, over)).min_by_key(|l| l.since.get());
+            let gives = longest(Phase::Receiving, SILENT).or_else(|| longest(Phase::Idle, Duration::ZERO));
+            gives.into_iter().for_each(|line| line.close());
+            // It may have been one that has a request after all: look again then.
+            let _ = timeout(ACCEPT_PAUSE, self.ended.notified()).await;
+        }
+    }
 }
 
 /// Takes clients until SIGTERM, answers what was taken, and returns.
 pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
-    let places = Arc::new(Semaphore::new(connections));
+    let lines = Rc::new(Lines { open: RefCell::default(), most: connections, ended: Notify::new() });
     let mut stopping = front.stopping.clone();
     let mut last_call: Option<Instant> = None;
-    let (close, closing) = watch::channel(Closing::None);
+    let mut sweep = interval(SWEEP_EVERY);
+    let mut waiting = None;
+    let mut serial = 0;
     loop {
         tokio::select! {
             biased;
-            // The semaphore is never closed.
-            Ok((stream, place)) = accept(&listener, &places) => {
-                let (front, closing) = (front.clone(), closing.clone());
+            // Guards the limit on descriptors: one at a time is accepted and then waits for its place.
+            () = lines.place(), if waiting.is_some() => {
+                let line = Rc::new(Line::new());
+                serial += 1;
+                lines.open.borrow_mut().insert(serial, line.clone());
+                let (stream, front, lines) = (waiting.take(), front.clone(), lines.clone());
                 tokio::task::spawn_local(async move {
-                    connection(stream, front, closing).await;
-                    drop(place);
+                    if let Some(stream) = stream {
+                        connection(stream, &line, front).await;
+                    }
+                    lines.open.borrow_mut().remove(&serial);
+                    lines.ended.notify_one();
                 });
             }
+            stream = accept(&listener), if waiting.is_none() => waiting = Some(stream),
+            _ = sweep.tick() => lines.sweep(),
             Ok(_) = stopping.wait_for(|stop| *stop), if last_call.is_none() => {
                 last_call = Some(Instant::now());
-                close.send_replace(Closing::Old);
+                // New connections are still taken, so a client whose request crosses the closing comes back
+                // on one of them. What is being received is answered and then closed.
+                let past = |line: &Rc<Line>| line.phase.get() != Phase::Receiving;
+                lines.all().into_iter().filter(past).for_each(|line| line.close());
             }
             () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL), if last_call.is_some() => break,
         }
     }
     drop(listener);
-    close.send_replace(Closing::All);
+    lines.all().into_iter().for_each(|line| line.close());
     let left = LAST_ANSWER.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
-    let all = u32::try_from(connections).unwrap_or(u32::MAX);
-    if timeout(left, places.acquire_many(all)).await.is_err() {
+    let all_ended = async {
+        while !lines.open.borrow().is_empty() {
+            tokio::select! {
+                () = lines.ended.notified() => {}
+                _ = sweep.tick() => lines.sweep(),
+            }
+        }
+    };
+    if timeout(left, all_ended).await.is_err() {
         warn!("some connections were still open at the end");
     }
 }
 
-/// Guards the limit on descriptors: accepts only with a place free, and waits where accepting fails.
-async fn accept(
-    listener: &TcpListener,
-    places: &Arc<Semaphore>,
-) -> Result<(TcpStream, tokio::sync::OwnedSemaphorePermit), tokio::sync::AcquireError> {
-    let place = places.clone().acquire_owned().await?;
+/// The next connection; waits where accepting fails, as it does while descriptors are short.
+async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return Ok((stream, place)),
+            Ok((stream, _)) => return stream,
             Err(error) => {
                 warn!(%error, "accept failed");
                 sleep(ACCEPT_PAUSE).await;
@@ -119,29 +243,30 @@
     }
 }
 
-async fn connection(stream: TcpStream, front: Rc<Front>, mut closing: watch::Receiver<Closing>) {
-    let since = *closing.borrow();
+/// Serves one connection to its end.
+async fn connection(stream: TcpStream, line: &Rc<Line>, front: Rc<Front>) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "a client went at once");
         return;
     }
     let service = service_fn(|request| {
-        let front = front.clone();
-        async move { Ok::<_, Infallible>(respond(request, &front).await) }
+        let (front, line) = (front.clone(), line.clone());
+        async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(LONGEST_IDLE)
-        .max_buf_size(2 * MAX_BODY)
-        .serve_connection(TokioIo::new(stream), service);
+    let connection =
+        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let done = tokio::select! {
-        biased;
-        done = connection.as_mut() => done,
-        // It carries on with what it is at.
-        _ = closing.wait_for(|closing| *closing > since) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let done = loop {
+        tokio::select! {
+            biased;
+            done = connection.as_mut() => break done,
+            () = line.told.notified() => {
+                if line.cut.get() {
+                    return;
+                }
+                // It carries on with what it is at.
+                connection.as_mut().graceful_shutdown();
+            }
         }
     };
     if let Err(error) = done {
@@ -149,21 +274,30 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, front: &Front) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, front: &Front, line: &Line) -> Response<Full<Bytes>> {
+    line.turn(Phase::Receiving);
     let mut response = match request.uri().path() {
         "/_health" => match front.ready.get() && !front.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
-        "/api" => match take(request, front).await {
+        "/api" => match take(request, front, line).await {
             Ok(answer) => answer,
-            Err((status, problem)) => plain(status, problem),
+            Err((status, problem)) => last(plain(status, problem)),
         },
-        _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n")),
     };
     if front.is_stopping() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response = last(response);
     }
+    line.turn(Phase::Idle);
+    response
+}
+
+/// Ends the connection with this answer. Guards against what follows a request that can't be believed, such as
+/// a body of 60 MB, which then is not read.
+fn last(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
@@ -196,18 +330,47 @@
     }
 }
 
-async fn take(request: Request<Incoming>, front: &Front) -> Result<Response<Full<Bytes>>, Malformed> {
+/// A client's name for a request that is open. Guards against two requests of one name at the backends, which
+/// take the second for a copy of the first.
+struct OpenCall<'a> {
+    calls: &'a RefCell<HashSet<HeaderValue>>,
+    call: HeaderValue,
+}
+
+impl OpenCall<'_> {
+    fn new(calls: &RefCell<HashSet<HeaderValue>>, call: HeaderValue) -> Result<OpenCall<'_>, Malformed> {
+        match calls.borrow_mut().insert(call.clone()) {
+            true => Ok(OpenCall { calls, call }),
+            false => Err((StatusCode::CONFLICT, "X-Call-Id: a request of that name is open\n")),
+        }
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.calls.borrow_mut().remove(&self.call);
+    }
+}
+
+async fn take(
+    request: Request<Incoming>,
+    front: &Front,
+    line: &Line,
+) -> Result<Response<Full<Bytes>>, Malformed> {
     let (head, body) = request.into_parts();
     let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
-    let body = timeout(BODY_TIME, Limited::new(body, MAX_BODY).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"))
-        }
-        Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
-        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
+    // Guards memory: its length is known before any of it is read.
+    let length = body.size_hint().upper().unwrap_or(u64::MAX);
+    if length > MAX_BODY as u64 {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
+    }
+    let Ok(_room) = front.bodies.try_acquire_many(length as u32) else {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
     };
+    let body =
+        body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
+    let _open = OpenCall::new(&front.open, asked.call)?;
+    line.turn(Phase::Busy);
     // The request's time runs from its last byte.
     let deadline = front.clock.now() + asked.budget;
     let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
@@ -235,6 +398,8 @@
 /// What a request's head says of it.
 struct Asked {
     arrival: Arrival,
+    /// What the client calls it.
+    call: HeaderValue,
     budget: Micros,
 }
 
@@ -246,6 +411,18 @@
         front: &Front,
     ) -> Result<Asked, Malformed> {
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
+        // Guards against a second request hidden in the body, which is there for who goes by the other of two
+        // lengths. A client's body has a length; hyper drops that of one that is chunked as well.
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(bad("Transfer-Encoding: expected Content-Length alone\n"));
+        }
+        // Guards against two readings of one request: which of two values counts, nobody says.
+        let twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
+        if headers.keys_len() < headers.len()
+            && headers.keys().any(|name| ONCE.contains(&name.as_str()) && twice(name))
+        {
+            return Err(bad("a header stands twice\n"));
+        }
         let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let named = |name| text(HeaderName::from_static(name));
         let (class, effect, longest) = named("x-call-class")
@@ -257,11 +434,10 @@
         let budget = text(BUDGET).and_then(|v| v.parse::<u64>().ok());
         let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
         let (units, spread) = named("x-quota")
-            .and_then(quota)
-            .ok_or_else(|| bad("X-Quota: expected units, spread and first\n"))?;
-        if headers.get("x-call-id").is_none_or(|id| id.is_empty()) {
-            return Err(bad("X-Call-Id: expected an id\n"));
-        }
+            .and_then(|value| quota(value, front.most_units, front.gateways))
+            .ok_or_else(|| bad("X-Quota: expected units, spread and first in their ranges\n"))?;
+        let call = headers.get("x-call-id").filter(|id| !id.is_empty()).cloned();
+        let call = call.ok_or_else(|| bad("X-Call-Id: expected an id\n"))?;
         let (wanted, keyed) = match effect {
             Effect::Safe => (Method::GET, false),
             Effect::Keyed => (Method::POST, true),
@@ -284,26 +460,33 @@
         };
         // No client waits longer than its class says.
         let budget = Micros(budget.saturating_mul(1000)).min(*longest);
-        Ok(Asked { arrival, budget })
+        Ok(Asked { arrival, call, budget })
     }
 }
 
 fn customer(query: &str) -> Option<CustomerId> {
-    let digits = query.split('&').find_map(|pair| pair.strip_prefix("customer="))?;
-    let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    u64::from_str_radix(digits, 16).ok().filter(|_| hex).map(CustomerId)
+    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix("customer="));
+    let digits = named.next()?;
+    let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit()) && named.next().is_none();
+    u64::from_str_radix(digits, 16).ok().filter(|id| hex && *id < CUSTOMERS).map(CustomerId)
 }
 
-/// Units and spread.
-fn quota(value: &str) -> Option<(f64, u32)> {
+/// Units and spread. Guards against what no class asks for and no tier has, which would be charged to a
+/// customer by whoever writes its name.
+fn quota(value: &str, most_units: f64, gateways: u32) -> Option<(f64, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for part in value.split(',') {
-        match part.trim().split_once('=')? {
-            ("units", v) => units = v.parse::<f64>().ok().filter(|u| u.is_finite() && *u >= 0.0),
-            ("spread", v) => spread = v.parse::<u32>().ok().filter(|s| *s > 0),
-            ("first", v) => first = v.parse::<u32>().ok(),
-            _ => {}
-        }
+        let unset = match part.trim().split_once('=')? {
+            ("units", v) => {
+                units.replace(v.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= most_units)?).is_none()
+            }
+            ("spread", v) => {
+                spread.replace(v.parse::<u32>().ok().filter(|s| (1..=gateways).contains(s))?).is_none()
+            }
+            ("first", v) => first.replace(v.parse::<u32>().ok().filter(|f| *f < gateways)?).is_none(),
+            _ => true,
+        };
+        unset.then_some(())?;
     }
     first.and(units).zip(spread)
 }
