Follow a new configuration at SIGHUP

At fault: main.rs handles SIGTERM alone, and SIGHUP ends a process by itself. Now the file is read again and its addresses go before NODE_DISCOVERY; a file that can't be used is logged and changes nothing. The watch moves at once and asks for the whole list, since versions may begin lower; calls under way keep the old counter, whose idle connections close with it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,14 @@
-//! One real gateway. It is told where and how by the environment, and ends at SIGTERM.
+//! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
+//! ends at SIGTERM.
 #![forbid(unsafe_code)]
 
-use starlinghill::net::{self, config::Config};
+use starlinghill::net::{self, config::Config, config::Upstreams};
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
-use tracing::info;
+use tracing::{info, warn};
 
 fn run() -> Result<(), Box<dyn Error>> {
     let config = Config::from_environment()?;
@@ -15,7 +16,10 @@
     let local = LocalSet::new();
     local.block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate())?;
+        // From the first moment on: by itself it would end the process.
+        let mut hang_up = signal(SignalKind::hangup())?;
         let (stop, stopping) = watch::channel(false);
+        let (reload, upstreams) = watch::channel(config.upstreams());
         tokio::task::spawn_local(async move {
             if terminate.recv().await.is_some() {
                 info!("stopping");
@@ -24,7 +28,18 @@
                 std::future::pending::<()>().await;
             }
         });
-        Ok(net::run(config, stopping).await?)
+        tokio::task::spawn_local(async move {
+            while hang_up.recv().await.is_some() {
+                match Upstreams::from_file() {
+                    Ok(upstreams) => {
+                        info!(%upstreams, "configuration read again");
+                        reload.send_replace(upstreams);
+                    }
+                    Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
+                }
+            }
+        });
+        Ok(net::run(config, upstreams, stopping).await?)
     })
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -105,6 +105,47 @@
     }
 }
 
+/// The services that a gateway calls, which a new configuration may move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Upstreams {
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The shared counter.
+    pub counter: Option<SocketAddr>,
+}
+
+impl fmt::Display for Upstreams {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "discovery {}", self.discovery)?;
+        self.counter.map_or(Ok(()), |counter| write!(f, ", counter {counter}"))
+    }
+}
+
+impl Upstreams {
+    /// Reads the configuration's file again. It goes before the environment, which is as it was at the start;
+    /// what else it says takes effect with the next start only, but must make sense.
+    pub fn from_file() -> Result<Upstreams, ConfigError> {
+        let (path, text) = file()?;
+        let address = from_environment("NODE_LISTEN")?;
+        Config::parse(&text, address, None)
+            .map(|config| config.upstreams())
+            .map_err(|e| ConfigError(format!("{path}: {e}")))
+    }
+}
+
+/// The configuration's path and text.
+fn file() -> Result<(String, String), ConfigError> {
+    let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+    Ok((path, text))
+}
+
+fn from_environment(name: &str) -> Result<Option<SocketAddr>, ConfigError> {
+    let Ok(text) = env::var(name) else { return Ok(None) };
+    let wrong = |_| ConfigError(format!("{name}: expected an address and a port, found '{text}'"));
+    text.parse().map(Some).map_err(wrong)
+}
+
 /// All that a gateway is told at its start.
 pub struct Config {
     pub(crate) name: String,
@@ -145,20 +186,17 @@
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_environment() -> Result<Config, ConfigError> {
-        let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
-        let address = |name: &str| match env::var(name) {
-            Err(_) => Ok(None),
-            Ok(text) => text
-                .parse()
-                .map(Some)
-                .map_err(|_| ConfigError(format!("{name}: expected an address and a port, found '{text}'"))),
-        };
-        Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
+        let (path, text) = file()?;
+        Config::parse(&text, from_environment("NODE_LISTEN")?, from_environment("NODE_DISCOVERY")?)
             .map(|c| Config { name: env::var("NODE_NAME").unwrap_or_default(), ..c })
             .map_err(|e| ConfigError(format!("{path}: {e}")))
     }
 
+    /// The services that it names.
+    pub fn upstreams(&self) -> Upstreams {
+        Upstreams { discovery: self.discovery, counter: self.counter }
+    }
+
     /// Reads a configuration; addresses from the environment go before its own.
     pub fn parse(
         text: &str,
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -45,6 +45,11 @@
         Counter { address, timeout, idle: RefCell::default(), lines: Semaphore::new(connections) }
     }
 
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Makes one call. An unanswered one closes its connection, so that a late answer meets no later call.
     pub async fn add(&self, name: CountName, amount: f64, life: Micros) -> Counted {
         let wrote = Cell::new(false);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of backends: a watch on discovery that never stops.
 
-use super::config::MemberList;
+use super::config::{MemberList, Upstreams};
 use super::driver::{Inbox, Input};
 use super::http::Connection;
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 use hyper::{header, Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
@@ -19,12 +20,26 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Fetches the whole list, then watches it for ever, telling the driver what is new.
-pub async fn watch(address: SocketAddr, inbox: Inbox) {
+pub async fn watch(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox) {
+    let mut address = upstreams.borrow_and_update().discovery;
     let mut revision = None;
     let mut connection = None;
     let mut silent = false;
     loop {
-        match next(address, &mut connection, revision).await {
+        let told = tokio::select! {
+            biased;
+            // Moves at once, though the old address may hold a watch for long. The new one may number its
+            // versions anew: its whole list is asked for.
+            Ok(()) = upstreams.changed() => {
+                let moved = upstreams.borrow_and_update().discovery;
+                if moved != address {
+                    (address, connection, revision) = (moved, None, None);
+                }
+                continue;
+            }
+            told = next(address, &mut connection, revision) => told,
+        };
+        match told {
             Ok(list) => {
                 if std::mem::take(&mut silent) {
                     info!("discovery answers again");
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,7 +2,7 @@
 //! its request table sees to it that every request gets exactly one final answer.
 
 use super::backend::{Backend, Ended, Forward, Pool};
-use super::config::{Config, ConfigError, MemberList, Phase};
+use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
 use super::counter::{Counted, Counter, Order};
 use crate::api::*;
 use crate::rules::Gateway;
@@ -11,9 +11,10 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info};
 
@@ -57,6 +58,8 @@
     Gone(RequestId),
     /// News of the backends.
     Members(MemberList),
+    /// The counter is somewhere else.
+    Counter(Option<SocketAddr>),
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
     /// An attempt ended: its request, number and backend, how, and how long it was out.
@@ -108,6 +111,16 @@
     }
 }
 
+/// Tells the driver of services that move.
+pub async fn follow(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox) {
+    while upstreams.changed().await.is_ok() {
+        let counter = upstreams.borrow_and_update().counter;
+        if inbox.send(Input::Counter(counter)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// The driver.
 pub struct Driver {
     gateway: Gateway,
@@ -118,6 +131,8 @@
     inputs: mpsc::Receiver<Input>,
     pool: Rc<Pool>,
     counter: Option<Rc<Counter>>,
+    /// The way to the counter at another address.
+    counter_at: Box<dyn Fn(SocketAddr) -> Rc<Counter>>,
     order: Order,
     backends: HashMap<ServerId, Rc<Backend>>,
     requests: HashMap<RequestId, Open>,
@@ -136,8 +151,8 @@
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
-        let counter =
-            counter.map(|a| Counter::new(a, duration(site.settings.count_timeout), sockets.counter));
+        let (timeout, lines) = (duration(site.settings.count_timeout), sockets.counter);
+        let counter_at = Box::new(move |address| Rc::new(Counter::new(address, timeout, lines)));
         let mut driver = Driver {
             gateway,
             clock,
@@ -147,7 +162,8 @@
             inbox,
             inputs,
             pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle)),
-            counter: counter.map(Rc::new),
+            counter: counter.map(&counter_at),
+            counter_at,
             order: Order::default(),
             backends: HashMap::new(),
             requests: HashMap::new(),
@@ -242,6 +258,13 @@
                 self.members(list);
                 self.become_ready();
             }
+            Input::Counter(address) => {
+                let held = self.counter.as_ref().map(|counter| counter.address());
+                if address.is_some() && address != held {
+                    // Calls under way keep the old one until they end; its idle connections end with it.
+                    self.counter = address.map(&self.counter_at);
+                }
+            }
             Input::Counted(name, serial, counted) => {
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,7 +8,7 @@
 pub mod http;
 pub mod server;
 
-use config::{Config, ConfigError};
+use config::{Config, ConfigError, Upstreams};
 use driver::{Clock, Driver};
 use server::Front;
 use std::cell::Cell;
@@ -42,11 +42,16 @@
 }
 impl std::error::Error for RunError {}
 
-/// Runs a gateway until `stopping` turns true and all that it took is answered.
-pub async fn run(config: Config, stopping: watch::Receiver<bool>) -> Result<(), RunError> {
+/// Runs a gateway until `stopping` turns true and all that it took is answered. It follows `upstreams` when
+/// they change.
+pub async fn run(
+    config: Config,
+    upstreams: watch::Receiver<Upstreams>,
+    stopping: watch::Receiver<bool>,
+) -> Result<(), RunError> {
     let clock = Clock::start();
     let ready = Rc::new(Cell::new(false));
-    let (listen, discovery, sockets) = (config.listen, config.discovery, config.sockets);
+    let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
         (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
@@ -61,7 +66,8 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
-    tokio::task::spawn_local(discovery::watch(discovery, inbox.clone()));
+    tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone()));
+    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let (open, last, bodies) = (Default::default(), Default::default(), Semaphore::new(bodies));
     let front =
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -262,7 +262,7 @@
     assert_eq!(idle.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
     early.send(&request("once", 3000));
     backend.wait_for("the attempt", |log| log.requests.len() == 1);
-    node.terminate();
+    node.signal("TERM");
     assert!(idle.answer().is_none(), "idle connections are closed");
     let mut late = node.client();
     assert_eq!(late.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 503);
@@ -300,7 +300,7 @@
         while answered.load(Ordering::Relaxed) < 200 {
             std::thread::sleep(Duration::from_millis(1));
         }
-        node.terminate();
+        node.signal("TERM");
         stopped.set(Instant::now()).expect("once");
     });
     assert_eq!(node.ended(), Some(0));
@@ -412,3 +412,36 @@
     assert_eq!((backend.requests().len(), counter.requests().len()), (1, 1), "the second cost nothing");
     assert_eq!(node.client().ask(&request("once", 300)).status(), 502, "it is free again");
 }
+
+#[test]
+fn at_sighup_it_follows_the_file_to_new_addresses() {
+    let (old, new) = (Stub::start(|_| http("200 OK", "old")), Stub::start(|_| http("200 OK", "new")));
+    let discovery = Discovery::start(&member("s-1", old.address, "ready"));
+    let first = counter();
+    let path = file(&config(discovery.stub.address, first.address));
+    let mut command = told_by(&path);
+    command.env("NODE_DISCOVERY", discovery.stub.address.to_string());
+    let node = Node::spawn(command);
+    node.wait_ready();
+    let mut client = node.client();
+    assert_eq!(client.ask(&request("look", 3000)).body, "old");
+    discovery.wait_for_watch(41);
+    // A file that can't be used changes nothing.
+    std::fs::write(&path, "{\"half\":").expect("written");
+    node.signal("HUP");
+    assert_eq!(client.ask(&request("look", 3000)).body, "old");
+    // The new discovery numbers its versions anew, and begins lower than the old one was.
+    let (moved, second) = (Discovery::start(""), counter());
+    moved.say(3, &list(3, true, &member("s-2", new.address, "ready")));
+    std::fs::write(&path, config(moved.stub.address, second.address)).expect("written");
+    let start = Instant::now();
+    node.signal("HUP");
+    moved.wait_for_watch(3);
+    assert!(start.elapsed() < Duration::from_secs(2), "at once, not when the old watch ends");
+    assert_eq!(client.ask(&request("look", 3000)).body, "new");
+    assert_eq!((first.requests().len(), second.requests().len()), (2, 1), "the counter is the new one");
+    first.wait_for("its connections to close", |log| log.closed == log.opened);
+    node.signal("TERM");
+    let mut node = node;
+    assert_eq!(node.ended(), Some(0));
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -225,13 +226,23 @@
     )
 }
 
-/// The program, told to read this configuration.
-pub fn program(config: &str) -> Command {
+/// A file of its own with this configuration.
+pub fn file(config: &str) -> PathBuf {
     use std::sync::atomic::{AtomicUsize, Ordering};
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let name = format!("config-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
+    path
+}
+
+/// The program, told to read this configuration.
+pub fn program(config: &str) -> Command {
+    told_by(&file(config))
+}
+
+/// The program, told to read this file.
+pub fn told_by(path: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_starlinghill"));
     command.env("NODE_CONFIG", path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
     command.stderr(Stdio::piped());
@@ -273,8 +284,9 @@
         stream.set_read_timeout(Some(LIMIT)).expect("a socket");
         Client { reader: BufReader::new(stream.try_clone().expect("a socket")), stream }
     }
-    pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    /// Sends it a signal, such as TERM.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
     /// Waits for the end and returns the exit code.
