Tell the module of every attempt's end; tie connections to their backend; forget what came once

At fault: driver.rs dropped a request from its table when its client left, before the module heard; a send that the module decided in the same batch found no entry and its end was never told, so it counted as out at its server for good. Shown by a test that fails without the mend.

With it, by failing tests or reading: idle connections were kept by address, so one given back after its backend was replaced went to the newcomer; now by backend, and none is taken within 5 ms of an answer, for stray bytes. A 200 with two lengths or none, or over 64 KiB, is a failed attempt at once. A counter's answer without a number closes its connection. Servers and customers that came once are forgotten (30 s), also in the driver.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -57,9 +57,16 @@
     headers.remove("keep-alive");
 }
 
-/// One backend as the list has it now.
+/// The pause after an answer before its connection is used again. Guards against bytes right behind an answer
+/// that come after the look at the socket and would pass for the answer to the next request.
+const SETTLE: Duration = Duration::from_millis(5);
+
+/// One backend as the list has it now. Guards against giving a connection to who stands at the same address
+/// later: connections are this backend's alone, by its number.
 #[derive(Debug)]
 pub struct Backend {
+    /// The pool's number for it.
+    serial: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// When it last started, as told; a change means that old connections are dead.
@@ -85,7 +92,8 @@
 
 /// The connections to all backends.
 pub struct Pool {
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: RefCell<HashMap<u64, Vec<Connection>>>,
+    backends: Cell<u64>,
     places: Semaphore,
     dial_timeout: Duration,
     longest_idle: Duration,
@@ -96,14 +104,22 @@
     pub fn new(connections: usize, dial_timeout: Duration, conn_idle: Duration) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let longest_idle = conn_idle / 2;
-        Pool { idle: RefCell::default(), places: Semaphore::new(connections), dial_timeout, longest_idle }
+        let (idle, backends, places) = (RefCell::default(), Cell::new(0), Semaphore::new(connections));
+        Pool { idle, backends, places, dial_timeout, longest_idle }
+    }
+
+    /// A backend that takes work.
+    pub fn backend(&self, address: SocketAddr, up_since_ms: u64) -> Backend {
+        let serial = self.backends.replace(self.backends.get() + 1);
+        Backend { serial, address, up_since_ms, open: Cell::new(true) }
     }
 
     /// The connection used last is taken first, so that those not needed age and are retired.
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    fn take(&self, backend: &Backend) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let stack = idle.get_mut(&address)?;
-        while let Some(mut connection) = stack.pop() {
+        let stack = idle.get_mut(&backend.serial)?;
+        while let Some(settled) = stack.iter().rposition(|c| c.idle_since.elapsed() >= SETTLE) {
+            let mut connection = stack.remove(settled);
             if connection.idle_since.elapsed() < self.longest_idle && connection.is_usable() {
                 return Some(connection);
             }
@@ -111,10 +127,10 @@
         None
     }
 
-    fn give_back(&self, address: SocketAddr, mut connection: Connection) {
-        if connection.is_usable() {
+    fn give_back(&self, backend: &Backend, mut connection: Connection) {
+        if backend.open.get() && connection.is_usable() {
             connection.idle_since = Instant::now();
-            self.idle.borrow_mut().entry(address).or_default().push(connection);
+            self.idle.borrow_mut().entry(backend.serial).or_default().push(connection);
         }
     }
 
@@ -126,9 +142,11 @@
         });
     }
 
-    /// Closes the idle connections to an address that is no longer a backend's, or whose backend restarted.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+    /// Ends a backend that moved, restarted, drains or is gone: it gets nothing new, also of what still waits
+    /// for a connection, and its idle connections are closed.
+    pub fn close(&self, backend: &Backend) {
+        backend.open.set(false);
+        self.idle.borrow_mut().remove(&backend.serial);
     }
 
     /// Closes one idle connection to make room for another.
@@ -177,7 +195,7 @@
         wrote: &Cell<bool>,
     ) -> Ended {
         loop {
-            let (mut connection, reused) = match self.take(backend.address) {
+            let (mut connection, reused) = match self.take(backend) {
                 Some(connection) => (connection, true),
                 None => match timeout(self.dial_timeout, Connection::open(backend.address)).await {
                     Ok(Ok(connection)) => (connection, false),
@@ -192,7 +210,7 @@
             wrote.set(true);
             match connection.call(request.request(until)).await {
                 Ok(response) => {
-                    self.give_back(backend.address, connection);
+                    self.give_back(backend, connection);
                     return outcome_of(response);
                 }
                 // Guards against a pooled connection that was closed just before it was written to.
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -74,11 +74,13 @@
             wrote.set(true);
             match connection.call(self.request(name, amount, life)).await {
                 Ok(response) => {
-                    if connection.is_usable() {
+                    let counted = reading(response.status(), response.body());
+                    // Guards against waiting on a connection whose answers can't be read any more.
+                    if counted.outcome != Outcome::Error && connection.is_usable() {
                         connection.idle_since = Instant::now();
                         self.idle.borrow_mut().push(connection);
                     }
-                    return reading(response.status(), response.body());
+                    return counted;
                 }
                 Err(CallError::NotSent) if reused => wrote.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -230,10 +230,18 @@
         }
         let mut actions = std::mem::take(&mut self.actions);
         for event in std::mem::take(&mut self.batch) {
+            let ended = match &event {
+                Event::ClientGone(id) => Some(*id),
+                Event::AttemptEnded(end) => Some(end.id),
+                _ => None,
+            };
             self.gateway.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(now, action);
             }
+            // Only now the module sends nothing more for it. Guards against attempts whose end it never hears,
+            // and holds against their servers for good.
+            ended.into_iter().for_each(|id| self.tidy(id));
         }
         self.actions = actions;
     }
@@ -251,7 +259,6 @@
                 if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
                     open.reply = None;
                     self.batch.push(Event::ClientGone(id));
-                    self.tidy(id);
                 }
             }
             Input::Members(list) => {
@@ -277,7 +284,6 @@
                     let _ = reply.send(Answer::Served(body));
                 }
                 self.ended(id, attempt, server, ended.outcome, took);
-                self.tidy(id);
             }
         }
     }
@@ -301,19 +307,13 @@
                 Phase::Draining => Listed::Draining,
                 Phase::Gone => Listed::Gone,
             };
-            let backend = Backend {
-                address: member.host_port,
-                up_since_ms: member.up_since_ms,
-                open: Cell::new(listed == Listed::InService),
-            };
-            if let Some(old) = self.backends.get(&server) {
-                let same = old.address == backend.address && old.up_since_ms == backend.up_since_ms;
-                // Guards against old connections to a backend that moved, restarted or will end soon, and
-                // against attempts that still wait for one.
-                if !same || !backend.open.get() {
-                    self.pool.forget(old.address);
-                    old.open.set(false);
-                }
+            let (address, up_since_ms) = (member.host_port, member.up_since_ms);
+            let stays = |b: &Rc<Backend>| b.address == address && b.up_since_ms == up_since_ms;
+            if listed != Listed::InService {
+                self.backends.remove(&server).into_iter().for_each(|b| self.pool.close(&b));
+            } else if !self.backends.get(&server).is_some_and(stays) {
+                let new = Rc::new(self.pool.backend(address, up_since_ms));
+                self.backends.insert(server, new).into_iter().for_each(|b| self.pool.close(&b));
             }
             entries.push(ServerEntry {
                 server,
@@ -323,23 +323,19 @@
                 weight: member.size,
                 started: Some(Micros(member.up_since_ms.saturating_mul(1000))).filter(|at| at.0 > 0),
             });
-            if listed == Listed::Gone {
-                self.backends.remove(&server);
-            } else {
-                self.backends.insert(server, Rc::new(backend));
-            }
         }
         if list.complete {
             let told: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
             self.backends.retain(|server, backend| {
                 let stays = told.contains(server);
                 if !stays {
-                    backend.open.set(false);
-                    self.pool.forget(backend.address);
+                    self.pool.close(backend);
                 }
                 stays
             });
         }
+        // Guards against growing with every backend there ever was.
+        self.site.servers.retain(|server, _| self.backends.contains_key(server));
         self.batch.push(Event::Servers(scope, entries));
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::future::Future;
@@ -135,6 +136,14 @@
         let head = self.drive(sending).await;
         let failed = if self.wrote.get() { CallError::Broken } else { CallError::NotSent };
         let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
+        // Guards against spoilt answers, of which a part would pass for the whole: two lengths, none (so that any
+        // end of the connection looks like its own), or more than any answer has, which may keep coming for long.
+        let (length, chunked) = (header::CONTENT_LENGTH, header::TRANSFER_ENCODING);
+        let one_length = head.headers.contains_key(length) != head.headers.contains_key(chunked);
+        let has_body = head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED;
+        if has_body && !one_length || body.size_hint().lower() > MAX_BODY as u64 {
+            return Err(CallError::Broken);
+        }
         let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
         let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
         Ok(Response::from_parts(head, body))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,9 +23,10 @@
 const REPEAT_POWER: f64 = 3.0;
 /// How long after a refusal the like of it counts as its repeat.
 const REPEAT_SPAN: Micros = Micros(1_000_000);
-/// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
+/// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers, of
+/// whom many come once.
 const EPOCH: Micros = Micros(5_000_000);
-const FORGET: Micros = Micros(120_000_000);
+const FORGET: Micros = Micros(30_000_000);
 /// Part of its quota that a customer is taken to use before anything was heard of it, and how many times what
 /// the other gateways were seen to need is left to them.
 const USE_UNKNOWN: f64 = 0.3;
@@ -163,6 +164,12 @@
         Ok(new)
     }
 
+    /// How many things it keeps in mind. Comes back down when traffic does.
+    pub fn kept(&self) -> usize {
+        let told = self.servers.len() + self.customers.len() + self.requests.len();
+        told + self.calls.len() + self.timers.len() + self.held.len()
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -914,6 +921,8 @@
             (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
             s.listed = e.listed == Listed::InService;
         }
+        // Guards against growing with every server there ever was.
+        self.servers.retain(|_, s| s.listed || s.out > 0.0);
         self.ring = self.servers.iter().filter(|(_, s)| s.listed).map(|(&id, _)| id).collect();
         self.serve_held();
     }
@@ -941,11 +950,11 @@
             // The window counts from the first send that may have run, less a tick on the way.
             Effect::Keyed => ran.all(|a| {
                 self.now + self.set.tick + self.set.tick < a.sent + class.window
-                    && self.servers.get(&a.server).is_some_and(|first| match class.group {
-                        Group::All => true,
-                        Group::Zone => first.zone == s.zone,
-                        Group::Cell => first.cell == s.cell,
-                    })
+                    && match (class.group, self.servers.get(&a.server)) {
+                        (Group::All, _) => true,
+                        (Group::Zone, first) => first.is_some_and(|first| first.zone == s.zone),
+                        (Group::Cell, first) => first.is_some_and(|first| first.cell == s.cell),
+                    }
             }),
         }
     }
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -4,16 +4,19 @@
 
 use starlinghill::api::Outcome;
 use starlinghill::net::backend::{Backend, Ended, Forward, Pool};
-use std::cell::Cell;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use world::{http, on_runtime, Reply, Stub};
 
 const LONG: Duration = Duration::from_secs(5);
+/// After this a connection that was given back may be used again.
+const SETTLED: Duration = Duration::from_millis(10);
 
-fn backend(stub: &Stub) -> Backend {
-    Backend { address: stub.address, up_since_ms: 0, open: Cell::new(true) }
+fn backend(pool: &Pool, stub: &Stub) -> Backend {
+    pool.backend(stub.address, 0)
 }
 
 fn post() -> Forward {
@@ -30,7 +33,8 @@
 #[test]
 fn a_drain_stops_an_attempt_whose_connection_has_just_come_up() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    let pool = Pool::new(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
     backend.open.set(false);
     let ended = on_runtime(attempt(&pool, &backend, LONG));
     assert_eq!(ended.outcome, Outcome::Moot);
@@ -45,9 +49,11 @@
         0 => http("200 OK", "ok"),
         _ => Reply::RawThenClose(String::new()),
     });
-    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    let pool = Pool::new(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+        tokio::time::sleep(SETTLED).await;
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Reset);
     });
     let seen = stub.requests();
@@ -58,7 +64,8 @@
 #[test]
 fn an_attempt_given_up_or_called_off_leaves_no_connection_open() {
     let stub = Stub::start(|_| Reply::Silence);
-    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    let pool = Pool::new(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
     on_runtime(async {
         let ended = attempt(&pool, &backend, Duration::from_millis(50)).await;
         assert_eq!(ended.outcome, Outcome::Timeout);
@@ -79,15 +86,16 @@
 #[test]
 fn an_unreachable_backend_never_ran_anything() {
     let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let backend = Backend { address: gone, up_since_ms: 0, open: Cell::new(true) };
     let pool = Pool::new(8, LONG, LONG);
+    let backend = pool.backend(gone, 0);
     assert_eq!(on_runtime(attempt(&pool, &backend, LONG)).outcome, Outcome::ConnectFailed);
 }
 
 #[test]
 fn idle_connections_are_retired_before_the_backend_closes_them() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let (pool, backend) = (Pool::new(8, LONG, Duration::from_millis(40)), backend(&stub));
+    let pool = Pool::new(8, LONG, Duration::from_millis(40));
+    let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
         tokio::time::sleep(Duration::from_millis(25)).await;
@@ -100,7 +108,7 @@
 fn the_number_of_connections_is_bounded() {
     let (busy, other) = (Stub::start(|_| Reply::Silence), Stub::start(|_| http("200 OK", "ok")));
     let pool = Pool::new(1, LONG, LONG);
-    let (to_busy, to_other) = (backend(&busy), backend(&other));
+    let (to_busy, to_other) = (backend(&pool, &busy), backend(&pool, &other));
     on_runtime(async {
         // An idle connection gives way to one that is needed.
         assert_eq!(attempt(&pool, &to_other, LONG).await.outcome, Outcome::Ok);
@@ -113,3 +121,68 @@
     other.wait_for("the idle connection's end", |log| log.closed == 1);
     assert_eq!(other.requests().len(), 1);
 }
+
+#[test]
+fn a_backend_that_took_over_an_address_gets_none_of_the_connections_there() {
+    let let_go = Arc::new(AtomicBool::new(false));
+    let told = let_go.clone();
+    let stub = Stub::start(move |_| {
+        while !told.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        http("200 OK", "ok")
+    });
+    let pool = Pool::new(8, LONG, LONG);
+    let (old, new) = (backend(&pool, &stub), backend(&pool, &stub));
+    on_runtime(async {
+        let (ended, ()) = tokio::join!(attempt(&pool, &old, LONG), async {
+            while stub.requests().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            pool.close(&old);
+            let_go.store(true, Ordering::SeqCst);
+        });
+        assert_eq!(ended.outcome, Outcome::Ok, "what is under way may finish");
+        tokio::time::sleep(SETTLED).await;
+        assert_eq!(attempt(&pool, &new, LONG).await.outcome, Outcome::Ok);
+    });
+    let seen = stub.requests();
+    assert_ne!(seen[1].connection, seen[0].connection);
+    stub.wait_for("the old one's connection to close", |log| log.closed >= 1);
+}
+
+#[test]
+fn a_spoilt_answer_may_have_run_and_ends_its_connection_at_once() {
+    for spoilt in [
+        "no HTTP at all\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok",
+        "HTTP/1.1 200 OK\r\n\r\nwithout a length",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+    ] {
+        let stub = Stub::start(move |_| Reply::Raw(spoilt.into()));
+        let pool = Pool::new(8, LONG, LONG);
+        let ended = on_runtime(attempt(&pool, &backend(&pool, &stub), LONG));
+        assert_eq!((ended.outcome, ended.body), (Outcome::Reset, None), "{spoilt}");
+        stub.wait_for("the connection's end", |log| log.closed == 1);
+    }
+}
+
+#[test]
+fn only_its_own_whole_answer_is_served() {
+    let stub = Stub::start(|request| {
+        let own = format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", request.connection);
+        Reply::Raw(format!("HTTP/1.1 103 Early\r\n\r\n{own}HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"))
+    });
+    let pool = Pool::new(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    on_runtime(async {
+        for own in ["0", "1", "2"] {
+            let ended = attempt(&pool, &backend, LONG).await;
+            assert_eq!(ended.body.as_deref(), Some(own.as_bytes()), "each on a connection of its own");
+            tokio::time::sleep(SETTLED).await;
+        }
+    });
+}
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -84,3 +84,17 @@
     assert_eq!(order.answered(a, first, told(1.0)), [told(1.0), told(2.0)]);
     assert_eq!(order.answered(a, first, told(1.0)), [], "each is told once");
 }
+
+#[test]
+fn a_connection_whose_answer_has_no_number_is_not_used_again() {
+    let stub = Stub::start(|request| match request.connection {
+        0 => http("200 OK", "plenty"),
+        _ => http("200 OK", "7"),
+    });
+    let counter = Counter::new(stub.address, Duration::from_secs(5), 2);
+    on_runtime(async {
+        assert_eq!(add(&counter, 1).await.outcome, Outcome::Error);
+        assert_eq!(add(&counter, 1).await, Counted { outcome: Outcome::Ok, total: 7.0 });
+    });
+    stub.wait_for("the first connection's end", |log| log.closed >= 1);
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -159,3 +159,25 @@
     let at_once = (0..8).map(|_| sends(&rig.request(0, 3, 1, 1.0).1).len()).sum::<usize>();
     assert_eq!(at_once, 1, "one attempt out over all four");
 }
+
+#[test]
+fn what_came_once_is_forgotten() {
+    let mut rig = Rig::new(settings(), 2);
+    let start = rig.gateway.kept();
+    for i in 0..3_000u64 {
+        let (old, new) = (1_000 + i as u32, 1_001 + i as u32);
+        let news = vec![entry(old, Listed::Gone, None), entry(new, Listed::InService, None)];
+        rig.tell(Event::Servers(ListScope::Changes, news));
+        let (id, mut out) = rig.request(0, 0, i, 1.0);
+        for (name, x) in counts(&out) {
+            out.extend(rig.tell(Event::Counted(name, Outcome::Ok, x)));
+        }
+        let (_, server) = sends(&out)[0];
+        rig.ended(id, 0, server, Outcome::Ok);
+        rig.pass(10 * MS);
+    }
+    assert!(rig.gateway.kept() > start + 3_000, "the last ones are known");
+    rig.pass(70 * S);
+    let end = rig.gateway.kept();
+    assert!(end <= start + 1, "{start} at the start, {end} at the end");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -449,3 +449,25 @@
     let mut node = node;
     assert_eq!(node.ended(), Some(0));
 }
+
+#[test]
+fn clients_that_leave_as_their_requests_go_out_hold_no_place_at_the_backend() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let (discovery, counter) = (Discovery::start(&member("s-1", backend.address, "ready")), counter());
+    // A long tick: the counter's answers and the clients' ends are told to the module together.
+    let config = config(discovery.stub.address, counter.address).replace("\"tick\":4000", "\"tick\":250000");
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    let clients: Vec<Client> = (0..8)
+        .map(|i| {
+            let mut client = node.client();
+            client.send(&request("look", 4000).replace("9b1f", &format!("9c0{i}")));
+            client
+        })
+        .collect();
+    counter.wait_for("all their calls", |log| log.requests.len() == clients.len());
+    drop(clients);
+    for _ in 0..2 {
+        assert_eq!(node.client().ask(&request("look", 4000)).status(), 200);
+    }
+}
