--- a/src/rules.rs
+++ b/src/rules.rs
@@ -390,8 +390,8 @@
     /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
     /// count once for the common breaker, while that customer's own breaker opens.
     ///
-    /// One cut answers for all calls that were out when it was made. Guards against asking next to nothing for
-    /// a moment's jam; what comes back spoilt or broken says nothing of the counter's load.
+    /// One cut answers for all calls that were out when it was made. Guards against asking next to nothing
+    /// for a moment's jam; what comes back spoilt or broken says nothing of the counter's load.
     fn call_failed(&mut self, customer: CustomerId, probe: bool, made: Micros, outcome: Outcome) {
         let now = self.now;
         if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
