Let a silence leave a customer what others were not seen to need; guess repeats as first tries

At fault: rules.rs local_take, which kept to the plain share while silent, and decide, which refused every repeat that was not asked. Both now follow what was heard before; where a share holds less than one request, repeats are still not guessed. Spare shares in a silence only for customers of whom totals were heard. The ceiling's guard is untouched.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -317,6 +317,12 @@
         !self.set.counter || self.breaker.opened.is_some() || own_open
     }
 
+    /// A customer so spread that a gateway's share of its store holds less than one request.
+    fn slight(&self, customer: CustomerId) -> bool {
+        let burst = |c: &Customer| self.set.plans[c.plan].burst;
+        self.customers.get(&customer).is_some_and(|c| c.spread * self.set.most_units > burst(c))
+    }
+
     /// Whether a request is to ask. Guards against a counter that our own calls drown, slow or near its
     /// capacity: while calls fail only a part asks, what is worth much first, repeats last, as they were
     /// refused a moment ago.
@@ -412,7 +418,7 @@
         call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
         self.roll(call.customer);
         let Some(plan) = self.customers.get(&call.customer).map(|c| c.plan) else { return };
-        let quota = self.window_of(plan).1;
+        let (quota, slight) = (self.window_of(plan).1, self.slight(call.customer));
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
         let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
         let current = tally.span == call.span;
@@ -440,7 +446,7 @@
             }
             heard = Some(total + if current { tally.owed + tally.posting } else { 0.0 });
             c.breaker.success(call.probe);
-            if c.spread * self.set.most_units <= self.set.plans[plan].burst {
+            if !slight {
                 c.bucket = None;
             }
             let slow = self.now - call.at > self.set.count_timeout.times(0.5);
@@ -492,15 +498,15 @@
         }
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
-        let (resent, done) = (r.a.resent, r.done);
         let ok = match heard {
-            _ if done => return,
+            _ if r.done => return,
             // Under a ceiling what a counter forgot is paid off first.
             Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
             Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
             Some(_) => false,
-            // A repeat was refused a moment ago, here or elsewhere: it must be heard.
-            None if resent && !self.silent(customer) => false,
+            // A repeat was refused a moment ago, here or elsewhere: where a share holds less than one request
+            // it must be heard. Elsewhere nine of ten had room, as most were refused for want of an answer.
+            None if r.a.resent && self.slight(customer) && !self.silent(customer) => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
         match ok {
@@ -534,10 +540,10 @@
         // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
         let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
         let mut share = (carried + 1.0 / c.spread) / 2.0;
-        // While others of its requests ask, what the other gateways were not seen to need can be had here: a
-        // total that says otherwise is heard soon. Guards against refusing, for a counter that can't bear all
-        // calls, customers who use little and come through one gateway for a while.
-        if !silent {
+        // What the other gateways were not seen to need can be had here. Guards against refusing customers who
+        // use little and come through one gateway for a while, where the counter is silent or can't bear all
+        // calls. May hurt in a silence in which several gateways see a customer ask more than it did before.
+        if c.heard.1 > 0.0 || !silent {
             share = share.max(1.0 - NEED_SPARE * (1.0 - carried) * used);
         }
         // Guards against shares of less than one request, which would refuse everything: at least that much,
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,9 @@
 //! The gateway on loopback sockets: what real networks do to it that the simulator does not.
 mod world;
 
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -471,3 +474,57 @@
         assert_eq!(node.client().ask(&request("look", 4000)).status(), 200);
     }
 }
+
+#[test]
+fn a_silent_counter_leaves_a_customer_what_other_gateways_were_not_seen_to_need() {
+    let (totals, down) = (counter_that_adds(), Arc::new(AtomicBool::new(false)));
+    let refuses = down.clone();
+    let counter = Stub::start(move |request| match refuses.load(Relaxed) {
+        true => http("503 Service Unavailable", ""),
+        false => totals(request),
+    });
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    // Forty units a second, forty at once, through any of four gateways: a fourth is ten.
+    let config = config(discovery.stub.address, counter.address)
+        .replace(r#""balancers":2"#, r#""balancers":4"#)
+        .replace(r#""per_second":1.0,"peak_units":4.0"#, r#""per_second":40.0,"peak_units":40.0"#);
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    let mut client = node.client();
+    let mut ask = |customer: u32, units: u32| {
+        let request = request("look", 4000)
+            .replace("00000000b4d65521", &format!("{customer:016x}"))
+            .replace("X-Plan: team", "X-Plan: small")
+            .replace("units=2,spread=2", &format!("units={units},spread=4"));
+        client.ask(&request).status()
+    };
+    let names = || {
+        let seen = counter.requests();
+        seen.iter().filter_map(|r| r.line.split(['/', '?']).nth(3)).collect::<HashSet<_>>().len()
+    };
+    let until = Instant::now() + LIMIT;
+    let mut pace = || {
+        assert!(Instant::now() < until, "waited in vain");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    // A window of which all was heard, all of it this gateway's own.
+    while names() < 3 {
+        assert_eq!(ask(1, 1), 200);
+        pace();
+    }
+    // The breaker is open once no request asks; other customers' failures open it for all.
+    down.store(true, Relaxed);
+    let (mut calls, mut unasked) = (counter.requests().len(), 0);
+    for turn in 0.. {
+        ask([1, 2, 3][turn % 3], 1);
+        let now = counter.requests().len();
+        (calls, unasked) = (now, if now == calls { unasked + 1 } else { 0 });
+        if unasked == 12 {
+            break;
+        }
+        pace();
+    }
+    let served = (0..8).filter(|_| ask(1, 4) == 200).count();
+    assert_eq!(served, 8, "its store holds forty");
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -203,15 +203,19 @@
 
 /// A counter that adds up and answers at once.
 pub fn counter() -> Stub {
+    Stub::start(counter_that_adds())
+}
+/// What such a counter answers.
+pub fn counter_that_adds() -> impl Fn(&Message) -> Reply + Send + Sync + 'static {
     let totals = Mutex::new(std::collections::HashMap::new());
-    Stub::start(move |request| {
+    move |request| {
         let name = request.line.split(['/', '?']).nth(3).expect("a name").to_string();
         let add = request.line.split(['=', '&']).nth(1).expect("an amount");
         let mut totals = totals.lock().expect("whole");
         let total = totals.entry(name).or_insert(0.0);
         *total += add.parse::<f64>().expect("a number");
         http("200 OK", &total.to_string())
-    })
+    }
 }
 
 /// A running gateway; killed when the test is over.
