--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -504,7 +504,7 @@
         seen.iter().filter_map(|r| r.line.split(['/', '?']).nth(3)).collect::<HashSet<_>>().len()
     };
     let until = Instant::now() + LIMIT;
-    let mut pace = || {
+    let pace = || {
         assert!(Instant::now() < until, "waited in vain");
         std::thread::sleep(Duration::from_millis(20));
     };
