--- a/src/rules.rs
+++ b/src/rules.rs
@@ -540,9 +540,9 @@
         // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
         let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
         let mut share = (carried + 1.0 / c.spread) / 2.0;
-        // What the other gateways were not seen to need can be had here. Guards against refusing customers who
-        // use little and come through one gateway for a while, where the counter is silent or can't bear all
-        // calls. May hurt in a silence in which several gateways see a customer ask more than it did before.
+        // What the other gateways were not seen to need can be had here. Guards against refusing customers
+        // who use little and come through one gateway for a while, where the counter is silent or can't bear
+        // all calls. May hurt in a silence in which several gateways see one ask more than it did before.
         if c.heard.1 > 0.0 || !silent {
             share = share.max(1.0 - NEED_SPARE * (1.0 - carried) * used);
         }
