Grant in a followed window the store as it is, not a whole window anew

One customer's timeline shows why: at the edge of a window its true store was at 0.3, the window granted all 20 units anew within 0.8 s (beyond the quota, so the store did not give them), then refused for the other 3.6 s while the store filled to 13.

At fault: rules.rs room() and decide(), max(.., quota) also where the last window was followed here and its rest known. Where it was not, the plain window stays.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -247,7 +247,7 @@
             let follows = c.window.span + 1 == span;
             let left = c.window.left + quota - c.window.known();
             let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
-            c.window = Tally { span, left, ..Tally::default() };
+            c.window = Tally { span, left, followed: follows, ..Tally::default() };
         }
         if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
             c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
@@ -295,14 +295,15 @@
         self.sparse() && self.rng.f64() > self.pass.powf(power)
     }
 
-    /// What a customer's quota has room for in this window by a total of the shared count: the window's plain
-    /// allowance, or the store as it is with what the last window left, where this gateway knows. Guards
-    /// against refusing inside the quota: the plain window forgets what the last one left.
+    /// What a customer's quota has room for in this window by a total of the shared count: the store as it is
+    /// with what the last window left, where that was followed here, else at least the plain window. Guards
+    /// against refusing inside the quota, as the plain window forgets what the last one left, and against
+    /// sending on beyond it, as that grants all anew. May hurt where totals hold what the store did not give.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
         let Some(c) = self.customers.get(&customer) else { return 0.0 };
         let (length, quota) = self.window_of(c.plan);
         let refill = quota * (1.0 - self.span(customer, length).1.secs() / length.secs());
-        (c.window.left + refill).max(quota) - total
+        (c.window.left + refill).max(if c.window.followed { 0.0 } else { quota }) - total
     }
 
     /// The part of its quota that a customer was seen to use.
@@ -501,9 +502,9 @@
         let ok = match heard {
             _ if r.done => return,
             // Under a ceiling what a counter forgot is paid off first.
+            Some(total) if self.room(customer, total) < 0.0 => false,
             Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
-            Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
-            Some(_) => false,
+            Some(_) => self.beyond_take(customer, plan, units),
             // A repeat was refused a moment ago, here or elsewhere: where a share holds less than one request
             // it must be heard. Elsewhere nine of ten had room, as most were refused for want of an answer.
             None if r.a.resent && self.slight(customer) && !self.silent(customer) => false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) seen: f64,
     /// What the window before left of its allowance, as far as is known.
     pub(crate) left: f64,
+    /// That window was followed here, so `left` is more than a guess.
+    pub(crate) followed: bool,
 }
 
 impl Tally {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -475,6 +475,42 @@
     }
 }
 
+/// A gateway among so many, before one backend; the small plan has this rate, and as much at once.
+fn among(gateways: u32, rate: u32, counter: &Stub) -> (Discovery, Node) {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let config = config(discovery.stub.address, counter.address)
+        .replace(r#""balancers":2"#, &format!(r#""balancers":{gateways}"#))
+        .replace(
+            r#""per_second":1.0,"peak_units":4.0"#,
+            &format!(r#""per_second":{rate}.0,"peak_units":{rate}.0"#),
+        );
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    (discovery, node)
+}
+
+/// Whether a customer of the small plan, which may come through so many gateways, is served.
+fn serves(client: &mut Client, customer: u32, spread: u32, units: u32) -> bool {
+    let request = request("look", 4000)
+        .replace("00000000b4d65521", &format!("{customer:016x}"))
+        .replace("X-Plan: team", "X-Plan: small")
+        .replace("units=2,spread=2", &format!("units={units},spread={spread}"));
+    client.ask(&request).status() == 200
+}
+
+/// Of how many windows the counter was asked.
+fn windows(counter: &Stub) -> usize {
+    let seen = counter.requests();
+    seen.iter().filter_map(|r| r.line.split(['/', '?']).nth(3)).collect::<HashSet<_>>().len()
+}
+
+/// Waits a little between two looks, and not for ever.
+fn pace(since: Instant) {
+    assert!(since.elapsed() < LIMIT, "waited in vain");
+    std::thread::sleep(Duration::from_millis(20));
+}
+
 #[test]
 fn a_silent_counter_leaves_a_customer_what_other_gateways_were_not_seen_to_need() {
     let (totals, down) = (counter_that_adds(), Arc::new(AtomicBool::new(false)));
@@ -483,48 +519,55 @@
         true => http("503 Service Unavailable", ""),
         false => totals(request),
     });
-    let backend = Stub::start(|_| http("200 OK", "ok"));
-    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
-    // Forty units a second, forty at once, through any of four gateways: a fourth is ten.
-    let config = config(discovery.stub.address, counter.address)
-        .replace(r#""balancers":2"#, r#""balancers":4"#)
-        .replace(r#""per_second":1.0,"peak_units":4.0"#, r#""per_second":40.0,"peak_units":40.0"#);
-    let node = Node::spawn(program(&config));
-    node.wait_ready();
-    let mut client = node.client();
-    let mut ask = |customer: u32, units: u32| {
-        let request = request("look", 4000)
-            .replace("00000000b4d65521", &format!("{customer:016x}"))
-            .replace("X-Plan: team", "X-Plan: small")
-            .replace("units=2,spread=2", &format!("units={units},spread=4"));
-        client.ask(&request).status()
-    };
-    let names = || {
-        let seen = counter.requests();
-        seen.iter().filter_map(|r| r.line.split(['/', '?']).nth(3)).collect::<HashSet<_>>().len()
-    };
-    let until = Instant::now() + LIMIT;
-    let pace = || {
-        assert!(Instant::now() < until, "waited in vain");
-        std::thread::sleep(Duration::from_millis(20));
-    };
+    // A fourth of the store is ten.
+    let (_discovery, node) = among(4, 40, &counter);
+    let (mut client, start) = (node.client(), Instant::now());
     // A window of which all was heard, all of it this gateway's own.
-    while names() < 3 {
-        assert_eq!(ask(1, 1), 200);
-        pace();
+    while windows(&counter) < 3 {
+        assert!(serves(&mut client, 1, 4, 1));
+        (0..3).for_each(|_| pace(start));
     }
     // The breaker is open once no request asks; other customers' failures open it for all.
     down.store(true, Relaxed);
     let (mut calls, mut unasked) = (counter.requests().len(), 0);
-    for turn in 0.. {
-        ask([1, 2, 3][turn % 3], 1);
+    for customer in [1, 2, 3].into_iter().cycle() {
+        serves(&mut client, customer, 4, 1);
         let now = counter.requests().len();
         (calls, unasked) = (now, if now == calls { unasked + 1 } else { 0 });
         if unasked == 12 {
             break;
         }
-        pace();
+        pace(start);
     }
-    let served = (0..8).filter(|_| ask(1, 4) == 200).count();
+    let served = (0..8).filter(|_| serves(&mut client, 1, 4, 4)).count();
     assert_eq!(served, 8, "its store holds forty");
 }
+
+#[test]
+fn a_window_after_one_that_was_followed_grants_what_that_left_and_not_all_anew() {
+    let counter = counter();
+    let (_discovery, node) = among(2, 10, &counter);
+    let (mut client, start) = (node.client(), Instant::now());
+    // At about its rate, until a new window is half over.
+    let mut since = start;
+    while windows(&counter) < 2 || since.elapsed() < Duration::from_millis(600) {
+        let seen = windows(&counter);
+        serves(&mut client, 1, 2, 1);
+        if windows(&counter) > seen {
+            since = Instant::now();
+        }
+        (0..5).for_each(|_| pace(start));
+    }
+    // Then all it can get, until a refusal in the next window.
+    let (greedy, seen, mut served) = (Instant::now(), windows(&counter), 0);
+    loop {
+        let ok = serves(&mut client, 1, 2, 1);
+        served += u32::from(ok);
+        if !ok && windows(&counter) > seen {
+            break;
+        }
+        pace(start);
+    }
+    let store = 10.0 + 10.0 * greedy.elapsed().as_secs_f64();
+    assert!(f64::from(served) <= store + 2.5, "{served} of {store}");
+}
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -84,8 +84,6 @@
 #[test]
 fn a_refused_add_goes_back_at_once_where_others_could_use_the_room() {
     let mut rig = Rig::new(settings(), 4);
-    with_total(&mut rig, 1.0, 40.0);
-    rig.pass(2 * S); // A full window before: nothing is left over.
     let (id, out) = rig.request(0, 0, 1, 4.0);
     let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Ok, 22.0));
     assert!(refused(&out, id), "{out:?}");
