Make a workspace: decision, settings, gateway, sim host and rig as packages

Need: further fronts (xDS, authorisation, BGP) must share the decisions without the gateway's sockets, and tests of several packages the stand-ins. The stub world of the socket tests is the start of the rig package.

--- a/tests/breaker.rs
+++ b/crates/starlinghill-decision/tests/breaker.rs
@@ -1,7 +1,7 @@
 //! The breaker over the counter: each transition, and the breaks foreseen for it.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use starlinghill_decision::api::*;
 
 /// Makes one window call for a customer and lets it fail; says whether a call was made.
 fn failing(rig: &mut Rig, customer: u64) -> bool {
--- a/tests/common/mod.rs
+++ b/crates/starlinghill-decision/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A gateway under test, driven through the interface, and a counter that answers on demand.
 #![allow(dead_code)]
 
-use starlinghill::api::*;
-use starlinghill::rules::Gateway;
+use starlinghill_decision::api::*;
+use starlinghill_decision::Gateway;
 
 pub const MS: u64 = 1_000;
 pub const S: u64 = 1_000_000;
--- a/tests/rules.rs
+++ b/crates/starlinghill-decision/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, each by the guard that keeps it.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use starlinghill_decision::api::*;
 
 fn finals(done: &[Action], id: RequestId) -> usize {
     done.iter().filter(|a| matches!(a, Action::Refuse(r, _) | Action::Fail(r) if *r == id)).count()
--- a/tests/scale.rs
+++ b/crates/starlinghill-decision/tests/scale.rs
@@ -1,7 +1,7 @@
 //! What holds where hundreds of gateways see a request or two a second each.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use starlinghill_decision::api::*;
 use std::collections::BTreeMap;
 
 fn one_of(gateways: u32, me: u32, servers: u32) -> Rig {
--- a/tests/servers.rs
+++ b/crates/starlinghill-decision/tests/servers.rs
@@ -1,7 +1,7 @@
 //! Choice of a server, health, further attempts and what waits.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use starlinghill_decision::api::*;
 
 #[test]
 fn work_spreads_by_what_is_out() {
@@ -132,7 +132,7 @@
     let bad = |change: fn(&mut Settings)| {
         let mut set = settings();
         change(&mut set);
-        starlinghill::rules::Gateway::new(1, set).is_err()
+        starlinghill_decision::Gateway::new(1, set).is_err()
     };
     assert!(bad(|s| s.gateways = 0));
     assert!(bad(|s| s.me = 2));
--- a/tests/window.rs
+++ b/crates/starlinghill-decision/tests/window.rs
@@ -1,7 +1,7 @@
 //! The window count: its edges, refusals, late answers, lost adds, and the local bucket.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use starlinghill_decision::api::*;
 
 /// One request whose call is answered with this total.
 fn with_total(rig: &mut Rig, units: f64, total: f64) -> (RequestId, Vec<Action>) {
--- a/src/net/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -1,11 +1,11 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
-use super::http::{CallError, Connection};
-use crate::api::Outcome;
+use crate::http::{CallError, Connection};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use starlinghill_decision::api::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/net/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -1,7 +1,8 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
-use crate::settings::{flatten, Fields, Site};
 use serde::Deserialize;
+use starlinghill_settings::members::MemberList;
+use starlinghill_settings::{flatten, Fields, Site};
 use std::collections::BTreeMap;
 use std::env;
 use std::fmt;
@@ -18,63 +19,12 @@
 }
 impl std::error::Error for ConfigError {}
 
-impl From<crate::api::SettingsError> for ConfigError {
-    fn from(e: crate::api::SettingsError) -> ConfigError {
+impl From<starlinghill_decision::api::SettingsError> for ConfigError {
+    fn from(e: starlinghill_decision::api::SettingsError) -> ConfigError {
         ConfigError(format!("settings: {e}"))
     }
 }
 
-/// Discovery's form of the list of backends, whole or as changes.
-#[derive(Debug, Clone, Default, Deserialize)]
-pub struct MemberList {
-    /// The list's version.
-    pub revision: u64,
-    /// It holds every member, not just those that changed.
-    #[serde(default)]
-    pub complete: bool,
-    /// The entries.
-    pub members: Vec<Member>,
-}
-
-/// One backend, as discovery tells of it.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Member {
-    /// Its name, the same at every gateway.
-    pub id: String,
-    /// Where it listens, as seen from this gateway.
-    pub host_port: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub locality: String,
-    /// Its cell.
-    #[serde(default)]
-    pub cell: u64,
-    /// Whether it takes work.
-    pub phase: Phase,
-    /// Its size against the others.
-    #[serde(default = "one")]
-    pub size: f64,
-    /// When it last started, Unix time in milliseconds; 0: long ago.
-    #[serde(default)]
-    pub up_since_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Whether a backend takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Phase {
-    /// It takes work.
-    Ready,
-    /// It finishes what it has.
-    Draining,
-    /// It was taken away.
-    Gone,
-}
-
 #[derive(Deserialize)]
 struct Document {
     listen: Option<SocketAddr>,
@@ -210,7 +160,7 @@
         flatten("", &document.settings, &mut names);
         let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
         let fields = Fields { place: "settings".into(), message: "settings", pairs };
-        let plain = |e: crate::settings::FieldError| ConfigError(e.0);
+        let plain = |e: starlinghill_settings::FieldError| ConfigError(e.0);
         let site = Site::read(&fields).map_err(plain)?;
         site.settings.check()?;
         let span = |name, default| {
--- a/src/net/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -1,10 +1,10 @@
 //! The shared counter: calls over a few connections, each made once, their answers told in order.
 
-use super::http::{CallError, Connection};
-use crate::api::{CountName, Micros, Outcome};
+use crate::http::{CallError, Connection};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
+use starlinghill_decision::api::{CountName, Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/src/net/discovery.rs
+++ b/crates/starlinghill-gateway/src/discovery.rs
@@ -1,11 +1,12 @@
 //! The list of backends: a watch on discovery that never stops.
 
-use super::config::{MemberList, Upstreams};
-use super::driver::{Inbox, Input};
-use super::http::Connection;
+use crate::config::Upstreams;
+use crate::driver::{Inbox, Input};
+use crate::http::Connection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
+use starlinghill_settings::members::MemberList;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
--- a/src/net/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -1,13 +1,14 @@
 //! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
 //! its request table sees to it that every request gets exactly one final answer.
 
-use super::backend::{Backend, Ended, Forward, Pool};
-use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
-use super::counter::{Counted, Counter, Order};
-use crate::api::*;
-use crate::rules::Gateway;
-use crate::settings::Site;
+use crate::backend::{Backend, Ended, Forward, Pool};
+use crate::config::{Config, ConfigError, Upstreams};
+use crate::counter::{Counted, Counter, Order};
 use bytes::Bytes;
+use starlinghill_decision::api::*;
+use starlinghill_decision::Gateway;
+use starlinghill_settings::members::{MemberList, Phase};
+use starlinghill_settings::Site;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
--- a/src/net/mod.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -54,10 +54,15 @@
     let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
-        (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
+        (name.clone(), (starlinghill_decision::api::ClassId(i), class.effect, class.deadline))
     });
     let classes = classes.collect();
-    let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
+    let plans = config
+        .site
+        .plans
+        .iter()
+        .map(|(name, &i)| (name.clone(), starlinghill_decision::api::PlanId(i)))
+        .collect();
     let name = config.name.clone();
     let (most_units, gateways) = (config.site.settings.most_units, config.site.settings.gateways);
     let bodies = config.memory / BODIES_PART;
--- a/src/main.rs
+++ b/crates/starlinghill-gateway/src/main.rs
@@ -1,8 +1,7 @@
 //! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
 //! ends at SIGTERM.
-#![forbid(unsafe_code)]
 
-use starlinghill::net::{self, config::Config, config::Upstreams};
+use starlinghill_gateway::{self as gateway, config::Config, config::Upstreams};
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -39,7 +38,7 @@
                 }
             }
         });
-        Ok(net::run(config, upstreams, stopping).await?)
+        Ok(gateway::run(config, upstreams, stopping).await?)
     })
 }
 
--- a/src/net/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -1,9 +1,8 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
-use super::backend::{strip_hop_by_hop, Forward, BUDGET};
-use super::driver::{Answer, Clock, Inbox, Input, Taken};
-use super::http::MAX_BODY;
-use crate::api::*;
+use crate::backend::{strip_hop_by_hop, Forward, BUDGET};
+use crate::driver::{Answer, Clock, Inbox, Input, Taken};
+use crate::http::MAX_BODY;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -12,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use starlinghill_decision::api::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
--- a/tests/backend.rs
+++ b/crates/starlinghill-gateway/tests/backend.rs
@@ -1,15 +1,13 @@
 //! Attempts at a backend and the pool of connections, on loopback sockets.
-#[path = "sockets/world.rs"]
-mod world;
 
-use starlinghill::api::Outcome;
-use starlinghill::net::backend::{Backend, Ended, Forward, Pool};
+use starlinghill_decision::api::Outcome;
+use starlinghill_gateway::backend::{Backend, Ended, Forward, Pool};
+use starlinghill_rig::world::{http, on_runtime, Reply, Stub};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use world::{http, on_runtime, Reply, Stub};
 
 const LONG: Duration = Duration::from_secs(5);
 /// After this a connection that was given back may be used again.
--- a/tests/counter.rs
+++ b/crates/starlinghill-gateway/tests/counter.rs
@@ -1,12 +1,10 @@
 //! The calls to the shared counter, on loopback sockets.
-#[path = "sockets/world.rs"]
-mod world;
 
-use starlinghill::api::{CountName, Micros, Outcome};
-use starlinghill::net::counter::{Counted, Counter, Order};
+use starlinghill_decision::api::{CountName, Micros, Outcome};
+use starlinghill_gateway::counter::{Counted, Counter, Order};
+use starlinghill_rig::world::{http, on_runtime, Reply, Stub};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use world::{http, on_runtime, Reply, Stub};
 
 const TIMEOUT: Duration = Duration::from_millis(80);
 
--- a/tests/sockets/main.rs
+++ b/crates/starlinghill-gateway/tests/sockets.rs
@@ -1,18 +1,20 @@
 //! The gateway on loopback sockets: what real networks do to it that the simulator does not.
-mod world;
 
+use starlinghill_rig::world::*;
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use world::*;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_starlinghill");
 
 /// One backend, `s-1`, and a gateway before it.
 fn before(answer: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> (Stub, Discovery, Stub, Node) {
     let backend = Stub::start(answer);
     let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
     let counter = counter();
-    let node = Node::start(&discovery, &counter);
+    let node = Node::start(PROGRAM, &discovery, &counter);
     (backend, discovery, counter, node)
 }
 
@@ -95,7 +97,7 @@
     let sound = Stub::start(|_| http("200 OK", "ok"));
     let members = [member("s-1", broken.address, "ready"), member("s-2", sound.address, "ready")].join(",");
     let (discovery, counter) = (Discovery::start(&members), counter());
-    let node = Node::start(&discovery, &counter);
+    let node = Node::start(PROGRAM, &discovery, &counter);
     for _ in 0..8 {
         assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
     }
@@ -195,7 +197,7 @@
     let (old, new) = (Stub::start(|_| http("200 OK", "old")), Stub::start(|_| http("200 OK", "new")));
     let both = [member("s-1", old.address, "ready"), member("s-2", new.address, "ready")].join(",");
     let (discovery, counter) = (Discovery::start(&both), counter());
-    let node = Node::start(&discovery, &counter);
+    let node = Node::start(PROGRAM, &discovery, &counter);
     let mut client = node.client();
     (0..20).for_each(|_| drop(client.ask(&request("look", 3000))));
     assert!(!old.requests().is_empty() && !new.requests().is_empty(), "both are used");
@@ -241,7 +243,7 @@
 fn it_is_ready_only_with_a_list_in_hand() {
     let silent = Stub::start(|_| Reply::Silence);
     let counter = counter();
-    let empty = Node::spawn(program(&config(silent.address, counter.address)));
+    let empty = Node::spawn(program(PROGRAM, &config(silent.address, counter.address)));
     silent.wait_for("the list asked for", |log| !log.requests.is_empty());
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
     assert_eq!(empty.client().ask(health).status(), 503);
@@ -250,7 +252,7 @@
     let known = list(7, true, &member("s-1", backend.address, "ready"));
     let config = config(silent.address, counter.address);
     let config = config.replacen('{', &format!("{{\"known\":{known},"), 1);
-    let node = Node::spawn(program(&config));
+    let node = Node::spawn(program(PROGRAM, &config));
     node.wait_ready();
     assert_eq!(node.client().ask(&request("look", 3000)).body, "known");
 }
@@ -320,7 +322,7 @@
         (good.replace("\"counter\":\"127.0.0.1:1\",", ""), "counter"),
         (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""), "socket address"),
     ] {
-        let done = program(&bad).output().expect("it runs");
+        let done = program(PROGRAM, &bad).output().expect("it runs");
         let told = String::from_utf8(done.stderr).expect("text");
         assert_eq!(done.status.code(), Some(1), "{told}");
         assert!(told.lines().count() == 1 && told.contains(named), "{named}: {told}");
@@ -332,7 +334,7 @@
     let backend = Stub::start(|_| http("200 OK", "ok"));
     let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
     let counter = counter();
-    let inner = program(&config(discovery.stub.address, counter.address));
+    let inner = program(PROGRAM, &config(discovery.stub.address, counter.address));
     let mut command = std::process::Command::new("/bin/sh");
     command.args(["-c", &format!("ulimit -n 24; exec {}", env!("CARGO_BIN_EXE_starlinghill"))]);
     command.envs(inner.get_envs().filter_map(|(k, v)| Some((k, v?)))).stderr(std::process::Stdio::piped());
@@ -358,7 +360,7 @@
     ] {
         let config =
             config(discovery.stub.address, counter.address).replace("2000000,\"units", "80000,\"units");
-        let node = Node::spawn(program(&config));
+        let node = Node::spawn(program(PROGRAM, &config));
         node.wait_ready();
         for _ in 0..6 {
             assert_eq!(node.client().ask(&request("look", 3000)).status(), 200);
@@ -372,7 +374,7 @@
     let (backend, discovery, counter, _) = before(|_| http("200 OK", "ok"));
     let config =
         config(discovery.stub.address, counter.address).replace("\"sockets\":1024", "\"sockets\":64");
-    let node = Node::spawn(program(&config));
+    let node = Node::spawn(program(PROGRAM, &config));
     node.wait_ready();
     // Four times as many as there are places, each asking once and staying.
     let stayed: Vec<Client> = (0..128)
@@ -394,7 +396,7 @@
     // Half of the descriptors are for clients: 32 places.
     let config =
         config(discovery.stub.address, counter.address).replace("\"sockets\":1024", "\"sockets\":64");
-    let node = Node::spawn(program(&config));
+    let node = Node::spawn(program(PROGRAM, &config));
     node.wait_ready();
     let mut stayed: Vec<Client> = (0..24)
         .map(|_| {
@@ -448,7 +450,7 @@
     let discovery = Discovery::start(&member("s-1", old.address, "ready"));
     let first = counter();
     let path = file(&config(discovery.stub.address, first.address));
-    let mut command = told_by(&path);
+    let mut command = told_by(PROGRAM, &path);
     command.env("NODE_DISCOVERY", discovery.stub.address.to_string());
     let node = Node::spawn(command);
     node.wait_ready();
@@ -482,7 +484,7 @@
     let (discovery, counter) = (Discovery::start(&member("s-1", backend.address, "ready")), counter());
     // A long tick: the counter's answers and the clients' ends are told to the module together.
     let config = config(discovery.stub.address, counter.address).replace("\"tick\":4000", "\"tick\":250000");
-    let node = Node::spawn(program(&config));
+    let node = Node::spawn(program(PROGRAM, &config));
     node.wait_ready();
     let clients: Vec<Client> = (0..8)
         .map(|i| {
@@ -508,7 +510,7 @@
             r#""per_second":1.0,"peak_units":4.0"#,
             &format!(r#""per_second":{rate}.0,"peak_units":{rate}.0"#),
         );
-    let node = Node::spawn(program(&config));
+    let node = Node::spawn(program(PROGRAM, &config));
     node.wait_ready();
     (discovery, node)
 }
--- a/tests/sockets/world.rs
+++ b/crates/starlinghill-rig/src/world.rs
@@ -1,6 +1,5 @@
 //! What stands round a gateway under test, on loopback sockets: backends, the counter, discovery, a client.
 //! Every read has a time limit, so that a test that fails does so soon.
-#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -10,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The longest wait for anything.
 pub const LIMIT: Duration = Duration::from_secs(10);
 
 /// Runs what is asynchronous in a test of a part.
@@ -20,17 +20,22 @@
 /// One HTTP message: its first line, headers in lower case, and body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
+    /// Its first line.
     pub line: String,
+    /// Names in lower case, and values.
     pub headers: Vec<(String, String)>,
+    /// Its body.
     pub body: String,
     /// Which connection of its server it came on, from 0.
     pub connection: usize,
 }
 
 impl Message {
+    /// The first header of that name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
+    /// The status of an answer.
     pub fn status(&self) -> u16 {
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
     }
@@ -68,6 +73,7 @@
     Silence,
 }
 
+/// A whole answer.
 pub fn http(status: &str, body: &str) -> Reply {
     Reply::Raw(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
@@ -75,19 +81,24 @@
 /// What a stub has seen, and a way to wait for more.
 #[derive(Default)]
 pub struct Log {
+    /// What came in.
     pub requests: Vec<Message>,
+    /// Connections taken.
     pub opened: usize,
     /// Connections that the other side closed.
     pub closed: usize,
 }
 
 #[derive(Clone)]
+/// A server that answers each request as a test says.
 pub struct Stub {
+    /// Where it listens.
     pub address: SocketAddr,
     log: Arc<(Mutex<Log>, Condvar)>,
 }
 
 impl Stub {
+    /// Starts it on a free port.
     pub fn start(answer: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Stub {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let stub = Stub { address: listener.local_addr().expect("bound"), log: Arc::default() };
@@ -135,6 +146,7 @@
         let (_log, late) = self.log.1.wait_timeout_while(log, LIMIT, |log| !wanted(log)).expect("whole");
         assert!(!late.timed_out(), "waited in vain for {what}");
     }
+    /// All requests so far.
     pub fn requests(&self) -> Vec<Message> {
         self.log.0.lock().expect("whole").requests.clone()
     }
@@ -143,11 +155,13 @@
 /// Discovery whose news a test sets: each watch is answered once there is something newer.
 #[derive(Clone)]
 pub struct Discovery {
+    /// The server.
     pub stub: Stub,
     news: Arc<(Mutex<(u64, String)>, Condvar)>,
 }
 
 impl Discovery {
+    /// Starts it with these members, as revision 41.
     pub fn start(members: &str) -> Discovery {
         let news = Arc::new((Mutex::new((41, list(41, true, members))), Condvar::new()));
         let told = news.clone();
@@ -173,15 +187,18 @@
         self.say(revision, &list(revision, complete, members));
         self.wait_for_watch(revision);
     }
+    /// Waits until a watch from that revision has come.
     pub fn wait_for_watch(&self, revision: u64) {
         let from = format!("from={revision}&");
         self.stub.wait_for("a watch", |log| log.requests.iter().any(|r| r.line.contains(&from)));
     }
 }
 
+/// A list of members in discovery's form.
 pub fn list(revision: u64, complete: bool, members: &str) -> String {
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
 }
+/// One member in discovery's form.
 pub fn member(id: &str, address: SocketAddr, phase: &str) -> String {
     format!(
         r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
@@ -220,10 +237,13 @@
 
 /// A running gateway; killed when the test is over.
 pub struct Node {
+    /// The process.
     pub child: Child,
+    /// Where it listens.
     pub address: SocketAddr,
 }
 
+/// A configuration round these services.
 pub fn config(discovery: SocketAddr, counter: SocketAddr) -> String {
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
@@ -236,25 +256,29 @@
     use std::sync::atomic::{AtomicUsize, Ordering};
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let name = format!("config-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // Beside the test program, so that `cargo clean` takes them away.
+    let folder = std::env::current_exe().expect("a program").with_file_name("rig-files");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join(name);
     std::fs::write(&path, config).expect("written");
     path
 }
 
 /// The program, told to read this configuration.
-pub fn program(config: &str) -> Command {
-    told_by(&file(config))
+pub fn program(path: &str, config: &str) -> Command {
+    told_by(path, &file(config))
 }
 
 /// The program, told to read this file.
-pub fn told_by(path: &Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_starlinghill"));
-    command.env("NODE_CONFIG", path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
+pub fn told_by(path: &str, file: &Path) -> Command {
+    let mut command = Command::new(path);
+    command.env("NODE_CONFIG", file).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
     command.stderr(Stdio::piped());
     command
 }
 
 impl Node {
+    /// Starts it and waits until it listens.
     pub fn spawn(mut command: Command) -> Node {
         let mut child = command.spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
@@ -272,11 +296,12 @@
         Node { child, address }
     }
     /// A gateway with these round it, ready.
-    pub fn start(discovery: &Discovery, counter: &Stub) -> Node {
-        let node = Node::spawn(program(&config(discovery.stub.address, counter.address)));
+    pub fn start(path: &str, discovery: &Discovery, counter: &Stub) -> Node {
+        let node = Node::spawn(program(path, &config(discovery.stub.address, counter.address)));
         node.wait_ready();
         node
     }
+    /// Waits until it is ready.
     pub fn wait_ready(&self) {
         let until = Instant::now() + LIMIT;
         while self.client().ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status() != 200 {
@@ -284,6 +309,7 @@
             thread::sleep(Duration::from_millis(5));
         }
     }
+    /// Connects to it.
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).expect("it listens");
         stream.set_read_timeout(Some(LIMIT)).expect("a socket");
@@ -314,12 +340,14 @@
     }
 }
 
+/// One connection of a client.
 pub struct Client {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
 
 impl Client {
+    /// Writes this.
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("it reads");
     }
@@ -332,6 +360,7 @@
         self.stream.write_all(text.as_bytes()).ok()?;
         self.answer()
     }
+    /// The answer to a request, which must come.
     pub fn ask(&mut self, text: &str) -> Message {
         self.send(text);
         self.answer().expect("an answer")
--- a/src/settings.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -1,7 +1,9 @@
 //! Settings by their dotted names, and the names of what they list. The simulator's adapter and the real
 //! gateway both read them here: one finds them on a line, the other flattens its JSON to the same form.
 
-use crate::api::*;
+pub mod members;
+
+use starlinghill_decision::api::*;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Display;
 use std::str::FromStr;
@@ -17,18 +19,22 @@
 }
 impl std::error::Error for FieldError {}
 
-pub(crate) type Result<T> = std::result::Result<T, FieldError>;
+/// What reading a value comes to.
+pub type Result<T> = std::result::Result<T, FieldError>;
 
 /// Named values, and where they stood.
-pub(crate) struct Fields<'a> {
+pub struct Fields<'a> {
     /// A line such as 'line 3: START', or another place to name in errors.
-    pub(crate) place: String,
-    pub(crate) message: &'a str,
-    pub(crate) pairs: HashMap<&'a str, &'a str>,
+    pub place: String,
+    /// The line's first word.
+    pub message: &'a str,
+    /// The values by their names.
+    pub pairs: HashMap<&'a str, &'a str>,
 }
 
 impl<'a> Fields<'a> {
-    pub(crate) fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
+    /// Reads a line of a word and `name=value` pairs.
+    pub fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
         let mut parts = line.split(' ');
         let message = parts.next().unwrap_or("");
         let place = format!("line {at}: {message}");
@@ -41,35 +47,43 @@
         }
         Ok(Fields { place, message, pairs })
     }
-    pub(crate) fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
+    /// An error that names the value.
+    pub fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
         let found = self.pairs.get(name).map_or("nothing".to_string(), |v| format!("'{v}'"));
         Err(FieldError(format!("{}: {name}: expected {wanted}, found {found}", self.place)))
     }
-    pub(crate) fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
+    /// A value, if it is there.
+    pub fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
         match self.pairs.get(name) {
             None => Ok(None),
             Some(text) => text.parse().map(Some).or_else(|_| self.fail(name, wanted)),
         }
     }
-    pub(crate) fn whole(&self, name: &str) -> Result<u64> {
+    /// A whole number, which must be there.
+    pub fn whole(&self, name: &str) -> Result<u64> {
         self.read(name, "a whole number")?.map_or_else(|| self.fail(name, "a whole number"), Ok)
     }
-    pub(crate) fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
+    /// A whole number.
+    pub fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
         Ok(self.read(name, "a whole number")?.unwrap_or(default))
     }
-    pub(crate) fn small(&self, name: &str) -> Result<u32> {
+    /// A small whole number, which must be there.
+    pub fn small(&self, name: &str) -> Result<u32> {
         self.read(name, "a small whole number")?.map_or_else(|| self.fail(name, "a small whole number"), Ok)
     }
-    pub(crate) fn real_or(&self, name: &str, default: f64) -> Result<f64> {
+    /// A finite number.
+    pub fn real_or(&self, name: &str, default: f64) -> Result<f64> {
         match self.read::<f64>(name, "a number")? {
             Some(v) if !v.is_finite() => self.fail(name, "a finite number"),
             v => Ok(v.unwrap_or(default)),
         }
     }
-    pub(crate) fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
+    /// A time in microseconds.
+    pub fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
         self.whole_or(name, default).map(Micros)
     }
-    pub(crate) fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
+    /// A yes or no.
+    pub fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
         match self.pairs.get(name) {
             None => Ok(default),
             Some(&"1") | Some(&"true") => Ok(true),
@@ -77,23 +91,28 @@
             Some(_) => self.fail(name, "1 or 0"),
         }
     }
-    pub(crate) fn text(&self, name: &str) -> Result<&'a str> {
+    /// A text, which must be there.
+    pub fn text(&self, name: &str) -> Result<&'a str> {
         self.pairs.get(name).copied().map_or_else(|| self.fail(name, "a text"), Ok)
     }
 }
 
 /// The settings with the names by which the outside knows classes, plans, zones and servers.
-pub(crate) struct Site {
-    pub(crate) settings: Settings,
-    pub(crate) classes: HashMap<String, usize>,
-    pub(crate) plans: HashMap<String, usize>,
+pub struct Site {
+    /// The settings.
+    pub settings: Settings,
+    /// Classes by name.
+    pub classes: HashMap<String, usize>,
+    /// Plans by name.
+    pub plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
     /// The servers seen, by the numbers that stand for their names.
-    pub(crate) servers: HashMap<ServerId, String>,
+    pub servers: HashMap<ServerId, String>,
 }
 
 impl Site {
-    pub(crate) fn read(f: &Fields) -> Result<Site> {
+    /// Reads named values.
+    pub fn read(f: &Fields) -> Result<Site> {
         let list = |prefix: &str| -> Result<usize> {
             let count = f.whole_or(&format!("{prefix}.count"), 0)?;
             if count > 10_000 {
@@ -176,7 +195,7 @@
         Ok(Site { settings, classes, plans, zones, servers: HashMap::new() })
     }
     /// The number of a server's name.
-    pub(crate) fn server(&mut self, name: &str) -> ServerId {
+    pub fn server(&mut self, name: &str) -> ServerId {
         // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
         let hash = name
             .bytes()
@@ -188,7 +207,8 @@
         self.servers.entry(id).or_insert_with(|| name.to_string());
         id
     }
-    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+    /// The number of a zone's name.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
         zone_id(&mut self.zones, name)
     }
 }
@@ -200,7 +220,7 @@
 
 /// Lays nested JSON out as dotted names: lists of plain values joined by commas, lists of objects as their
 /// `.count` and their numbered items.
-pub(crate) fn flatten(prefix: &str, value: &serde_json::Value, into: &mut BTreeMap<String, String>) {
+pub fn flatten(prefix: &str, value: &serde_json::Value, into: &mut BTreeMap<String, String>) {
     use serde_json::Value;
     let below = |name: &str| if prefix.is_empty() { name.to_string() } else { format!("{prefix}.{name}") };
     match value {
--- a/src/wire.rs
+++ b/crates/starlinghill-simhost/src/lib.rs
@@ -1,41 +1,41 @@
 //! The text protocol of the simulator, to and from the types of `api.rs`. Nothing here decides.
 
-use crate::api::*;
-use crate::rules::Gateway;
-use crate::settings::{FieldError, Fields, Result, Site};
+use starlinghill_decision::api::*;
+use starlinghill_decision::Gateway;
+use starlinghill_settings::{FieldError, Fields, Result, Site};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-/// What only the wire's events carry.
-impl Fields<'_> {
-    fn outcome(&self) -> Result<Outcome> {
-        Ok(match self.text("how")? {
-            "200" => Outcome::Ok,
-            "500" => Outcome::Error,
-            "503" => Outcome::Full,
-            "504" => Outcome::Timeout,
-            "502" => Outcome::ConnectFailed,
-            "598" => Outcome::Reset,
-            "499" => Outcome::Cancelled,
-            "410" => Outcome::Moot,
-            _ => return self.fail("how", "one of 200 410 499 500 502 503 504 598"),
-        })
-    }
-    fn report(&self) -> Result<Report> {
-        let mut report = Report::default();
-        for pair in self.pairs.get("report").into_iter().flat_map(|r| r.split(',')) {
-            let value = pair.split_once(':').and_then(|(k, v)| Some((k, v.parse::<f64>().ok()?)));
-            match value {
-                Some(("concurrent", v)) => report.inflight = Some(v),
-                Some(("depth", v)) => report.queue = Some(v),
-                Some(("load_share", v)) => report.busy = Some(v),
-                Some(_) => {}
-                None if pair.is_empty() => {}
-                None => return self.fail("report", "name:number pairs"),
-            }
+/// How something ended, by its code.
+fn outcome(f: &Fields) -> Result<Outcome> {
+    Ok(match f.text("how")? {
+        "200" => Outcome::Ok,
+        "500" => Outcome::Error,
+        "503" => Outcome::Full,
+        "504" => Outcome::Timeout,
+        "502" => Outcome::ConnectFailed,
+        "598" => Outcome::Reset,
+        "499" => Outcome::Cancelled,
+        "410" => Outcome::Moot,
+        _ => return f.fail("how", "one of 200 410 499 500 502 503 504 598"),
+    })
+}
+
+/// The load report that came with an answer, where one did.
+fn report(f: &Fields) -> Result<Report> {
+    let mut report = Report::default();
+    for pair in f.pairs.get("report").into_iter().flat_map(|r| r.split(',')) {
+        let value = pair.split_once(':').and_then(|(k, v)| Some((k, v.parse::<f64>().ok()?)));
+        match value {
+            Some(("concurrent", v)) => report.inflight = Some(v),
+            Some(("depth", v)) => report.queue = Some(v),
+            Some(("load_share", v)) => report.busy = Some(v),
+            Some(_) => {}
+            None if pair.is_empty() => {}
+            None => return f.fail("report", "name:number pairs"),
         }
-        Ok(report)
     }
+    Ok(report)
 }
 
 /// One gateway with the names by which the wire knows what it is told of.
@@ -101,19 +101,19 @@
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
             "FIRST_BYTE" => Event::StreamStarted(RequestId(f.whole("ref")?)),
             "TIMED_OUT_CLIENT" => Event::ClientGone(RequestId(f.whole("ref")?)),
-            "PONG" => Event::Probed(self.site.server(f.text("backend")?), f.outcome()?, f.report()?),
+            "PONG" => Event::Probed(self.site.server(f.text("backend")?), outcome(f)?, report(f)?),
             "COUNT_RESULT" => {
-                Event::Counted(CountName(f.whole("book")?), f.outcome()?, f.real_or("result_value", 0.0)?)
+                Event::Counted(CountName(f.whole("book")?), outcome(f)?, f.real_or("result_value", 0.0)?)
             }
             "OUTCOME" => Event::AttemptEnded(AttemptEnd {
                 id: RequestId(f.whole("ref")?),
                 attempt: f.whole_or("trial", 0)? as usize,
                 server: self.site.server(f.text("backend")?),
-                outcome: f.outcome()?,
+                outcome: outcome(f)?,
                 took: f.micros_or("took", 0)?,
                 ended: f.flag_or("ended", false)?,
                 settled: Some(f.real_or("settled", 0.0)?).filter(|s| *s > 0.0),
-                report: f.report()?,
+                report: report(f)?,
             }),
             _ => return Ok(None),
         }))
--- a/src/bin/starlinghill-simhost.rs
+++ b/crates/starlinghill-simhost/src/main.rs
@@ -1,7 +1,6 @@
 //! The decisions on the simulator's wire: batches on standard input, replies on standard output.
-#![forbid(unsafe_code)]
 
-use starlinghill::wire::Host;
+use starlinghill_simhost::Host;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
--- a/tests/wire.rs
+++ b/crates/starlinghill-simhost/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter on good and bad text.
-use starlinghill::wire::Host;
+use starlinghill_simhost::Host;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
