--- /dev/null
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -0,0 +1,537 @@
+//! Admission: each request is checked against its customer's quota, by the shared count where the counter
+//! answers, by a local bucket where it does not.
+
+use crate::api::*;
+use crate::breaker::Breaker;
+use crate::bucket::{mix, TokenBucket};
+use crate::context::{Context, LEAST_PART, SMOOTH};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Share of requests that ask: cut by each failed call and a little by an answer that took more than half of
+/// the time there is, raised by each other answer, and never below `LEAST_PART`. Raised by as much whatever it is, so that
+/// gateways come to equal shares of a counter that can't bear all.
+const ASK_CUT: f64 = 0.8;
+const ASK_SLOW: f64 = 0.97;
+const ASK_GROW: f64 = 0.005;
+/// The share with which asking begins again when a probe was answered.
+const ASK_AGAIN: f64 = 0.5;
+/// The share of repeats that ask is the share of first tries to this power.
+const REPEAT_POWER: f64 = 3.0;
+/// How long after a refusal the like of it counts as its repeat.
+const REPEAT_SPAN: Micros = Micros(1_000_000);
+/// Life of one count of attempts out, so that what a killed gateway held is forgotten.
+const EPOCH: Micros = Micros(5_000_000);
+/// Life of idle customers, of whom many come once.
+pub(crate) const FORGET: Micros = Micros(30_000_000);
+/// Part of its quota that a customer is taken to use before anything was heard of it, and how many times what
+/// the other gateways were seen to need is left to them.
+const USE_UNKNOWN: f64 = 0.3;
+const NEED_SPARE: f64 = 1.0;
+/// Weight of the newest window in smoothed figures.
+const CARRY: f64 = 0.3;
+
+/// What a count is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Window,
+    Open,
+}
+
+/// One call to the counter whose answer is still to come.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) at: Micros,
+    pub(crate) purpose: Purpose,
+    pub(crate) customer: CustomerId,
+    pub(crate) span: u64,
+    pub(crate) request: Option<RequestId>,
+    pub(crate) amount: f64,
+    /// The part of the amount that is not this request's own.
+    pub(crate) extra: f64,
+    /// The part of that which went on unheard.
+    pub(crate) unheard: f64,
+    pub(crate) probe: bool,
+}
+
+/// This gateway's side of a customer's shared count in one window (or epoch).
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) span: u64,
+    /// Own adds known to have been counted.
+    pub(crate) posted: f64,
+    /// Own spend not yet on the counter.
+    pub(crate) owed: f64,
+    /// The part of it that the local bucket let in.
+    pub(crate) unheard: f64,
+    /// Own earlier spend that calls under way carry.
+    pub(crate) posting: f64,
+    /// The last total heard.
+    pub(crate) seen: f64,
+    /// What the window before left of its allowance, as far as is known.
+    pub(crate) left: f64,
+    /// That window was followed here, so `left` is more than a guess.
+    pub(crate) followed: bool,
+}
+
+impl Tally {
+    /// The total as far as it is known here, with what of ours it does not hold yet.
+    pub(crate) fn known(&self) -> f64 {
+        self.seen + self.owed + self.posting
+    }
+}
+
+/// What was refused last, by which a repeat is known.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    pub(crate) class: ClassId,
+    pub(crate) units: f64,
+    pub(crate) at: Micros,
+}
+
+/// One customer as this gateway knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Customer {
+    pub(crate) refused: Option<Refusal>,
+    pub(crate) plan: usize,
+    pub(crate) spread: f64,
+    pub(crate) window: Tally,
+    pub(crate) epoch: Tally,
+    /// Own adds and totals of past windows, smoothed.
+    pub(crate) heard: (f64, f64),
+    pub(crate) bucket: Option<TokenBucket>,
+    /// What may go on unheard or beyond the quota under a ceiling.
+    pub(crate) beyond: TokenBucket,
+    pub(crate) breaker: Breaker,
+    /// Own attempts out (of a plan that caps them).
+    pub(crate) out: f64,
+    pub(crate) used: Micros,
+}
+
+/// What came of asking for a request.
+pub(crate) enum Asked {
+    /// The counter is asked; its answer decides.
+    Called,
+    /// It is not asked: what is known here decides.
+    Silent,
+    /// Known full: a call could only tell the same.
+    Full,
+    /// There is nothing to ask for.
+    Free,
+}
+
+/// Window length and what it admits: one burst in the burst's time; under a ceiling halves of both.
+fn window_of(cx: &Context, plan: usize) -> (Micros, f64) {
+    let p = &cx.set.plans[plan];
+    let part = if p.ceiling_rate > 0.0 { 0.5 } else { 1.0 };
+    (Micros(((p.burst / p.rate) * part * 1e6).max(1.0) as u64), p.burst * part)
+}
+
+/// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not all
+/// windows end at once.
+fn span(cx: &Context, customer: CustomerId, length: Micros) -> (u64, Micros) {
+    let shifted = cx.now.0 + mix(customer.0) % length.0;
+    (shifted / length.0, Micros(length.0 - shifted % length.0))
+}
+
+/// The customers' quotas as this gateway knows them.
+#[derive(Debug, Default)]
+pub(crate) struct Admission {
+    breaker: Breaker,
+    /// Share of requests that ask the counter.
+    ask: f64,
+    last_cut: Micros,
+    last_failed: Option<CustomerId>,
+    calls: BTreeMap<CountName, VecDeque<Call>>,
+    customers: BTreeMap<CustomerId, Customer>,
+    /// The usual worth of a request.
+    usual_worth: f64,
+}
+
+impl Admission {
+    pub(crate) fn new() -> Admission {
+        Admission { ask: 1.0, ..Admission::default() }
+    }
+
+    /// How many things are kept in mind.
+    pub(crate) fn kept(&self) -> usize {
+        self.customers.len() + self.calls.len()
+    }
+
+    /// Forgets customers that were idle for long.
+    pub(crate) fn sweep(&mut self, cx: &Context) {
+        self.customers.retain(|_, c| c.used + FORGET >= cx.now || c.out > 0.0);
+    }
+
+    /// Notes a request; returns whether it repeats one that was refused.
+    pub(crate) fn note(&mut self, cx: &Context, a: &Arrival) -> bool {
+        let c = self.customers.entry(a.customer).or_default();
+        if c.used == Micros(0) {
+            c.beyond.at = cx.now; // Starts empty: an earlier life of this gateway may have spent it.
+        }
+        (c.plan, c.spread, c.used) = (a.plan.0, f64::from(a.spread.max(1)), cx.now);
+        // Where clients do not mark repeats: the like of what was refused here a moment ago.
+        let alike = |r: &Refusal| r.class == a.class && r.units == a.units && cx.now < r.at + REPEAT_SPAN;
+        a.resent || c.refused.as_ref().is_some_and(alike)
+    }
+
+    /// Notes a request's worth; returns the power of its chance to pass: above one for little worth.
+    pub(crate) fn weigh(&mut self, worth: f64) -> f64 {
+        self.usual_worth += SMOOTH / 3.0 * (worth - self.usual_worth);
+        if worth > 0.0 {
+            (self.usual_worth / worth).powi(2)
+        } else {
+            f64::MAX
+        }
+    }
+
+    /// Notes a refusal or failure; returns when to come back, where that is told.
+    pub(crate) fn refused(&mut self, cx: &Context, a: &Arrival) -> Option<Micros> {
+        if let Some(c) = self.customers.get_mut(&a.customer) {
+            c.refused = Some(Refusal { class: a.class, units: a.units, at: cx.now });
+        }
+        (cx.set.retry_after && cx.set.plans[a.plan.0].rate > 0.0)
+            .then(|| span(cx, a.customer, window_of(cx, a.plan.0).0).1.min(cx.set.max_retry_after))
+    }
+
+    /// The units of a request turned out to be others.
+    pub(crate) fn settled(&mut self, customer: CustomerId, more: f64) {
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.window.owed += more);
+    }
+
+    /// Brings a customer's counts to the present window and epoch.
+    pub(crate) fn roll(&mut self, cx: &Context, id: CustomerId) {
+        let Some(c) = self.customers.get(&id) else { return };
+        let (rated, burst) = (cx.set.plans[c.plan].rate > 0.0, cx.set.plans[c.plan].burst);
+        let (length, quota) = if rated { window_of(cx, c.plan) } else { (EPOCH, 0.0) };
+        let (span, epoch) = (span(cx, id, length).0, span(cx, id, EPOCH).0);
+        let Some(c) = self.customers.get_mut(&id) else { return };
+        if c.window.span != span {
+            if c.window.seen > 0.0 {
+                let (newest, w) = (&c.window, if c.heard.1 > 0.0 { CARRY } else { 1.0 });
+                c.heard.0 += w * (newest.posted - c.heard.0);
+                c.heard.1 += w * (newest.seen - c.heard.1);
+            }
+            // What the windows left, as far as they were followed here, else a share of the store: gateways
+            // that see a customer seldom must not each believe it full.
+            let follows = c.window.span + 1 == span;
+            let left = c.window.left + quota - c.window.known();
+            let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
+            c.window = Tally { span, left, followed: follows, ..Tally::default() };
+        }
+        if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
+            c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
+        }
+    }
+
+    /// What a customer's quota has room for in this window by a total of the shared count: the store as it is
+    /// with what the last window left, where that was followed here, else at least the plain window. Guards
+    /// against refusing inside the quota, as the plain window forgets what the last one left, and against
+    /// sending on beyond it, as that grants all anew. May hurt where totals hold what the store did not give.
+    fn room(&self, cx: &Context, customer: CustomerId, total: f64) -> f64 {
+        let Some(c) = self.customers.get(&customer) else { return 0.0 };
+        let (length, quota) = window_of(cx, c.plan);
+        let refill = quota * (1.0 - span(cx, customer, length).1.secs() / length.secs());
+        (c.window.left + refill).max(if c.window.followed { 0.0 } else { quota }) - total
+    }
+
+    /// The part of its quota that a customer was seen to use.
+    fn used(&self, cx: &Context, customer: CustomerId) -> f64 {
+        let heard = self.customers.get(&customer).filter(|c| c.heard.1 > 0.0);
+        heard.map_or(USE_UNKNOWN, |c| c.heard.1 / window_of(cx, c.plan).1)
+    }
+
+    /// The counter says nothing of this customer for a while: then the local bucket alone decides.
+    fn silent(&self, cx: &Context, customer: CustomerId) -> bool {
+        let own_open = self.customers.get(&customer).is_some_and(|c| c.breaker.opened.is_some());
+        !cx.set.counter || self.breaker.opened.is_some() || own_open
+    }
+
+    /// A customer so spread that a gateway's share of its store holds less than one request.
+    fn slight(&self, cx: &Context, customer: CustomerId) -> bool {
+        let burst = |c: &Customer| cx.set.plans[c.plan].burst;
+        self.customers.get(&customer).is_some_and(|c| c.spread * cx.set.most_units > burst(c))
+    }
+
+    /// Whether a request is to ask. Guards against a counter that our own calls drown, slow or near its
+    /// capacity: while calls fail only a part asks, what is worth much first, repeats last, as they were
+    /// refused a moment ago.
+    fn asks(&self, cx: &mut Context, power: f64) -> bool {
+        self.breaker.opened.is_some() || cx.rng.f64() < self.ask.powf(power)
+    }
+
+    fn may_call(&mut self, cx: &Context, customer: CustomerId) -> bool {
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        let ready = cx.set.counter && self.breaker.ready(cx.now) && c.breaker.ready(cx.now);
+        if ready {
+            self.breaker.ask();
+            c.breaker.ask();
+        }
+        ready
+    }
+
+    /// The ordinary path: one add on the customer's window before anything is sent on.
+    pub(crate) fn ask_window(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
+        let (customer, units, resent) = (a.customer, a.units, a.resent);
+        let worth = cx.worth(a).max(1e-9);
+        let c = &self.customers[&customer];
+        let total = c.window.known();
+        if self.room(cx, customer, total) < units && self.breaker.opened.is_none() && total > 0.0 {
+            return Asked::Full; // Known full: a call could only tell the same.
+        }
+        let power = if resent { REPEAT_POWER } else { (self.usual_worth / worth).clamp(0.5, 2.0) };
+        if self.asks(cx, power) && self.may_call(cx, customer) {
+            self.call(cx, Purpose::Window, customer, Some(a.id), units);
+            Asked::Called
+        } else {
+            Asked::Silent
+        }
+    }
+
+    /// One add on the customer's attempts out, where its plan caps them.
+    pub(crate) fn ask_place(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
+        if cx.set.plans[a.plan.0].open <= 0.0 {
+            Asked::Free
+        } else if self.asks(cx, REPEAT_POWER) && self.may_call(cx, a.customer) {
+            self.call(cx, Purpose::Open, a.customer, Some(a.id), 1.0);
+            Asked::Called
+        } else {
+            Asked::Silent
+        }
+    }
+
+    fn call(
+        &mut self,
+        cx: &mut Context,
+        purpose: Purpose,
+        id: CustomerId,
+        request: Option<RequestId>,
+        units: f64,
+    ) {
+        let Some(c) = self.customers.get_mut(&id) else { return };
+        let plan = c.plan;
+        let (span, extra) = match purpose {
+            Purpose::Window => (c.window.span, c.window.owed),
+            Purpose::Open => (c.epoch.span, c.epoch.owed),
+        };
+        if units + extra == 0.0 && request.is_none() {
+            return;
+        }
+        let tally = if purpose == Purpose::Open { &mut c.epoch } else { &mut c.window };
+        (tally.owed, tally.posting) = (tally.owed - extra, tally.posting + extra);
+        let unheard = std::mem::take(&mut tally.unheard);
+        let length = if purpose == Purpose::Open { EPOCH } else { window_of(cx, plan).0 };
+        let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
+        let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
+        let (amount, customer) = (units + extra, id);
+        let call = Call { at: cx.now, purpose, customer, span, request, amount, extra, unheard, probe };
+        self.calls.entry(name).or_default().push_back(call);
+        cx.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
+    }
+
+    /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
+    /// count once for the common breaker, while that customer's own breaker opens.
+    ///
+    /// One cut answers for all calls that were out when it was made. Guards against asking next to nothing
+    /// for a moment's jam; what comes back spoilt or broken says nothing of the counter's load.
+    fn call_failed(
+        &mut self,
+        cx: &Context,
+        customer: CustomerId,
+        probe: bool,
+        made: Micros,
+        outcome: Outcome,
+    ) {
+        let now = cx.now;
+        if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
+            (self.ask, self.last_cut) = ((self.ask * ASK_CUT).max(LEAST_PART), now);
+        }
+        if self.last_failed != Some(customer) || probe {
+            self.breaker.failure(now, probe);
+        }
+        self.last_failed = Some(customer);
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.breaker.failure(now, probe));
+    }
+
+    /// The call whose answer has come.
+    pub(crate) fn answered(&mut self, name: CountName) -> Option<Call> {
+        let call = self.calls.get_mut(&name).and_then(|queue| queue.pop_front())?;
+        if self.calls.get(&name).is_some_and(|queue| queue.is_empty()) {
+            self.calls.remove(&name);
+        }
+        Some(call)
+    }
+
+    /// Takes an answer in; returns the total that decides the request, where one was heard. `None`: the customer
+    /// was forgotten meanwhile.
+    pub(crate) fn counted(
+        &mut self,
+        cx: &mut Context,
+        call: &Call,
+        outcome: Outcome,
+        total: f64,
+    ) -> Option<Option<f64>> {
+        self.roll(cx, call.customer);
+        let plan = self.customers.get(&call.customer).map(|c| c.plan)?;
+        let (quota, slight) = (window_of(cx, plan).1, self.slight(cx, call.customer));
+        let c = self.customers.get_mut(&call.customer)?;
+        let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
+        let current = tally.span == call.span;
+        if current {
+            tally.posting -= call.extra;
+        }
+        let mut heard = None;
+        if outcome == Outcome::Ok {
+            if current {
+                tally.posted += call.amount;
+                // Guards against an emptied counter: a total below our own adds proves lost memory; our spend
+                // goes back on and is reckoned with here until it has.
+                let lost = tally.posted - total;
+                if lost > 0.5 && call.purpose == Purpose::Window {
+                    (tally.owed, tally.posted) = (tally.owed + lost, total);
+                    c.beyond.level -= lost; // Others may spend it again: under a ceiling that is paid for.
+                }
+                tally.seen = total;
+                // What went on unheard is heard of now: the plain window holds it, as far as it has room, and
+                // from here on others reckon with it. Guards against refusing under a ceiling, call after
+                // call, what the quota has room for.
+                if call.purpose == Purpose::Window && total <= quota {
+                    c.beyond.level = (c.beyond.level + call.unheard).min(c.beyond.depth);
+                }
+            }
+            heard = Some(total + if current { tally.owed + tally.posting } else { 0.0 });
+            c.breaker.success(call.probe);
+            if !slight {
+                c.bucket = None;
+            }
+            let slow = cx.now - call.at > cx.set.count_timeout.times(0.5);
+            self.ask = if slow { self.ask * ASK_SLOW } else { self.ask + ASK_GROW };
+            self.ask = self.ask.min(1.0).max(if call.probe { ASK_AGAIN } else { LEAST_PART });
+            self.last_failed = None;
+            self.breaker.success(call.probe);
+        } else {
+            if current && outcome.never_ran() {
+                (tally.owed, tally.unheard) = (tally.owed + call.extra, tally.unheard + call.unheard);
+            }
+            self.call_failed(cx, call.customer, call.probe, call.at, outcome);
+        }
+        Some(heard)
+    }
+
+    /// What the last call could not carry goes with a call of its own, once one was heard.
+    pub(crate) fn post_owed(&mut self, cx: &mut Context, call: &Call) {
+        let owed = self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5);
+        if owed && call.purpose == Purpose::Window {
+            self.call(cx, Purpose::Window, call.customer, None, 0.0);
+        }
+    }
+
+    pub(crate) fn take_back(&mut self, cx: &mut Context, customer: CustomerId, span: u64, units: f64) {
+        self.roll(cx, customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        if c.window.span != span {
+            return;
+        }
+        c.window.seen -= units;
+        let total = c.window.seen;
+        // Nobody could use a scrap of room: then it goes back with the next call.
+        if self.breaker.opened.is_none() && self.room(cx, customer, total) >= 1.0 {
+            self.call(cx, Purpose::Window, customer, None, -units);
+        } else if let Some(c) = self.customers.get_mut(&customer) {
+            c.window.owed -= units;
+        }
+    }
+
+    /// Decides a request by the total heard, or without one by the local bucket.
+    pub(crate) fn window_holds(&mut self, cx: &Context, a: &Arrival, heard: Option<f64>) -> bool {
+        let (customer, units, plan) = (a.customer, a.units, a.plan.0);
+        match heard {
+            // Under a ceiling what a counter forgot is paid off first.
+            Some(total) if self.room(cx, customer, total) < 0.0 => false,
+            Some(total) if total <= window_of(cx, plan).1 => self.beyond_take(cx, customer, plan, 0.0),
+            Some(_) => self.beyond_take(cx, customer, plan, units),
+            // A repeat was refused a moment ago, here or elsewhere: where a share holds less than one request
+            // it must be heard. Elsewhere nine of ten had room, as most were refused for want of an answer.
+            None if a.resent && self.slight(cx, customer) && !self.silent(cx, customer) => false,
+            None => self.beyond_take(cx, customer, plan, units) && self.local_take(cx, customer, plan, units),
+        }
+    }
+
+    /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by what
+    /// a gateway believes was left over, or beyond the quota. Each gateway may send so only its part of what
+    /// the ceiling holds above the quota; plain windows stay within the quota, so the sum keeps the ceiling
+    /// whatever single gateways believe. May hurt one that has all the traffic.
+    fn beyond_take(&mut self, cx: &Context, customer: CustomerId, plan: usize, units: f64) -> bool {
+        let (now, p) = (cx.now, &cx.set.plans[plan]);
+        let Some(c) = self.customers.get_mut(&customer).filter(|_| p.ceiling_rate > 0.0) else { return true };
+        (c.beyond.rate, c.beyond.depth) =
+            ((p.ceiling_rate - p.rate).max(0.0) / c.spread, (p.ceiling_burst - p.burst).max(0.0) / c.spread);
+        c.beyond.take(now, units)
+    }
+
+    /// The local bucket decides where the counter does not: the customer's rate over its gateways. It starts
+    /// with this gateway's part of what the customer's store was last known to hold; under a ceiling,
+    /// `beyond_take` stands before it and does start empty. Guards against refusing customers with few units,
+    /// for whom a share that starts empty admits nothing for seconds.
+    fn local_take(&mut self, cx: &Context, customer: CustomerId, plan: usize, units: f64) -> bool {
+        let (now, most_units, p) = (cx.now, cx.set.most_units, &cx.set.plans[plan]);
+        let Some(c) = self.customers.get(&customer) else { return false };
+        let left = self.room(cx, customer, c.window.known()).max(0.0);
+        let (used, silent) = (self.used(cx, customer), self.silent(cx, customer));
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
+        let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
+        let mut share = (carried + 1.0 / c.spread) / 2.0;
+        // What the other gateways were not seen to need can be had here. Guards against refusing customers
+        // who use little and come through one gateway for a while, where the counter is silent or can't bear
+        // all calls. May hurt in a silence in which several gateways see one ask more than it did before.
+        if c.heard.1 > 0.0 || !silent {
+            share = share.max(1.0 - NEED_SPARE * (1.0 - carried) * used);
+        }
+        // Guards against shares of less than one request, which would refuse everything: at least that much,
+        // as far as it is left.
+        let (level, depth) = ((left * share).max(most_units.min(left)), (p.burst * share).max(most_units));
+        let rate = p.rate * share;
+        let bucket = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now });
+        (bucket.depth, bucket.rate) = (depth, rate);
+        let ok = bucket.take(now, units);
+        if ok {
+            c.window.owed += units;
+            c.window.unheard += units;
+        }
+        ok
+    }
+
+    /// Decides by the attempts out as they were heard, or without that by this gateway's share.
+    pub(crate) fn place_holds(&self, cx: &Context, a: &Arrival, heard: Option<f64>) -> bool {
+        let (customer, plan) = (a.customer, &cx.set.plans[a.plan.0]);
+        match heard {
+            Some(total) => total <= plan.open,
+            None if a.resent && !self.silent(cx, customer) => false,
+            None => {
+                self.customers.get(&customer).is_some_and(|c| c.out < (plan.open / c.spread).floor().max(1.0))
+            }
+        }
+    }
+
+    /// A request takes its place among the customer's attempts out.
+    pub(crate) fn take_place(&mut self, customer: CustomerId) {
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.out += 1.0);
+    }
+
+    /// A request gives its place back.
+    pub(crate) fn leave_place(&mut self, cx: &mut Context, customer: CustomerId) {
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.out -= 1.0);
+        self.sync_places(cx, customer);
+    }
+
+    /// Puts the shared count of attempts out right where it says more than is out: a place let go.
+    pub(crate) fn sync_places(&mut self, cx: &mut Context, customer: CustomerId) {
+        self.roll(cx, customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let surplus = c.epoch.posted + c.epoch.posting + c.epoch.owed - c.out;
+        if surplus > 0.5 && self.breaker.opened.is_none() {
+            c.epoch.owed -= surplus;
+            self.call(cx, Purpose::Open, customer, None, 0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -0,0 +1,311 @@
+//! The life of a request: its arrival, its attempts one after another, what waits for a server, its one answer.
+
+use crate::admission::{Admission, Asked, Purpose, FORGET};
+use crate::api::*;
+use crate::context::{Context, Timer};
+use crate::fleet::Fleet;
+use crate::guards::{Attempt, Request};
+use std::collections::BTreeMap;
+
+/// Retry budget: further attempts earned by each request, and the most saved up.
+const RETRY_SHARE: f64 = 0.2;
+const RETRY_SAVED: f64 = 20.0;
+/// Share of failed or late attempts over all servers below which trouble lies with single servers.
+const CALM_SHARE: f64 = 0.15;
+/// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
+const SPARE_PART: f64 = 0.3;
+/// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
+const HOLD_PART: f64 = 0.3;
+const HOLD_STEP: Micros = Micros(10_000);
+
+/// One gateway. It shares nothing with others but what the counter tells.
+#[derive(Default)]
+pub struct Gateway {
+    cx: Context,
+    admission: Admission,
+    fleet: Fleet,
+    requests: BTreeMap<RequestId, Request>,
+    held: Vec<RequestId>,
+    hold_timer: bool,
+    retries: f64,
+}
+
+impl Gateway {
+    /// A gateway as it starts, knowing nothing but its settings.
+    pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
+        set.check()?;
+        let cx = Context::new(seed, set);
+        let (admission, fleet) = (Admission::new(), Fleet::new());
+        let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
+        // Goes out with the first event, whichever that is.
+        new.cx.timer(Timer::Sweep, FORGET);
+        new.cx.out.extend(new.cx.set.must_subscribe.then_some(Action::Subscribe));
+        Ok(new)
+    }
+
+    /// How many things it keeps in mind. Comes back down when traffic does.
+    pub fn kept(&self) -> usize {
+        let told = self.fleet.servers.len() + self.requests.len() + self.admission.kept();
+        told + self.cx.timers.len() + self.held.len()
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.cx.now = self.cx.now.max(now);
+        match event {
+            Event::Servers(scope, entries) => {
+                self.fleet.update(&mut self.cx, scope, entries);
+                self.serve_held();
+            }
+            Event::Request(arrival) => self.on_request(arrival),
+            Event::Timer(timer) => self.on_timer(timer),
+            Event::StreamStarted(id) => {
+                self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
+            }
+            Event::ClientGone(id) => self.finish(id, None),
+            Event::Probed(..) => {}
+            Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
+            Event::AttemptEnded(end) => self.on_attempt(end),
+        }
+        out.append(&mut self.cx.out);
+    }
+
+    fn on_timer(&mut self, id: TimerId) {
+        match self.cx.timers.remove(&id) {
+            // Every request has its answer by its deadline.
+            Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
+            Some(Timer::Deadline(id)) => self.refuse(id),
+            Some(Timer::Held) => {
+                self.hold_timer = false;
+                self.serve_held();
+            }
+            Some(Timer::Resubscribe) => {
+                self.cx.out.extend(self.cx.set.must_subscribe.then_some(Action::Subscribe))
+            }
+            Some(Timer::Sweep) => {
+                self.admission.sweep(&self.cx);
+                self.cx.timer(Timer::Sweep, FORGET);
+            }
+            None => {}
+        }
+    }
+
+    fn on_request(&mut self, a: Arrival) {
+        let (id, now, customer, plan) = (a.id, self.cx.now, a.customer, a.plan.0);
+        if a.class.0 >= self.cx.set.classes.len() || plan >= self.cx.set.plans.len() {
+            return self.cx.out.push(Action::Refuse(id, None));
+        }
+        self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
+        self.cx.timer(Timer::Deadline(id), a.deadline - now - self.cx.set.tick - self.cx.set.tick);
+        let resent = self.admission.note(&self.cx, &a);
+        self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
+        self.admission.roll(&self.cx, customer);
+        if self.shed(id) {
+            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
+        }
+        self.ask(id, if self.cx.set.plans[plan].rate > 0.0 { Purpose::Window } else { Purpose::Open });
+    }
+
+    /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
+    /// worth little first. Guards against overload where a gateway has too few attempts out to bound them.
+    fn shed(&mut self, id: RequestId) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let power = self.admission.weigh(self.cx.worth(&r.a));
+        self.fleet.sparse(&self.cx) && self.cx.rng.f64() > self.fleet.pass.powf(power)
+    }
+
+    fn ask(&mut self, id: RequestId, purpose: Purpose) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let asked = match purpose {
+            Purpose::Window => self.admission.ask_window(&mut self.cx, &r.a),
+            Purpose::Open => self.admission.ask_place(&mut self.cx, &r.a),
+        };
+        match asked {
+            Asked::Called => r.asking += 1,
+            Asked::Silent => self.decide(id, purpose, None),
+            Asked::Full => self.refuse(id),
+            Asked::Free => self.admit(id),
+        }
+    }
+
+    /// Decides a request by the total heard, or without one.
+    fn decide(&mut self, id: RequestId, purpose: Purpose, heard: Option<f64>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let customer = r.a.customer;
+        match purpose {
+            Purpose::Window if r.done => {}
+            Purpose::Window => match self.admission.window_holds(&self.cx, &r.a, heard) {
+                true => self.ask(id, Purpose::Open),
+                false => self.refuse(id),
+            },
+            Purpose::Open => {
+                match self.admission.place_holds(&self.cx, &r.a, heard) && !r.done {
+                    true => self.admit(id),
+                    false => self.refuse(id),
+                }
+                self.admission.sync_places(&mut self.cx, customer);
+            }
+        }
+    }
+
+    fn on_counted(&mut self, name: CountName, outcome: Outcome, total: f64) {
+        let Some(call) = self.admission.answered(name) else { return };
+        call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
+        let Some(heard) = self.admission.counted(&mut self.cx, &call, outcome, total) else { return };
+        if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)).filter(|_| heard.is_some()) {
+            r.counted = (call.purpose == Purpose::Window).then_some(call.span);
+        }
+        if let Some(id) = call.request {
+            self.decide(id, call.purpose, heard);
+        }
+        if heard.is_some() {
+            self.admission.post_owed(&mut self.cx, &call);
+        }
+        if let Some(id) = call.request {
+            self.let_go(id);
+        }
+    }
+
+    fn admit(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if self.cx.set.plans[r.a.plan.0].open > 0.0 {
+            r.holds_place = true;
+            self.admission.take_place(r.a.customer);
+        }
+        self.dispatch(id);
+    }
+
+    /// Sends the next attempt, or holds the request until a server is free.
+    fn dispatch(&mut self, id: RequestId) {
+        if let Some(server) = self.pick(id) {
+            return self.send(id, server);
+        }
+        if let Some(r) = self.requests.get_mut(&id).filter(|r| r.held_since.is_none()) {
+            r.held_since = Some(self.cx.now);
+            self.held.push(id);
+        }
+        self.watch_held();
+    }
+
+    fn pick(&mut self, id: RequestId) -> Option<ServerId> {
+        self.fleet.pick(&mut self.cx, self.requests.get(&id)?)
+    }
+
+    fn watch_held(&mut self) {
+        if !self.held.is_empty() && !self.hold_timer {
+            self.hold_timer = true;
+            self.cx.timer(Timer::Held, HOLD_STEP);
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId) {
+        let now = self.cx.now;
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let class = &self.cx.set.classes[r.a.class.0];
+        // An attempt is given up while another could still meet the aim. Guards against servers that fall
+        // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
+        let again = class.effect != Effect::Unsafe
+            && !class.stream
+            && r.attempts.len() + 1 < self.cx.set.max_attempts
+            && (class.effect == Effect::Safe || class.group == Group::All)
+            && self.fleet.fail_share < CALM_SHARE;
+        let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
+        let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
+        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
+        r.held_since = None;
+        r.counted = None;
+        let (units, until) = (r.a.units, until.min(r.a.deadline));
+        self.fleet.sent(&self.cx, server, units);
+        self.cx.out.push(Action::Send(id, server, until));
+    }
+
+    fn serve_held(&mut self) {
+        let now = self.cx.now;
+        let mut waiting = std::mem::take(&mut self.held);
+        waiting.retain(|id| self.requests.get(id).is_some_and(|r| !r.done && r.held_since.is_some()));
+        // In overload the least worth for its work waits longest and is refused first.
+        waiting
+            .sort_by_key(|id| (std::cmp::Reverse((self.cx.worth(&self.requests[id].a) * 1e6) as u64), *id));
+        for id in waiting {
+            let r = &self.requests[&id];
+            let longest = self.cx.set.classes[r.a.class.0].aim.times(HOLD_PART);
+            let overdue = r.held_since.is_some_and(|at| now >= at + longest);
+            if let Some(server) = self.pick(id) {
+                self.send(id, server);
+            } else if overdue {
+                self.refuse(id);
+            } else {
+                self.held.push(id);
+            }
+        }
+        self.watch_held();
+    }
+
+    /// Refuses with a retry-after where that is allowed, or fails.
+    fn refuse(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let wait = self.admission.refused(&self.cx, &r.a);
+        let answer = if r.may_refuse(&self.cx) { Action::Refuse(id, wait) } else { Action::Fail(id) };
+        self.finish(id, Some(answer));
+    }
+
+    /// The request has its final answer; what is still out is called off.
+    fn finish(&mut self, id: RequestId, answer: Option<Action>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if !r.done {
+            r.done = true;
+            self.cx.out.extend(answer);
+            let recall = self.cx.set.may_cancel && !r.streaming;
+            let still_out = r.attempts.iter().enumerate().filter(|(_, a)| a.out && recall);
+            self.cx.out.extend(still_out.map(|(i, _)| Action::Cancel(id, i)));
+        }
+        self.let_go(id);
+    }
+
+    /// Forgets a finished request once nothing of it is out, and frees its place.
+    fn let_go(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.done && !r.is_out()) else { return };
+        let (customer, units) = (r.a.customer, r.a.units);
+        let (held, counted) = (std::mem::take(&mut r.holds_place), r.counted.take());
+        // A call still out needs to know whether the request went on.
+        if r.asking == 0 {
+            self.requests.remove(&id);
+        }
+        counted.into_iter().for_each(|span| self.admission.take_back(&mut self.cx, customer, span, units));
+        if held {
+            self.admission.leave_place(&mut self.cx, customer);
+        }
+    }
+
+    fn on_attempt(&mut self, end: AttemptEnd) {
+        let (id, outcome) = (end.id, end.outcome);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let named = r.attempts.get_mut(end.attempt);
+        let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
+        a.out = false;
+        a.may_have_run = !outcome.never_ran();
+        let (aim, was_done) = (self.cx.set.classes[r.a.class.0].aim, r.done);
+        r.done |= end.ended || outcome == Outcome::Ok;
+        let (answered, in_time) = (r.done, self.cx.now < r.arrived + aim);
+        if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
+            self.admission.settled(r.a.customer, true_units - r.a.units);
+        }
+        self.fleet.judge(&mut self.cx, end.server, outcome, end.took, aim);
+        if answered {
+            self.let_go(id);
+        } else if in_time && self.may_repeat(id) && self.retries >= 1.0 {
+            self.retries -= 1.0;
+            self.dispatch(id);
+        } else if self.requests.get(&id).is_some_and(|r| !r.is_out()) {
+            self.refuse(id);
+        }
+        if !self.held.is_empty() {
+            self.serve_held();
+        }
+    }
+
+    fn may_repeat(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|r| self.fleet.may_repeat(&self.cx, r))
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/context.rs
@@ -0,0 +1,47 @@
+//! What every part of the module decides with: the settings, the time, chance, and the way out.
+
+use crate::api::*;
+use std::collections::BTreeMap;
+
+/// Weight of the newest sample in smoothed figures.
+pub(crate) const SMOOTH: f64 = 0.1;
+/// Parts that adapt (of requests that ask, of requests that pass) never fall below this.
+pub(crate) const LEAST_PART: f64 = 0.05;
+
+/// What a timer was set for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Timer {
+    Deadline(RequestId),
+    Held,
+    Resubscribe,
+    Sweep,
+}
+
+/// Handed to each part with every event.
+#[derive(Debug, Default)]
+pub(crate) struct Context {
+    pub(crate) set: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Micros,
+    pub(crate) out: Vec<Action>,
+    pub(crate) timers: BTreeMap<TimerId, Timer>,
+    serial: u64,
+}
+
+impl Context {
+    pub(crate) fn new(seed: u64, set: Settings) -> Context {
+        Context { set, rng: fastrand::Rng::with_seed(seed), ..Context::default() }
+    }
+
+    pub(crate) fn timer(&mut self, timer: Timer, after: Micros) {
+        self.serial += 1;
+        let id = TimerId(self.serial);
+        self.timers.insert(id, timer);
+        self.out.push(Action::SetTimer(id, after));
+    }
+
+    /// What a request is worth, its plan's price reckoned in.
+    pub(crate) fn worth(&self, a: &Arrival) -> f64 {
+        self.set.classes[a.class.0].worth * self.set.plans[a.plan.0].price
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -0,0 +1,80 @@
+//! Guards of the rules: a request with its attempts, and what it still allows. Every send and every refusal
+//! passes here.
+
+use crate::api::*;
+use crate::context::Context;
+use crate::fleet::Server;
+use std::collections::BTreeMap;
+
+/// One attempt of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) server: ServerId,
+    pub(crate) sent: Micros,
+    pub(crate) out: bool,
+    pub(crate) may_have_run: bool,
+}
+
+/// A request from its arrival until it has its answer and nothing of it is out.
+#[derive(Debug, Default)]
+pub(crate) struct Request {
+    pub(crate) a: Arrival,
+    pub(crate) arrived: Micros,
+    pub(crate) attempts: Vec<Attempt>,
+    /// Window whose count holds this request's units, until the first send.
+    pub(crate) counted: Option<u64>,
+    /// It holds a place in the customer's attempts out.
+    pub(crate) holds_place: bool,
+    /// Count calls made for it whose answers are still to come.
+    pub(crate) asking: u32,
+    pub(crate) held_since: Option<Micros>,
+    pub(crate) streaming: bool,
+    pub(crate) done: bool,
+}
+
+impl Request {
+    /// An attempt of it is out.
+    pub(crate) fn is_out(&self) -> bool {
+        self.attempts.iter().any(|a| a.out)
+    }
+
+    /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
+    pub(crate) fn may_go(&self, cx: &Context, servers: &BTreeMap<ServerId, Server>, s: &Server) -> bool {
+        let class = &cx.set.classes[self.a.class.0];
+        let over = self.done
+            || self.streaming
+            || cx.now >= self.a.deadline
+            || self.attempts.len() >= cx.set.max_attempts;
+        let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
+        let second = self.is_out() && !cx.set.second_copies;
+        if over || pushed || second || !s.listed {
+            return false;
+        }
+        let mut ran = self.attempts.iter().filter(|a| a.out || a.may_have_run);
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            // The window counts from the first send that may have run, less a tick on the way.
+            Effect::Keyed => ran.all(|a| {
+                cx.now + cx.set.tick + cx.set.tick < a.sent + class.window
+                    && match (class.group, servers.get(&a.server)) {
+                        (Group::All, _) => true,
+                        (Group::Zone, first) => first.is_some_and(|first| first.zone == s.zone),
+                        (Group::Cell, first) => first.is_some_and(|first| first.cell == s.cell),
+                    }
+            }),
+        }
+    }
+
+    /// Whether trying again is harmless for the client.
+    pub(crate) fn may_refuse(&self, cx: &Context) -> bool {
+        let class = &cx.set.classes[self.a.class.0];
+        let ran = self.attempts.iter().any(|a| a.out || a.may_have_run);
+        !self.streaming
+            && match class.effect {
+                Effect::Safe => true,
+                Effect::Keyed => !ran || class.group == Group::All,
+                Effect::Unsafe => !ran,
+            }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/health.rs
@@ -0,0 +1,129 @@
+//! Health: what the end of an attempt says of its server, outlier ejection, and cold starts.
+
+use crate::api::*;
+use crate::bucket::TokenBucket;
+use crate::context::{Context, LEAST_PART, SMOOTH};
+use crate::fleet::{Fleet, Server};
+
+/// Bounds on attempts out at one server: the least, what a late answer leaves of it, what an early one adds.
+/// All but the cut are scaled to the gateway's part (`scale`).
+const LIMIT_LEAST: f64 = 0.1;
+const LIMIT_CUT: f64 = 0.7;
+const LIMIT_GROW: f64 = 0.03;
+/// An answer that takes, with twice the server's usual time, more than this part of the aim says that it
+/// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
+const LATE_PART: f64 = 0.85;
+const GROW_PART: f64 = 0.25;
+/// What a late answer leaves of the part that passes, what others add.
+const PASS_CUT: f64 = 0.85;
+const PASS_GROW: f64 = 0.01;
+/// Outlier ejection: smoothed share of failures (four in a row pass it), first time out, its doublings.
+const EJECT_SHARE: f64 = 0.3;
+const EJECT_FIRST: Micros = Micros(1_000_000);
+const EJECT_DOUBLINGS: u32 = 3;
+/// A server that turned a request away is left alone for this long.
+const REST: Micros = Micros(100_000);
+/// How long leave to send to a cold server holds where many gateways share it.
+const COLD_LEAVE: Micros = Micros(250_000);
+
+impl Fleet {
+    pub(crate) fn judge(
+        &mut self,
+        cx: &mut Context,
+        server: ServerId,
+        outcome: Outcome,
+        took: Micros,
+        aim: Micros,
+    ) {
+        let now = cx.now;
+        let (jitter, scale) = (0.75 + 0.5 * cx.rng.f64(), self.scale(cx));
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.out = (s.out - 1.0).max(0.0);
+        self.out_now = (self.out_now - 1.0).max(0.0);
+        // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
+        // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
+        let held = took + Micros(2 * s.latency as u64);
+        let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
+        let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
+        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
+        if jammed {
+            s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
+        } else if outcome == Outcome::Ok
+            && s.out + 1.0 >= (s.limit * scale).floor()
+            && took < aim.times(GROW_PART)
+        {
+            s.limit += LIMIT_GROW;
+        }
+        let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
+        self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
+        if outcome == Outcome::Ok {
+            let sample = took.0 as f64;
+            for smooth in [&mut s.latency, &mut self.latency] {
+                *smooth = if *smooth == 0.0 { sample } else { *smooth + SMOOTH * (sample - *smooth) };
+            }
+            s.fail_share *= 1.0 - SMOOTH;
+            if std::mem::take(&mut s.trial) {
+                s.fail_share = 0.0; // The trial is passed.
+            } else {
+                s.ejections = 0;
+            }
+            // Guards against a restart that the list has not told yet: connects failed for a while and now it
+            // answers, so it is taken to be cold.
+            let unreached = s.unreached_since.take().is_some_and(|at| now - at > EJECT_FIRST);
+            if unreached && s.cold_since.is_none() {
+                s.cold_since = Some(now);
+                s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
+            }
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
+            return;
+        }
+        if outcome == Outcome::Full {
+            s.ejected_until = s.ejected_until.max(now + REST);
+            return;
+        }
+        s.fail_share += SMOOTH * (1.0 - s.fail_share);
+        if outcome == Outcome::ConnectFailed {
+            s.unreached_since.get_or_insert(now);
+        }
+        // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out
+        // of line only against the others, or overload would eject them one by one.
+        let out_of_line =
+            outcome == Outcome::ConnectFailed || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
+        if now >= s.ejected_until && (out_of_line || s.trial) {
+            s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
+            s.ejections = (s.ejections + 1).min(EJECT_DOUBLINGS);
+            s.trial = true;
+        }
+    }
+
+    /// Guards against pushing over a cold server: it is given the work that a warm one of its size gets from
+    /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
+    /// and each gateway scales its own, so the sum stays in proportion.
+    pub(crate) fn warm_up(&mut self, cx: &Context) {
+        let (now, set) = (cx.now, &cx.set);
+        if self.servers.values().all(|s| s.cold_since.is_none()) {
+            return;
+        }
+        let many = self.sparse(cx);
+        let usable = |s: &&Server| s.listed && now >= s.ejected_until;
+        let warm: f64 =
+            self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
+        let all: f64 = self.servers.values().filter(|s| s.listed).map(|s| s.weight).sum();
+        let per_weight = self.flow_rate(cx) / if warm * 3.0 >= all { warm } else { all.max(1e-9) };
+        for s in self.servers.values_mut() {
+            let Some(since) = s.cold_since else { continue };
+            if now >= since + set.cold {
+                s.cold_since = None;
+                continue;
+            }
+            let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
+            s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
+            s.cold_room.fill(now);
+            // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
+            if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
+                s.cold_room.level = -set.most_units;
+            }
+        }
+    }
+}
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -1,8 +1,20 @@
 //! The decisions of a gateway, free of I/O and of a clock: time is an argument, input is an [`api::Event`],
-//! output is a list of [`api::Action`]s, and chance comes from a seed.
+//! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
+//! adapter and the control service all decide through this package.
+//!
+//! Files, each using only those before it: `api` (the interface), `bucket`, `breaker`, `context`, `fleet`,
+//! `guards`, `health`, `choice`, `admission`, `attempts`.
 
 pub mod api;
-mod rules;
-mod state;
 
-pub use rules::Gateway;
+mod admission;
+mod attempts;
+mod breaker;
+mod bucket;
+mod choice;
+mod context;
+mod fleet;
+mod guards;
+mod health;
+
+pub use attempts::Gateway;
