Keep what proxies may be told: a fleet picture, routes by class, quota slices

The decision package gives a read-only view of its servers (health, cold starts, its own bounds); the new package starlinghill-view turns it into a picture: draining and gone servers, each address once, weights that warm up in steps, a part to turn away where most of the fleet is cold, ejections from what proxies report. Routes take time limits and retries from the classes. The ledger deals out slices so that store + paid - used never passes the burst, whatever is lost, late, doubled or restarted.

Failed tries: reports each second with an allowance of 1 s left credit in doubt of more than the burst, so that newcomers got nothing; demand smoothed by report instead of by time made slices jump. No decision of the gateway changed.

--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -5,6 +5,7 @@
 use crate::breaker::Breaker;
 use crate::bucket::{mix, TokenBucket};
 use crate::context::{Context, LEAST_PART, SMOOTH};
+use crate::tally::Tally;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Share of requests that ask: cut by each failed call and a little by an answer that took more than half of
@@ -53,33 +54,6 @@
     pub(crate) probe: bool,
 }
 
-/// This gateway's side of a customer's shared count in one window (or epoch).
-#[derive(Debug, Default)]
-pub(crate) struct Tally {
-    pub(crate) span: u64,
-    /// Own adds known to have been counted.
-    pub(crate) posted: f64,
-    /// Own spend not yet on the counter.
-    pub(crate) owed: f64,
-    /// The part of it that the local bucket let in.
-    pub(crate) unheard: f64,
-    /// Own earlier spend that calls under way carry.
-    pub(crate) posting: f64,
-    /// The last total heard.
-    pub(crate) seen: f64,
-    /// What the window before left of its allowance, as far as is known.
-    pub(crate) left: f64,
-    /// That window was followed here, so `left` is more than a guess.
-    pub(crate) followed: bool,
-}
-
-impl Tally {
-    /// The total as far as it is known here, with what of ours it does not hold yet.
-    pub(crate) fn known(&self) -> f64 {
-        self.seen + self.owed + self.posting
-    }
-}
-
 /// What was refused last, by which a repeat is known.
 #[derive(Debug)]
 pub(crate) struct Refusal {
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -8,12 +8,12 @@
 use std::collections::BTreeMap;
 
 /// Retry budget: further attempts earned by each request, and the most saved up.
-const RETRY_SHARE: f64 = 0.2;
+pub(crate) const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
 /// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
-const SPARE_PART: f64 = 0.3;
+pub(crate) const SPARE_PART: f64 = 0.3;
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
--- a/crates/starlinghill-decision/src/fleet.rs
+++ b/crates/starlinghill-decision/src/fleet.rs
@@ -11,7 +11,7 @@
 const REACH_FLOW: f64 = 1.0;
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
-const FLEET_START: f64 = 6.0;
+pub(crate) const FLEET_START: f64 = 6.0;
 /// Where learning of the bound on attempts out at one server starts, scaled to the gateway's part (`scale`).
 const LIMIT_START: f64 = 2.0;
 /// Time over which flow is averaged.
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -18,14 +18,20 @@
 const PASS_CUT: f64 = 0.85;
 const PASS_GROW: f64 = 0.01;
 /// Outlier ejection: smoothed share of failures (four in a row pass it), first time out, its doublings.
-const EJECT_SHARE: f64 = 0.3;
-const EJECT_FIRST: Micros = Micros(1_000_000);
-const EJECT_DOUBLINGS: u32 = 3;
+pub(crate) const EJECT_SHARE: f64 = 0.3;
+pub(crate) const EJECT_FIRST: Micros = Micros(1_000_000);
+pub(crate) const EJECT_DOUBLINGS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
 /// How long leave to send to a cold server holds where many gateways share it.
 const COLD_LEAVE: Micros = Micros(250_000);
 
+/// The part of a warm server's work that one gets which started so long ago.
+pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
+    let part = set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0);
+    part * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
+}
+
 impl Fleet {
     pub(crate) fn judge(
         &mut self,
@@ -117,8 +123,7 @@
                 s.cold_since = None;
                 continue;
             }
-            let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
-            s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
+            s.cold_room.rate = per_weight * s.weight * warm_part(set, now - since);
             s.cold_room.fill(now);
             // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
             if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,8 +2,8 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `breaker`, `context`, `fleet`,
-//! `guards`, `health`, `choice`, `admission`, `attempts`.
+//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `breaker`, `context`, `fleet`,
+//! `guards`, `health`, `choice`, `admission`, `attempts`, `fleet_view`.
 
 pub mod api;
 
@@ -14,7 +14,10 @@
 mod choice;
 mod context;
 mod fleet;
+mod fleet_view;
 mod guards;
 mod health;
+mod tally;
 
 pub use attempts::Gateway;
+pub use fleet_view::{Bounds, FleetView, Health, ServerFacts, BOUNDS};
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -111,6 +111,13 @@
 }
 
 impl Site {
+    /// Reads settings as nested JSON.
+    pub fn from_json(settings: &serde_json::Value) -> Result<Site> {
+        let mut names = BTreeMap::new();
+        flatten("", settings, &mut names);
+        let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        Site::read(&Fields { place: "settings".into(), message: "settings", pairs })
+    }
     /// Reads named values.
     pub fn read(f: &Fields) -> Result<Site> {
         let list = |prefix: &str| -> Result<usize> {
--- /dev/null
+++ b/crates/starlinghill-view/src/ledger.rs
@@ -0,0 +1,458 @@
+//! Slices of customers' quotas for proxies that count by themselves.
+//!
+//! Each customer's quota is a token bucket of a rate and a burst. A *holder* (one stream of one proxy) gets
+//! *assignments*: a rate, some tokens at once, and a life. Nothing tells when an assignment arrives, and a proxy
+//! that fell silent may go on using its last one until that lapses. So the ledger pays for each assignment when
+//! it is made, as if it were used in full, and goes by this sum, which it keeps at the burst or below:
+//!
+//! ```text
+//! held = store + sum over holders (paid - used)
+//! ```
+//!
+//! `store` is what nobody was given, and fills with the part of the rate that nobody holds; `paid` grows by the
+//! tokens of each new assignment and by the largest rate among those not yet lapsed; `used` is what the holder
+//! reported. All holders together can therefore never pass what a bucket of this rate and burst lets pass, in
+//! any interval, whatever is lost, late, doubled or restarted. What a holder was seen not to use beyond the
+//! tokens it may still have goes back to the store.
+//!
+//! Times are this process's alone. A proxy's clock matters in nothing but how fast it runs.
+
+use starlinghill_decision::api::{CustomerId, Micros, PlanId, Settings};
+use std::collections::btree_map::{BTreeMap, Entry};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Part of the rate that is not dealt out by demand but fills the store, for holders that come new and for
+/// those whose demand runs ahead of their slice.
+const RESERVE: f64 = 0.1;
+/// Part of what is dealt out that goes in equal parts to all holders, so that none must begin from nothing.
+const EVEN: f64 = 0.1;
+/// Demand is smoothed over this many seconds. Reports come several times a second and hold few requests each.
+const SMOOTH: f64 = 2.0;
+/// A holder's slice is dealt anew where it is off by more than this part; each change costs tokens in flight.
+const OFF: f64 = 0.2;
+/// The same for one that turns requests away and should have more.
+const OFF_SHORT: f64 = 0.03;
+/// The time whose worth of a holder's demand its tokens at once should cover.
+const COVER: f64 = 1.0;
+/// Part of the burst that is kept for holders that come new or whose slice must shrink.
+const KEPT: f64 = 0.25;
+/// A bucket in which nothing was asked for so long is given up.
+const IDLE: Micros = Micros(60_000_000);
+/// The most assignments of one bucket that may be in doubt at a time; further ones wait until one lapses.
+const MOST_IN_DOUBT: usize = 8;
+/// Moments at which what was paid is remembered, to set it against reports that were long on the way.
+const MOST_MARKS: usize = 16;
+/// Rates below this are none.
+const LEAST_RATE: f64 = 1e-3;
+
+/// One stream of one proxy. Two proxies of one name are two holders, and so is a proxy that reconnects, until
+/// what it had before has lapsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HolderId(pub u64);
+
+/// What a proxy counts together: a customer's requests of one size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BucketKey {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The plan under which it came.
+    pub plan: PlanId,
+    /// Units that each request takes, a whole number.
+    pub units: u32,
+}
+
+/// What a holder saw of a bucket since its last report.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Requests let in.
+    pub allowed: u64,
+    /// Requests turned away.
+    pub denied: u64,
+    /// The time that the report covers.
+    pub elapsed: Micros,
+}
+
+/// What a holder is to do with a bucket.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Assignment {
+    /// A token bucket that begins full, unless the one before had the same figures: then it goes on as it is.
+    Tokens {
+        /// The most requests at once.
+        most: u32,
+        /// Microseconds until one more; `None`: there come none.
+        every: Option<Micros>,
+        /// The assignment's life, from its arrival on.
+        life: Micros,
+    },
+    /// Turn all away for so long.
+    Deny {
+        /// The assignment's life.
+        life: Micros,
+    },
+    /// Forget the bucket.
+    Abandon,
+    /// Nothing is said: what the holder has goes on until it lapses.
+    Keep,
+}
+
+/// Bounds and times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerSettings {
+    /// The life of an assignment.
+    pub lease: Micros,
+    /// The longest that an assignment or a report may be on its way; connections that show no life for longer
+    /// are to be cut by who owns them.
+    pub allowance: Micros,
+    /// The most customers kept in mind.
+    pub customers: usize,
+    /// The most buckets of one holder.
+    pub buckets: usize,
+}
+
+/// Why a report was not taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LedgerError {
+    /// The plan does not exist.
+    NoPlan(PlanId),
+    /// Units of none, or more than any request has.
+    BadUnits(u32),
+    /// The holder has as many buckets as it may.
+    TooManyBuckets(usize),
+    /// The ledger has as many customers as it may.
+    TooManyCustomers(usize),
+}
+
+impl fmt::Display for LedgerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LedgerError::NoPlan(plan) => write!(f, "plan number {} does not exist", plan.0),
+            LedgerError::BadUnits(units) => write!(f, "{units} units: expected 1 to the most of any request"),
+            LedgerError::TooManyBuckets(most) => write!(f, "a proxy may have {most} buckets and no more"),
+            LedgerError::TooManyCustomers(most) => write!(f, "{most} customers are in mind, which is all"),
+        }
+    }
+}
+impl std::error::Error for LedgerError {}
+
+/// An assignment that its holder may still be using, or may yet begin to use.
+#[derive(Debug, Clone, Copy)]
+struct Out {
+    rate: f64,
+    tokens: f64,
+    lapses: Micros,
+}
+
+/// One holder's side of one bucket.
+#[derive(Debug)]
+struct Slice {
+    out: Vec<Out>,
+    paid: f64,
+    used: f64,
+    /// What was paid by when, oldest first.
+    marks: Vec<(Micros, f64)>,
+    /// Units a second that were asked for, smoothed; `None` until a report covered some time.
+    demand: Option<f64>,
+    /// The last report that asked for anything.
+    asked: Micros,
+    /// The last report told of requests turned away.
+    short: bool,
+    /// Cleared when the stream ended.
+    live: bool,
+}
+
+impl Slice {
+    fn new(now: Micros) -> Slice {
+        Slice {
+            out: Vec::new(),
+            paid: 0.0,
+            used: 0.0,
+            marks: Vec::new(),
+            demand: None,
+            asked: now,
+            short: false,
+            live: true,
+        }
+    }
+    /// The largest rate that the holder may be using.
+    fn rate(&self) -> f64 {
+        self.out.iter().map(|o| o.rate).fold(0.0, f64::max)
+    }
+    /// Tokens that the holder may have, or get from what is on its way.
+    fn tokens(&self) -> f64 {
+        self.out.iter().map(|o| o.tokens).sum()
+    }
+    fn credit(&self) -> f64 {
+        self.paid - self.used
+    }
+}
+
+/// One customer under one plan.
+#[derive(Debug)]
+struct Account {
+    rate: f64,
+    burst: f64,
+    store: f64,
+    at: Micros,
+    slices: BTreeMap<(HolderId, u32), Slice>,
+}
+
+impl Account {
+    /// Brings the account to this moment: what lapsed is gone, what is held is paid for, the rest fills the
+    /// store.
+    fn roll(&mut self, now: Micros) {
+        while self.at < now {
+            // Rates hold until the next lapse.
+            let lapse = self.slices.values().flat_map(|s| s.out.iter().map(|o| o.lapses)).min();
+            let to = lapse.filter(|&l| l > self.at).map_or(now, |l| l.min(now));
+            let span = (to - self.at).secs();
+            let mut held = 0.0;
+            for slice in self.slices.values_mut() {
+                held += slice.rate();
+                slice.paid += slice.rate() * span;
+            }
+            self.store += (self.rate - held).max(0.0) * span;
+            self.at = to;
+            for slice in self.slices.values_mut() {
+                slice.out.retain(|o| o.lapses > to);
+                if slice.out.is_empty() {
+                    // Whatever it did not use is past using: it can't be told from what it used unreported.
+                    slice.paid = slice.used;
+                    slice.marks.clear();
+                }
+            }
+        }
+        self.slices.retain(|_, s| s.live || !s.out.is_empty());
+        self.cap();
+    }
+
+    /// Keeps all that is held at the burst. What runs over was not used in time; the store gives way first.
+    fn cap(&mut self) {
+        let credit: f64 = self.slices.values().map(Slice::credit).sum();
+        self.store = self.store.min((self.burst - credit).max(0.0));
+        let mut over = credit - self.burst;
+        for slice in self.slices.values_mut() {
+            // Never below what the holder may still have in hand.
+            let spare = (slice.credit() - slice.tokens()).max(0.0);
+            let cut = spare.min(over.max(0.0));
+            slice.paid -= cut;
+            over -= cut;
+            slice.marks.iter_mut().for_each(|mark| mark.1 -= cut);
+        }
+    }
+
+    /// Gives back what a holder was seen not to use. Guards against giving back what it used after its report
+    /// was written: what was paid only since then stays out of it.
+    fn refund(&mut self, key: (HolderId, u32), now: Micros, allowance: Micros) {
+        let Some(slice) = self.slices.get_mut(&key) else { return };
+        let old = slice.marks.iter().rev().find(|m| m.0 + allowance <= now).map(|m| m.1);
+        let spare = old.map_or(0.0, |paid| paid - slice.used - slice.tokens()).max(0.0);
+        slice.paid -= spare;
+        slice.marks.iter_mut().for_each(|mark| mark.1 -= spare);
+        self.store += spare;
+        if slice.marks.last().is_none_or(|m| now >= m.0 + Micros(allowance.0 / 4)) {
+            if slice.marks.len() == MOST_MARKS {
+                slice.marks.remove(0);
+            }
+            slice.marks.push((now, slice.paid));
+        }
+    }
+
+    /// The rate that a bucket should have, by demand.
+    fn wanted(&self, key: (HolderId, u32)) -> f64 {
+        let live: Vec<_> = self.slices.iter().filter(|(_, s)| s.live).collect();
+        let n = live.len().max(1) as f64;
+        // One that was not heard of yet counts as the mean of the others.
+        let known: Vec<f64> = live.iter().filter_map(|(_, s)| s.demand).collect();
+        let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
+        let demand = |s: &Slice| s.demand.unwrap_or(mean).max(1e-6);
+        let sum: f64 = live.iter().map(|(_, s)| demand(s)).sum();
+        let own = self.slices.get(&key).map_or(mean, demand);
+        self.rate * (1.0 - RESERVE) * (EVEN / n + (1.0 - EVEN) * own / sum.max(own))
+    }
+
+    /// Makes an assignment for a bucket, pays for it, and returns it.
+    fn assign(&mut self, key: (HolderId, u32), now: Micros, set: &LedgerSettings) -> Assignment {
+        let units = f64::from(key.1);
+        let wanted = self.wanted(key);
+        let held: f64 = self.slices.iter().filter(|(k, _)| **k != key).map(|(_, s)| s.rate()).sum();
+        let Some(slice) = self.slices.get_mut(&key) else { return Assignment::Keep };
+        let lapses = now + set.lease + set.allowance;
+        // What others may be using is not there to be given, whatever this one should have.
+        let free = (self.rate - held).max(0.0);
+        let mut rate = wanted.min(free);
+        if rate < LEAST_RATE {
+            rate = 0.0;
+        }
+        let demand = slice.demand.unwrap_or(rate);
+        let tokens_wanted = (demand * COVER).max(units).max(self.burst * wanted / self.rate.max(1e-9) / 2.0);
+        let last = slice.out.last().copied();
+        // What tops a holder up must leave something for others, who can't wait for its slice to lapse.
+        let starved = slice.short && self.store >= units + KEPT * self.burst;
+        if let Some(last) = last {
+            let short = slice.short && rate > last.rate * (1.0 + OFF_SHORT);
+            let off = short || (rate - last.rate).abs() > OFF * last.rate.max(LEAST_RATE);
+            let may_renew = last.rate <= free + 1e-9;
+            if may_renew && (!(off || starved) || slice.out.len() >= MOST_IN_DOUBT) {
+                // The same figures: the holder's bucket goes on as it is, and nothing new is paid for.
+                let at = slice.out.len() - 1;
+                slice.out[at].lapses = lapses;
+                return told(last.rate, last.tokens, units, set.lease);
+            }
+            if slice.out.len() >= MOST_IN_DOUBT {
+                return Assignment::Deny { life: set.lease };
+            }
+        }
+        let most = (tokens_wanted.min(self.store) / units).floor();
+        // Guards against a change that would take tokens away for nothing: without any to give, what the
+        // holder has goes on.
+        if most < 1.0 {
+            if let Some(last) = last.filter(|l| l.rate <= free + 1e-9) {
+                if rate < last.rate * (1.0 - OFF) {
+                    return Assignment::Keep; // Others are short of what it has too much: it lapses.
+                }
+                let at = slice.out.len() - 1;
+                slice.out[at].lapses = lapses;
+                return told(last.rate, last.tokens, units, set.lease);
+            }
+            return Assignment::Deny { life: set.lease };
+        }
+        let tokens = most * units;
+        self.store -= tokens;
+        slice.paid += tokens;
+        slice.out.push(Out { rate, tokens, lapses });
+        told(rate, tokens, units, set.lease)
+    }
+}
+
+fn told(rate: f64, tokens: f64, units: f64, life: Micros) -> Assignment {
+    let every = (rate >= LEAST_RATE).then(|| Micros((units / rate * 1e6).ceil() as u64));
+    Assignment::Tokens { most: (tokens / units) as u32, every, life }
+}
+
+/// All accounts.
+#[derive(Debug)]
+pub struct Ledger {
+    set: LedgerSettings,
+    plans: Vec<(f64, f64)>,
+    most_units: f64,
+    /// From then on nothing that an earlier life of this service gave out can still be in use.
+    settled: Micros,
+    accounts: BTreeMap<(CustomerId, PlanId), Account>,
+    /// The buckets of each holder.
+    holders: BTreeMap<HolderId, BTreeSet<BucketKey>>,
+}
+
+impl Ledger {
+    /// A ledger that knows nothing. What an earlier one gave out counts as out until all of it must have lapsed.
+    pub fn new(now: Micros, set: LedgerSettings, platform: &Settings) -> Ledger {
+        Ledger {
+            set,
+            plans: platform.plans.iter().map(|p| (p.rate, p.burst)).collect(),
+            most_units: platform.most_units,
+            settled: now + set.lease + set.allowance,
+            accounts: BTreeMap::new(),
+            holders: BTreeMap::new(),
+        }
+    }
+
+    /// How many customers are kept in mind.
+    pub fn customers(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Takes a report in and says what the holder is to do from now on. A first report, which covers no time,
+    /// asks for a first assignment.
+    pub fn report(
+        &mut self,
+        now: Micros,
+        holder: HolderId,
+        key: BucketKey,
+        usage: Usage,
+    ) -> Result<Assignment, LedgerError> {
+        let &(rate, burst) = self.plans.get(key.plan.0).ok_or(LedgerError::NoPlan(key.plan))?;
+        if key.units == 0 || f64::from(key.units) > self.most_units {
+            return Err(LedgerError::BadUnits(key.units));
+        }
+        // A plan without a quota has none to hold.
+        if rate <= 0.0 {
+            let every = Some(Micros(1));
+            return Ok(Assignment::Tokens { most: u32::MAX, every, life: self.set.lease });
+        }
+        if now < self.settled {
+            // To deny would take away what an earlier life of this service gave, which counts as out anyway.
+            return Ok(Assignment::Keep);
+        }
+        let name = (key.customer, key.plan);
+        if !self.accounts.contains_key(&name) && self.accounts.len() >= self.set.customers {
+            self.sweep(now);
+            if self.accounts.len() >= self.set.customers {
+                return Err(LedgerError::TooManyCustomers(self.set.customers));
+            }
+        }
+        let settled = self.settled;
+        let account = self.accounts.entry(name).or_insert_with(|| Account {
+            rate,
+            burst,
+            // What was given out before the start may have emptied it.
+            store: burst.min(rate * (now - settled).secs()),
+            at: now,
+            slices: BTreeMap::new(),
+        });
+        account.roll(now);
+        let at = (holder, key.units);
+        if let Entry::Vacant(vacant) = account.slices.entry(at) {
+            let buckets = self.holders.entry(holder).or_default();
+            if buckets.len() >= self.set.buckets {
+                return Err(LedgerError::TooManyBuckets(self.set.buckets));
+            }
+            buckets.insert(key);
+            vacant.insert(Slice::new(now));
+        }
+        let Some(slice) = account.slices.get_mut(&at) else { return Ok(Assignment::Keep) };
+        let (units, allowed) = (f64::from(key.units), usage.allowed as f64);
+        // A holder that reports more than it ever had has spent it all the same: the debt is the store's.
+        slice.used += allowed * units;
+        let beyond = (slice.used - slice.paid).max(0.0);
+        slice.used -= beyond;
+        account.store -= beyond;
+        let all = usage.allowed.saturating_add(usage.denied);
+        if all > 0 {
+            slice.asked = now;
+        }
+        if usage.elapsed.0 > 0 {
+            let newest = all as f64 * units / usage.elapsed.secs();
+            let old = slice.demand.unwrap_or(newest);
+            let weight = 1.0 - (-usage.elapsed.secs() / SMOOTH).exp();
+            slice.demand = Some(old + weight * (newest - old));
+        }
+        if now > slice.asked + IDLE {
+            slice.live = false;
+            self.holders.get_mut(&holder).into_iter().for_each(|buckets| {
+                buckets.remove(&key);
+            });
+            return Ok(Assignment::Abandon);
+        }
+        (slice.live, slice.short) = (true, usage.denied > 0);
+        account.refund(at, now, self.set.allowance);
+        account.cap();
+        Ok(account.assign(at, now, &self.set))
+    }
+
+    /// A holder's stream ended. What it has stays out until it lapses.
+    pub fn gone(&mut self, now: Micros, holder: HolderId) {
+        for key in self.holders.remove(&holder).unwrap_or_default() {
+            let Some(account) = self.accounts.get_mut(&(key.customer, key.plan)) else { continue };
+            account.slices.get_mut(&(holder, key.units)).into_iter().for_each(|slice| slice.live = false);
+            account.roll(now);
+        }
+    }
+
+    /// Forgets customers of whom nothing is out and whose store is full: a new account would be the same.
+    pub fn sweep(&mut self, now: Micros) {
+        self.accounts.retain(|_, account| {
+            account.roll(now);
+            !account.slices.is_empty() || account.store < account.burst
+        });
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-view/tests/fleet.rs
@@ -0,0 +1,233 @@
+//! The picture of the fleet: what news, silence, time and reports make of it.
+
+use starlinghill_decision::api::*;
+use starlinghill_settings::members::{Member, MemberList, Phase};
+use starlinghill_settings::Site;
+use starlinghill_view::fleet::*;
+use starlinghill_view::routes::{routes, RetryOn};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+const NOW: u64 = 1_000_000 * S;
+
+fn site() -> Site {
+    let settings: serde_json::Value = serde_json::from_str(
+        r#"{"zone":"a","zones":["a","b"],"bounds":{"max_attempts":5},
+        "classes":[
+            {"name":"look","effect":"pure","deadline":4000000,"on_time":1000000},
+            {"name":"buy","effect":"token","key_scope":"all","window":8000000,"deadline":9000000,"on_time":2500000},
+            {"name":"buy-here","effect":"token","key_scope":"zone","window":8000000,"deadline":8000000},
+            {"name":"once","effect":"side_effect","deadline":4000000,"on_time":1000000}],
+        "plans":[{"name":"team","per_second":10.0,"peak_units":20.0}],
+        "specifics":{"units_top":4},
+        "rules":{"cold":16000000,"cold_from":0.25,"fall_multiple":4.0,"tip_after":2000000}}"#,
+    )
+    .expect("JSON");
+    Site::from_json(&settings).expect("sound settings")
+}
+
+fn fleet() -> Fleet {
+    Fleet::new(7, site()).expect("sound settings")
+}
+
+fn member(id: &str, port: u16, phase: Phase, up_since_ms: u64) -> Member {
+    let host_port = ([127, 0, 0, 1], port).into();
+    Member { id: id.into(), host_port, locality: "a".into(), cell: 0, phase, size: 1.0, up_since_ms }
+}
+
+fn list(complete: bool, members: &[Member]) -> MemberList {
+    MemberList { revision: 1, complete, members: members.to_vec() }
+}
+
+fn usage(fleet: &mut Fleet, now: u64, id: &str) -> Option<(Use, u32)> {
+    let picture = fleet.picture(Micros(now)).expect("known");
+    picture.endpoints.iter().find(|e| e.id == id).map(|e| (e.usage, e.weight))
+}
+
+#[test]
+fn for_want_of_news_there_is_no_picture_but_an_empty_whole_list_is_one() {
+    let mut fleet = fleet();
+    assert_eq!(fleet.picture(Micros(NOW)), None, "nothing was told");
+    let changes = list(false, &[member("s-1", 1, Phase::Ready, 0)]);
+    assert_eq!(fleet.list(Micros(NOW), changes), Err(ListProblem::NoBase));
+    assert_eq!(fleet.picture(Micros(NOW)), None);
+    fleet.list(Micros(NOW), list(true, &[member("s-1", 1, Phase::Ready, 0)])).expect("taken");
+    fleet.list(Micros(NOW), list(false, &[])).expect("taken");
+    assert!(usage(&mut fleet, NOW, "s-1").is_some(), "no changes, no change");
+    fleet.list(Micros(NOW), list(true, &[])).expect("taken");
+    assert_eq!(fleet.picture(Micros(NOW)), Some(Picture::default()), "told whole, and empty");
+}
+
+#[test]
+fn a_list_gone_wild_leaves_the_old_one() {
+    let mut fleet = fleet();
+    fleet.list(Micros(NOW), list(true, &[member("s-1", 1, Phase::Ready, 0)])).expect("taken");
+    let wild: Vec<Member> =
+        (0..=MOST_MEMBERS).map(|i| member(&format!("w-{i}"), 2, Phase::Ready, 0)).collect();
+    for complete in [true, false] {
+        assert!(matches!(fleet.list(Micros(NOW), list(complete, &wild)), Err(ListProblem::TooLong(_))));
+        assert_eq!(fleet.picture(Micros(NOW)).expect("known").endpoints.len(), 1);
+    }
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_new_and_one_that_is_gone_is_not_told() {
+    let mut fleet = fleet();
+    let both = [member("s-1", 1, Phase::Ready, 0), member("s-2", 2, Phase::Ready, 0)];
+    fleet.list(Micros(NOW), list(true, &both)).expect("taken");
+    fleet.list(Micros(NOW), list(false, &[member("s-1", 1, Phase::Draining, 0)])).expect("taken");
+    assert_eq!(usage(&mut fleet, NOW, "s-1").map(|u| u.0), Some(Use::Draining));
+    fleet.list(Micros(NOW), list(false, &[member("s-1", 1, Phase::Gone, 0)])).expect("taken");
+    assert_eq!(usage(&mut fleet, NOW, "s-1"), None);
+    assert_eq!(usage(&mut fleet, NOW, "s-2").map(|u| u.0), Some(Use::Healthy));
+}
+
+#[test]
+fn an_address_belongs_to_who_started_there_last() {
+    for newcomer_first in [true, false] {
+        let mut fleet = fleet();
+        fleet.list(Micros(NOW), list(true, &[member("s-1", 1, Phase::Ready, 5)])).expect("taken");
+        let old = member("s-1", 1, Phase::Draining, 5);
+        let new = member("a-9", 1, Phase::Ready, NOW / 1000);
+        let both = if newcomer_first { [new, old] } else { [old, new] };
+        fleet.list(Micros(NOW), list(false, &both)).expect("taken");
+        let picture = fleet.picture(Micros(NOW)).expect("known");
+        assert_eq!(picture.endpoints.len(), 1, "each address once");
+        assert_eq!((picture.endpoints[0].id.as_str(), picture.endpoints[0].usage), ("a-9", Use::Healthy));
+        // What was reported of the address before is not held against the newcomer: its life is new.
+        assert!(picture.endpoints[0].weight < 300, "and cold");
+    }
+}
+
+#[test]
+fn a_cold_server_grows_in_steps_that_are_told_when_they_come() {
+    let mut fleet = fleet();
+    let warm: Vec<Member> = (0..4).map(|i| member(&format!("s-{i}"), i, Phase::Ready, 0)).collect();
+    fleet.list(Micros(NOW), list(true, &warm)).expect("taken");
+    assert_eq!(fleet.next_change(Micros(NOW)), None, "nothing changes by itself");
+    fleet.list(Micros(NOW), list(false, &[member("c", 9, Phase::Ready, NOW / 1000)])).expect("taken");
+    assert_eq!(fleet.picture(Micros(NOW)).expect("known").drop, 0, "the warm ones bear the load");
+    let (mut now, mut weights) = (NOW, Vec::new());
+    while let Some(next) = fleet.next_change(Micros(now)) {
+        weights.push(usage(&mut fleet, now, "c").expect("listed").1);
+        assert!(next.0 > now && weights.len() < 30);
+        assert_eq!(usage(&mut fleet, next.0 - 1, "c").expect("listed").1, weights[weights.len() - 1]);
+        now = next.0;
+    }
+    assert_eq!(weights.len(), 16);
+    assert_eq!(weights[0], 250, "a quarter of what a warm one gets");
+    assert!(weights.windows(2).all(|w| w[0] < w[1]));
+    assert_eq!((usage(&mut fleet, now, "c").expect("listed").1, now), (1000, NOW + 16 * S));
+}
+
+#[test]
+fn where_most_of_the_fleet_is_cold_the_rest_is_turned_away() {
+    let mut fleet = fleet();
+    let cold: Vec<Member> = (0..4).map(|i| member(&format!("c-{i}"), i, Phase::Ready, NOW / 1000)).collect();
+    fleet.list(Micros(NOW), list(true, &cold)).expect("taken");
+    assert_eq!(fleet.picture(Micros(NOW)).expect("known").drop, 7_500, "a quarter of the work can be borne");
+    assert!(fleet.picture(Micros(NOW + 8 * S)).expect("known").drop < 4_000);
+    assert_eq!(fleet.picture(Micros(NOW + 16 * S)).expect("known").drop, 0);
+}
+
+#[test]
+fn a_start_in_the_future_by_anothers_clock_is_a_start_just_now() {
+    let mut fleet = fleet();
+    let ahead = member("s-1", 1, Phase::Ready, (NOW + 60 * S) / 1000);
+    fleet.list(Micros(NOW), list(true, &[ahead])).expect("taken");
+    assert_eq!(usage(&mut fleet, NOW, "s-1"), Some((Use::Healthy, 250)));
+    assert!(fleet.next_change(Micros(NOW)).expect("a step").0 > NOW);
+}
+
+#[test]
+fn failures_at_the_proxies_eject_a_server_for_all_and_a_trial_takes_it_back() {
+    let mut fleet = fleet();
+    let three: Vec<Member> = (1..4).map(|i| member(&format!("s-{i}"), i, Phase::Ready, 0)).collect();
+    fleet.list(Micros(NOW), list(true, &three)).expect("taken");
+    let at = |port: u16| ([127, 0, 0, 1], port).into();
+    let seen = |fleet: &mut Fleet, now, port, succeeded, failed| {
+        fleet.observed(Micros(now), Observed { address: at(port), succeeded, failed })
+    };
+    assert!(!seen(&mut fleet, NOW, 77, 0, 100), "nobody stands there");
+    seen(&mut fleet, NOW, 1, 950, 50);
+    seen(&mut fleet, NOW, 2, 1000, 0);
+    assert_eq!(usage(&mut fleet, NOW, "s-1").map(|u| u.0), Some(Use::Healthy), "one failure in twenty");
+    seen(&mut fleet, NOW, 3, 0, u64::MAX);
+    assert_eq!(usage(&mut fleet, NOW, "s-3").map(|u| u.0), Some(Use::Ejected));
+    let back = fleet.next_change(Micros(NOW)).expect("it comes back").0;
+    assert!(back < NOW + 2 * S);
+    assert_eq!(usage(&mut fleet, back, "s-3"), Some((Use::Healthy, 50)), "a little, on trial");
+    seen(&mut fleet, back, 3, 1, 0);
+    assert_eq!(usage(&mut fleet, back + MS, "s-3"), Some((Use::Healthy, 1000)));
+}
+
+#[test]
+fn no_order_of_news_offers_what_drains_or_is_gone() {
+    for seed in 0..300 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut fleet, mut now) = (fleet(), NOW);
+        let mut truth = std::collections::BTreeMap::new();
+        let mut known = false;
+        for _ in 0..60 {
+            now += rng.u64(0..2 * S);
+            let complete = rng.u8(0..5) == 0;
+            let told: Vec<Member> = (0..rng.usize(0..4))
+                .map(|_| {
+                    let phase = [Phase::Ready, Phase::Draining, Phase::Gone][rng.usize(0..3)];
+                    let up = if rng.bool() { 0 } else { now / 1000 };
+                    member(&format!("s-{}", rng.u8(0..6)), rng.u16(1..5), phase, up)
+                })
+                .collect();
+            if fleet.list(Micros(now), list(complete, &told)).is_ok() {
+                known = true;
+                if complete {
+                    truth.clear();
+                }
+                for m in told {
+                    match m.phase {
+                        Phase::Gone => drop(truth.remove(&m.id)),
+                        _ => drop(truth.insert(m.id.clone(), m)),
+                    }
+                }
+            }
+            if rng.bool() {
+                let address = ([127, 0, 0, 1], rng.u16(1..5)).into();
+                fleet.observed(
+                    Micros(now),
+                    Observed { address, succeeded: rng.u64(0..9), failed: rng.u64(0..9) },
+                );
+            }
+            let Some(picture) = fleet.picture(Micros(now)) else {
+                assert!(!known, "seed {seed}");
+                continue;
+            };
+            let mut addresses = std::collections::BTreeSet::new();
+            for e in &picture.endpoints {
+                assert!(addresses.insert(e.address), "seed {seed}: one address twice");
+                let m = truth.get(&e.id).unwrap_or_else(|| panic!("seed {seed}: {} is gone", e.id));
+                assert_eq!(m.host_port, e.address, "seed {seed}");
+                if m.phase == Phase::Draining {
+                    assert_eq!(e.usage, Use::Draining, "seed {seed}: {} drains", e.id);
+                }
+            }
+            for m in truth.values() {
+                assert!(addresses.contains(&m.host_port), "seed {seed}: {} is left out", m.id);
+            }
+        }
+    }
+}
+
+#[test]
+fn routes_follow_what_each_class_allows() {
+    let by_name = |name: &str| routes(&site()).into_iter().find(|r| r.name == name).expect("a class");
+    let look = by_name("look");
+    assert_eq!((look.method, look.retries, look.on), ("GET", 2, RetryOn::Failed), "three attempts at most");
+    assert_eq!((look.timeout, look.per_try), (Micros(4 * S), Some(Micros(700 * MS))));
+    let buy = by_name("buy");
+    assert_eq!((buy.method, buy.on), ("POST", RetryOn::Failed));
+    assert_eq!(buy.timeout, Micros(7_900 * MS), "no attempt begins after the key's window");
+    for name in ["buy-here", "once"] {
+        let route = by_name(name);
+        assert_eq!((route.on, route.per_try), (RetryOn::NeverRan, None), "{name}");
+    }
+}
