--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -97,6 +97,7 @@
     }
 }
 
+#[derive(Clone)]
 /// The settings with the names by which the outside knows classes, plans, zones and servers.
 pub struct Site {
     /// The settings.
