Add the control service's program, run, check and dump, and the operators' file

Need: proxies need something to connect to, and operators one file with errors that name file, line and key. Not measured.

--- /dev/null
+++ b/crates/starlinghill-control/src/main.rs
@@ -0,0 +1,151 @@
+//! The control service for proxies that others build. SIGTERM ends it, SIGHUP makes it read its file again.
+
+use clap::{Parser, Subcommand};
+use serde_json::json;
+use starlinghill_control::{plan, prepare, start, Prepared};
+use starlinghill_gateway::config::Upstreams;
+use starlinghill_gateway::discovery;
+use starlinghill_operators::Problem;
+use starlinghill_settings::members::MemberList;
+use starlinghill_view::fleet::{Fleet, Use};
+use starlinghill_view::routes::routes;
+use starlinghill_xds::hub::{publish, Clock};
+use starlinghill_xds::resources::route_tables;
+use starlinghill_xds::server::contents;
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tracing::warn;
+
+/// How long `dump` waits for the list of servers.
+const LIST_WAIT: Duration = Duration::from_secs(5);
+
+/// Tells other proxies, over xDS, what the gateways decide.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM.
+    Run {
+        /// The operators' file.
+        file: PathBuf,
+    },
+    /// Say what is wrong with the operators' file, one line each.
+    Check {
+        /// The operators' file.
+        file: PathBuf,
+    },
+    /// Print what a proxy would get now, as JSON.
+    Dump {
+        /// The operators' file.
+        file: PathBuf,
+        /// The proxy's node id.
+        #[arg(long)]
+        node: String,
+    },
+}
+
+fn told(problems: Vec<Problem>) -> Box<dyn Error> {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n").into()
+}
+
+fn run(file: &Path) -> Result<(), Box<dyn Error>> {
+    let prepared = prepare(file).map_err(told)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        // From the first moment on: by itself it would end the process.
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let mut running = start(prepared).await?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = hang_up.recv() => match prepare(file) {
+                    Ok(prepared) => running.reload(prepared).await,
+                    Err(problems) => for problem in problems {
+                        warn!(%problem, "the operators' file is not usable; what was read before stays");
+                    },
+                },
+            }
+        }
+        running.stop().await;
+        Ok(())
+    })
+}
+
+async fn list(upstreams: Upstreams) -> Option<MemberList> {
+    let (_keep, upstreams) = watch::channel(upstreams);
+    let (tx, mut rx) = mpsc::channel::<MemberList>(1);
+    tokio::select! {
+        () = discovery::watch(upstreams, tx) => None,
+        list = tokio::time::timeout(LIST_WAIT, rx.recv()) => list.ok().flatten(),
+    }
+}
+
+fn dump(file: &Path, node: &str) -> Result<(), Box<dyn Error>> {
+    let Prepared { control, site, upstreams, .. } = prepare(file).map_err(told)?;
+    if !control.proxies.iter().any(|p| p.id == node) {
+        return Err(format!("{}: control.proxies: expected '{node}' among the ids", file.display()).into());
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let list =
+        runtime.block_on(list(upstreams)).ok_or("discovery did not tell the list of servers in time")?;
+    let now = Clock::start().now();
+    let mut fleet = Fleet::new(0, site.clone())?;
+    fleet.list(now, list)?;
+    let picture = fleet.picture(now).ok_or("discovery told only changes of the list")?;
+    let routes = routes(&site);
+    let tables = Arc::new(route_tables(&routes));
+    let published = publish(picture.clone(), &plan(&control), &tables, None, true);
+    let set = published.sets.get(node).ok_or("no resources for this node")?;
+    let endpoints = picture.endpoints.iter().map(|e| {
+        let usage = match e.usage {
+            Use::Healthy => "healthy",
+            Use::Ejected => "ejected",
+            Use::Draining => "draining",
+        };
+        json!({"id": e.id, "address": e.address, "zone": e.zone, "use": usage, "weight": e.weight})
+    });
+    let routes = routes.iter().map(|r| {
+        json!({"class": r.name, "method": r.method, "timeout_ms": r.timeout.0 / 1000, "retries": r.retries,
+            "per_try_ms": r.per_try.map(|t| t.0 / 1000), "retry_on": format!("{:?}", r.on)})
+    });
+    let resources = contents(set).into_iter().map(|(kind, name, version, bytes)| {
+        json!({"kind": kind.to_string(), "name": name, "version": version, "bytes": bytes})
+    });
+    let all = json!({
+        "node": node,
+        "drop_per_10000": picture.drop,
+        "endpoints": endpoints.collect::<Vec<_>>(),
+        "routes": routes.collect::<Vec<_>>(),
+        "resources": resources.collect::<Vec<_>>(),
+    });
+    println!("{}", serde_json::to_string_pretty(&all)?);
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+    let done = match Cli::parse().command {
+        Command::Run { file } => run(&file),
+        Command::Check { file } => prepare(&file).map(|_| println!("{}: good", file.display())).map_err(told),
+        Command::Dump { file, node } => dump(&file, &node),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -142,6 +142,16 @@
             .map_err(|e| ConfigError(format!("{path}: {e}")))
     }
 
+    /// The settings and their names.
+    pub fn site(&self) -> &Site {
+        &self.site
+    }
+
+    /// The seed for random numbers.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
         Upstreams { discovery: self.discovery, counter: self.counter }
--- a/crates/starlinghill-gateway/src/discovery.rs
+++ b/crates/starlinghill-gateway/src/discovery.rs
@@ -1,7 +1,6 @@
 //! The list of backends: a watch on discovery that never stops.
 
 use crate::config::Upstreams;
-use crate::driver::{Inbox, Input};
 use crate::http::Connection;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,7 +8,7 @@
 use starlinghill_settings::members::MemberList;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
@@ -20,8 +19,8 @@
 /// The pause before a failed call is made again; a watch goes on if its next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Fetches the whole list, then watches it for ever, telling the driver what is new.
-pub async fn watch(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox) {
+/// Fetches the whole list, then watches it for ever, telling whoever owns the inbox what is new.
+pub async fn watch<T: From<MemberList>>(mut upstreams: watch::Receiver<Upstreams>, inbox: mpsc::Sender<T>) {
     let mut address = upstreams.borrow_and_update().discovery;
     let mut revision = None;
     let mut connection = None;
@@ -55,7 +54,7 @@
                     continue;
                 }
                 revision = Some(list.revision);
-                if inbox.send(Input::Members(list)).await.is_err() {
+                if inbox.send(list.into()).await.is_err() {
                     return;
                 }
             }
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -67,6 +67,12 @@
     Ended(RequestId, usize, ServerId, Ended, Micros),
 }
 
+impl From<MemberList> for Input {
+    fn from(list: MemberList) -> Input {
+        Input::Members(list)
+    }
+}
+
 /// The clock of the module: Unix time, which all gateways share, but never going back.
 #[derive(Clone, Copy)]
 pub struct Clock {
--- a/crates/starlinghill-xds/src/hub.rs
+++ b/crates/starlinghill-xds/src/hub.rs
@@ -2,13 +2,13 @@
 //! moment. Streams take the newest state when they have room, so no slow one keeps others from it.
 
 use crate::resources::{self, Kind, ResourceSet, TypeSet, Wiring, KINDS};
-use starlinghill_decision::api::{Micros, SettingsError};
+use starlinghill_decision::api::{Micros, PlanId, SettingsError};
 use starlinghill_settings::members::MemberList;
 use starlinghill_settings::Site;
 use starlinghill_view::fleet::{Fleet, Observed, Picture};
 use starlinghill_view::ledger::{Ledger, LedgerSettings};
 use starlinghill_view::routes::routes;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -68,6 +68,12 @@
     Plan(Plan),
 }
 
+impl From<MemberList> for News {
+    fn from(list: MemberList) -> News {
+        News::Members(list)
+    }
+}
+
 /// One consistent state of everything, for all proxies.
 #[derive(Debug)]
 pub struct Published {
@@ -92,6 +98,8 @@
     pub site: Arc<Site>,
     /// The life and the way of assignments.
     pub lease: LedgerSettings,
+    /// The plans of which proxies get slices; of others they let nothing through.
+    pub plans: Arc<BTreeSet<PlanId>>,
     ledger: Arc<Mutex<Ledger>>,
 }
 
@@ -126,7 +134,13 @@
 }
 
 /// A hub that knows nothing yet of the fleet.
-pub fn new(seed: u64, site: Site, plan: Plan, lease: LedgerSettings) -> Result<(Runner, Hub), SettingsError> {
+pub fn new(
+    seed: u64,
+    site: Site,
+    plan: Plan,
+    lease: LedgerSettings,
+    plans: BTreeSet<PlanId>,
+) -> Result<(Runner, Hub), SettingsError> {
     let clock = Clock::start();
     let fleet = Fleet::new(seed, site.clone())?;
     let ledger = Arc::new(Mutex::new(Ledger::new(clock.now(), lease, &site.settings)));
@@ -134,7 +148,8 @@
     let (publish, published) = watch::channel(None);
     let (allow, allowed) = watch::channel(allowed(&plan));
     let routes = Arc::new(resources::route_tables(&routes(&site)));
-    let hub = Hub { news, published, allowed, clock, site: Arc::new(site), lease, ledger };
+    let hub =
+        Hub { news, published, allowed, clock, site: Arc::new(site), lease, plans: Arc::new(plans), ledger };
     let runner = Runner { fleet, plan, stale: false, routes, hub: hub.clone(), inbox, publish, allow };
     Ok((runner, hub))
 }
--- a/crates/starlinghill-xds/src/server.rs
+++ b/crates/starlinghill-xds/src/server.rs
@@ -423,9 +423,10 @@
 fn bucket(hub: &Hub, id: &rlqs::BucketId) -> Option<BucketKey> {
     let customer = id.bucket.get("customer").filter(|c| c.len() == 16)?;
     let customer = u64::from_str_radix(customer, 16).ok().filter(|c| *c < CUSTOMERS)?;
-    let plan = *hub.site.plans.get(id.bucket.get("plan")?)?;
+    let plan = hub.site.plans.get(id.bucket.get("plan")?).map(|&i| PlanId(i));
+    let plan = plan.filter(|plan| hub.plans.contains(plan))?;
     let units = id.bucket.get("units")?.parse().ok()?;
-    Some(BucketKey { customer: CustomerId(customer), plan: PlanId(plan), units })
+    Some(BucketKey { customer: CustomerId(customer), plan, units })
 }
 
 fn action(id: rlqs::BucketId, told: Assignment) -> Option<rlqs::rate_limit_quota_response::BucketAction> {
