Put the control service before stand-in proxies that drain, refuse and are cut

Need: what holds in the state machine must hold on sockets. The rig gets save nodes, a proxy that takes its routing over xDS, reports load and keeps quotas, and scripted cuts. Found and mended: a service that came back empty answered proxies that have just what it later learns, since their versions were looked at before it knew the list.

--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -1,4 +1,12 @@
 //! Stand-ins for what surrounds the programs of this repository, on loopback sockets, and faults that tests
 //! script for them. No program that is shipped depends on this package.
+//!
+//! - [`world`]: stubs of backends, the counter and discovery, a client, and a gateway as a process.
+//! - [`nodes`]: save nodes that many proxies send to at once, and what they saw.
+//! - [`proxy`]: a proxy that takes its routing over xDS and forwards to save nodes.
+//! - [`quota`]: that proxy's buckets, filled by quota assignments.
 
+pub mod nodes;
+pub mod proxy;
+pub mod quota;
 pub mod world;
--- /dev/null
+++ b/crates/starlinghill-rig/src/nodes.rs
@@ -0,0 +1,89 @@
+//! Save nodes: they answer at once, or fail, and note when whose request came.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// What a node saw of one sender.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    /// Requests.
+    pub requests: u64,
+    /// When the last one came.
+    pub last: Instant,
+}
+
+/// A save node. It ends when dropped.
+pub struct SaveNode {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<BTreeMap<String, Seen>>>,
+    fails: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+impl SaveNode {
+    /// Starts one on a free port.
+    pub async fn start() -> SaveNode {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (seen, fails) = (Arc::<Mutex<BTreeMap<String, Seen>>>::default(), Arc::<AtomicBool>::default());
+        let (log, bad) = (seen.clone(), fails.clone());
+        let task = tokio::spawn(async move {
+            // What it serves ends with it.
+            let mut served = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let (log, bad) = (log.clone(), bad.clone());
+                let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+                    let from = request.headers().get("x-from").and_then(|v| v.to_str().ok());
+                    let from = from.unwrap_or("nobody").to_string();
+                    let now = Instant::now();
+                    let mut log = log.lock().expect("whole");
+                    let seen = log.entry(from).or_insert(Seen { requests: 0, last: now });
+                    (seen.requests, seen.last) = (seen.requests + 1, now);
+                    let mut response = Response::new(Full::new(Bytes::from_static(b"ok")));
+                    if bad.load(Ordering::Relaxed) {
+                        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                    }
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                served.spawn(async move {
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        SaveNode { address, seen, fails, task }
+    }
+
+    /// What it saw, by sender.
+    pub fn seen(&self) -> BTreeMap<String, Seen> {
+        self.seen.lock().expect("whole").clone()
+    }
+
+    /// All requests so far.
+    pub fn requests(&self) -> u64 {
+        self.seen.lock().expect("whole").values().map(|s| s.requests).sum()
+    }
+
+    /// From now on it answers 500, or no longer.
+    pub fn fail(&self, fails: bool) {
+        self.fails.store(fails, Ordering::Relaxed);
+    }
+}
+
+impl Drop for SaveNode {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/starlinghill-xds/src/ads.rs
+++ b/crates/starlinghill-xds/src/ads.rs
@@ -175,6 +175,8 @@
     wildcard: bool,
     names: BTreeSet<String>,
     has: BTreeMap<Arc<str>, Has>,
+    /// The version that it says it has (state-of-the-world), while there is nothing to compare it with.
+    claim: Option<String>,
     /// Asked for anew: sent though the proxy should have them.
     again: BTreeSet<String>,
     /// Versions that the proxy refused, by name; of types sent whole also that of the whole (name "").
@@ -214,6 +216,7 @@
     /// There are newer resources. Only the newest count.
     pub fn update(&mut self, set: Arc<ResourceSet>) {
         for (sub, kind) in self.subs.iter_mut().zip(KINDS) {
+            believe(sub, kind, &set);
             // What was refused and is no longer to be sent holds nothing up.
             let current =
                 |name: &str, version: &str| set.get(kind, name).is_some_and(|r| r.version == version);
@@ -312,19 +315,8 @@
         }
         if first {
             sub.owed = true;
-            // Versions are hashes of what is in a response: one that is the same as what would be sent proves
-            // that the proxy has just that, from an earlier stream or another replica.
-            if let Some(set) = set.filter(|_| !version.is_empty()) {
-                let now = listed(&set, kind, sub);
-                let same = version_of(&now) == version;
-                // Else it may have any of the clusters there were, also some of one state and some of the next.
-                let before = set.past_clusters().filter(|_| kind == Kind::Cluster && sub.wildcard);
-                sub.has = match same {
-                    true => now.into_iter().map(|r| (r.name.clone(), Has::Resource(r))).collect(),
-                    false => before.chain(&now).map(|r| (r.name.clone(), Has::Maybe(r.clone()))).collect(),
-                };
-                sub.owed = !same;
-            }
+            sub.claim = Some(version).filter(|version| !version.is_empty());
+            set.into_iter().for_each(|set| believe(sub, kind, &set));
         }
         Ok(heard)
     }
@@ -597,6 +589,22 @@
     }
 }
 
+/// What a state-of-the-world proxy that came back has, by the version that it claims. Versions are hashes of what
+/// is in a response: one that is the same as what would be sent proves that the proxy has just that, from an
+/// earlier stream or another replica.
+fn believe(sub: &mut Sub, kind: Kind, set: &ResourceSet) {
+    let Some(claim) = sub.claim.take() else { return };
+    let now = listed(set, kind, sub);
+    let same = version_of(&now) == claim;
+    // Else it may have any of the clusters there were, also some of one state and some of the next.
+    let before = set.past_clusters().filter(|_| kind == Kind::Cluster && sub.wildcard);
+    sub.has = match same {
+        true => now.into_iter().map(|r| (r.name.clone(), Has::Resource(r))).collect(),
+        false => before.chain(&now).map(|r| (r.name.clone(), Has::Maybe(r.clone()))).collect(),
+    };
+    sub.owed = !same;
+}
+
 /// What a subscription stands for now, by name.
 fn listed(set: &ResourceSet, kind: Kind, sub: &Sub) -> Vec<Arc<Resource>> {
     if sub.wildcard {
--- a/crates/starlinghill-xds/tests/ads.rs
+++ b/crates/starlinghill-xds/tests/ads.rs
@@ -337,6 +337,15 @@
         link.cut(&again);
         link.settle();
         assert_eq!(link.sent, sent, "{flavour:?}: no storm after a restart");
+        // One that knows nothing yet when the proxy comes back.
+        link.cut(&again);
+        link.stream = Stream::new(flavour, "empty".into(), LIMITS);
+        while !link.to_server.is_empty() {
+            link.serve();
+        }
+        link.stream.update(again);
+        link.settle();
+        assert_eq!(link.sent, sent, "{flavour:?}: no storm after an empty start");
         link.client.is(&set);
     }
 }
