Test the control service against a foreign client, hostile clients and lost slices

A program whose first lines a test can't read is now ended with the test: one such run hung for ten minutes.

--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -186,7 +186,7 @@
         Limits { connections: l.connections, streams: l.streams, names: l.names, message: l.message };
     let service = Service::new(hub.clone(), limits, seed, stopping);
     let serving = tokio::spawn(service.serve(listener, tls));
-    info!(%address, proxies = control.proxies.len(), "listening");
+    info!(proxies = control.proxies.len(), %address, "listening");
     Ok(Running { address, hub, control, stop, upstreams, serving, running })
 }
 
--- a/crates/starlinghill-control/tests/proxies.rs
+++ b/crates/starlinghill-control/tests/proxies.rs
@@ -1,56 +1,18 @@
 //! The control service on loopback sockets, before proxies of both flavours that forward to save nodes.
 
-use starlinghill_control::{prepare, start, Running};
+mod common;
+
+use common::{file, member, nodes, service, until};
+use starlinghill_control::{prepare, Running};
 use starlinghill_rig::nodes::SaveNode;
 use starlinghill_rig::proxy::{Flavour, Proxy, Settings};
-use starlinghill_rig::world::{self, list, Discovery, LIMIT};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use starlinghill_rig::world::{list, Discovery};
 use std::time::{Duration, Instant};
 
 const BOTH: [Flavour; 2] = [Flavour::Whole, Flavour::Delta];
 /// The cutoff of the rule on drains.
 const CUTOFF: Duration = Duration::from_secs(1);
 
-fn member(id: &str, address: SocketAddr, phase: &str, up_since_ms: u64) -> String {
-    format!(
-        r#"{{"id":"{id}","host_port":"{address}","locality":"a","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":{up_since_ms}}}"#
-    )
-}
-
-/// The operators' file round this discovery, with more lines at its end.
-fn file(discovery: &Discovery, more: &str) -> PathBuf {
-    let at = discovery.stub.address;
-    let platform = world::file(&world::config(at, at));
-    let names = ["whole", "delta", "third"].map(|id| format!("[[control.proxies]]\nid = \"{id}\"\n"));
-    let text = format!(
-        "[control]\nlisten = \"127.0.0.1:0\"\nplatform = \"{}\"\n{}{more}",
-        platform.display(),
-        names.concat()
-    );
-    world::file(&text)
-}
-
-async fn service(discovery: &Discovery) -> Running {
-    let prepared = prepare(&file(discovery, "[control.quotas]\nlease_ms = 1000\n")).expect("a sound file");
-    start(prepared).await.expect("it starts")
-}
-
-/// Save nodes `s-0`, `s-1`...
-async fn nodes(n: usize) -> (Vec<SaveNode>, Discovery) {
-    let mut nodes = Vec::new();
-    for _ in 0..n {
-        nodes.push(SaveNode::start().await);
-    }
-    let members: Vec<String> = nodes
-        .iter()
-        .enumerate()
-        .map(|(i, node)| member(&format!("s-{i}"), node.address, "ready", 0))
-        .collect();
-    let discovery = Discovery::start(&members.join(","));
-    (nodes, discovery)
-}
-
 fn name(flavour: Flavour) -> &'static str {
     match flavour {
         Flavour::Whole => "whole",
@@ -66,15 +28,6 @@
     mirror.targets.iter().find(|t| t.id == id).map(|t| t.healthy)
 }
 
-/// Waits until a condition holds.
-async fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + LIMIT;
-    while !holds() {
-        assert!(Instant::now() < end, "waited in vain for {what}");
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Once the proxies know, and a while has passed under load, nothing new has come to that node.
 async fn quiet(node: &SaveNode, told: Instant) {
     tokio::time::sleep((told + CUTOFF).saturating_duration_since(Instant::now())).await;
--- /dev/null
+++ b/crates/starlinghill-rig/examples/common/mod.rs
@@ -0,0 +1,47 @@
+//! What the measurements share.
+#![allow(dead_code)]
+
+use starlinghill_control::{prepare, start, Running};
+use starlinghill_rig::nodes::SaveNode;
+use starlinghill_rig::world::{self, Discovery};
+use std::time::Duration;
+
+/// Save nodes `s-0`, `s-1`..., and discovery that lists them.
+pub async fn nodes(n: usize) -> (Vec<SaveNode>, Discovery) {
+    let mut nodes = Vec::new();
+    for _ in 0..n {
+        nodes.push(SaveNode::start().await);
+    }
+    let members: Vec<String> = nodes
+        .iter()
+        .enumerate()
+        .map(|(i, node)| world::member(&format!("s-{i}"), node.address, "ready"))
+        .collect();
+    let discovery = Discovery::start(&members.join(","));
+    (nodes, discovery)
+}
+
+/// A control service before this discovery.
+pub async fn service(discovery: &Discovery, proxies: &[&str], plans: &str, more: &str) -> Running {
+    let path = world::control_file(discovery.stub.address, proxies, plans, more);
+    let prepared = match prepare(&path) {
+        Ok(prepared) => prepared,
+        Err(problems) => panic!("{problems:?}"),
+    };
+    start(prepared).await.expect("it starts")
+}
+
+/// A number from the command line, by its place.
+pub fn argument(place: usize, default: usize) -> usize {
+    std::env::args().nth(place).map_or(default, |text| text.parse().expect("a number"))
+}
+
+/// Milliseconds, to a hundredth.
+pub fn ms(span: Duration) -> String {
+    format!("{:.2}", span.as_secs_f64() * 1e3)
+}
+
+/// Cores of this machine.
+pub fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
--- /dev/null
+++ b/crates/starlinghill-rig/examples/slices.rs
@@ -0,0 +1,181 @@
+//! Measures quota slices at three proxies: `publisher` customers surge and move about, one proxy is killed, one is
+//! cut off; what all sent on against quota and ceiling, and refusals that had room, beside an even split of the
+//! same traffic. `cargo run --release -p starlinghill-rig --example slices [customers] [seconds] [seed]`.
+
+mod common;
+
+use common::{argument, cores, nodes, service};
+use starlinghill_rig::proxy::{Flavour, Proxy, Settings};
+use starlinghill_rig::quota::Key;
+use std::time::{Duration, Instant};
+
+const NAMES: [&str; 3] = ["p-0", "p-1", "p-2"];
+const RATE: f64 = 18.0;
+const BURST: f64 = 36.0;
+const CEILING: (f64, f64) = (39.6, 79.2);
+/// 10%, or one of the largest requests.
+const SLACK: f64 = 7.92;
+const PLAN: &str = r#"{"name":"publisher","per_second":18.0,"peak_units":36.0,"ceiling_rate":39.6,"cap_depth":79.2,"tolerance":7.92},"#;
+const QUOTAS: &str = "[control.quotas]\nlease_ms = 1500\nallowance_ms = 250\ninterval_ms = 200\n";
+
+/// A token bucket that may go below nothing.
+#[derive(Clone)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Instant,
+    lowest: f64,
+}
+
+impl Bucket {
+    fn new(rate: f64, burst: f64, now: Instant) -> Bucket {
+        Bucket { rate, burst, level: burst, at: now, lowest: burst }
+    }
+    fn fill(&mut self, now: Instant) {
+        self.level = (self.level + self.rate * (now - self.at).as_secs_f64()).min(self.burst);
+        self.at = now;
+    }
+    fn take(&mut self, units: f64) {
+        self.level -= units;
+        self.lowest = self.lowest.min(self.level);
+    }
+}
+
+struct Customer {
+    key: Key,
+    /// What it asks for a second, against its quota.
+    demand: f64,
+    /// Real traffic against the quota and the ceiling, and an even split of the same traffic.
+    quota: Bucket,
+    ceiling: Bucket,
+    split: [Bucket; 3],
+    split_quota: Bucket,
+    asked: u64,
+    passed: u64,
+    wrongful: u64,
+    split_passed: u64,
+    split_wrongful: u64,
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() {
+    let (customers, seconds, seed) = (argument(1, 8), argument(2, 45), argument(3, 1));
+    let (_nodes, discovery) = nodes(1).await;
+    let running = service(&discovery, &NAMES, PLAN, QUOTAS).await;
+    let settings = |name: &str| Settings {
+        interval: Duration::from_millis(200),
+        ..Settings::new(running.address, name, Flavour::Delta)
+    };
+    let mut proxies: Vec<Option<Proxy>> =
+        NAMES.iter().map(|name| Some(Proxy::start(settings(name)).counting())).collect();
+    // The first moments after a start, in which nothing is given out, are not part of this.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let mut rng = fastrand::Rng::with_seed(seed as u64);
+    let start = Instant::now();
+    let mut all: Vec<Customer> = (0..customers)
+        .map(|i| Customer {
+            key: (1_000 + i as u64, "publisher".into(), 1),
+            // Half stay inside their quota, half surge to four times of it.
+            demand: if i % 2 == 0 { 0.8 } else { 1.0 + 3.0 * rng.f64() },
+            quota: Bucket::new(RATE, BURST, start),
+            ceiling: Bucket::new(CEILING.0, CEILING.1, start),
+            split: [0, 1, 2].map(|_| Bucket::new(RATE / 3.0, BURST / 3.0, start)),
+            split_quota: Bucket::new(RATE, BURST, start),
+            asked: 0,
+            passed: 0,
+            wrongful: 0,
+            split_passed: 0,
+            split_wrongful: 0,
+        })
+        .collect();
+    let step = Duration::from_millis(5);
+    let third = seconds as f64 / 3.0;
+    let mut events = [(third, true), (2.0 * third, false)].into_iter().peekable();
+    let mut tick = tokio::time::interval(step);
+    let mut now_s = 0.0;
+    while now_s < seconds as f64 {
+        tick.tick().await;
+        let now = Instant::now();
+        let before = now_s;
+        now_s = (now - start).as_secs_f64();
+        if events.peek().is_some_and(|e| now_s >= e.0) {
+            match events.next() {
+                Some((_, true)) => proxies[2] = None,                 // Killed.
+                _ => proxies[1].as_ref().expect("there").apart(true), // Cut off.
+            }
+        }
+        for (i, c) in all.iter_mut().enumerate() {
+            let expected = c.demand * RATE * (now_s - before);
+            let mut n = expected.floor() as u32 + u32::from(rng.f64() < expected.fract());
+            while n > 0 {
+                n -= 1;
+                // The busiest proxy changes every 8 s.
+                let busiest = ((now_s / 8.0) as usize + i) % 3;
+                let mut p = if rng.f64() < 0.7 { busiest } else { rng.usize(0..3) };
+                while proxies[p].is_none() {
+                    p = (p + 1) % 3;
+                }
+                let ok = proxies[p].as_ref().expect("there").admit(&c.key);
+                c.asked += 1;
+                [&mut c.quota, &mut c.ceiling, &mut c.split_quota].into_iter().for_each(|b| b.fill(now));
+                if ok {
+                    c.passed += 1;
+                    c.quota.take(1.0);
+                    c.ceiling.take(1.0);
+                } else {
+                    c.wrongful += u64::from(c.quota.level >= 1.0);
+                }
+                c.split[p].fill(now);
+                if c.split[p].level >= 1.0 {
+                    c.split[p].take(1.0);
+                    c.split_quota.take(1.0);
+                    c.split_passed += 1;
+                } else {
+                    c.split_wrongful += u64::from(c.split_quota.level >= 1.0);
+                }
+            }
+        }
+    }
+    println!(
+        "quota slices: 3 proxies, {seconds} s; one killed after {third:.0} s, one cut off after {:.0} s",
+        2.0 * third
+    );
+    println!(
+        "quota {RATE} a second and {BURST} at once; ceiling {} and {}, slack {SLACK}; {} cores",
+        CEILING.0,
+        CEILING.1,
+        cores()
+    );
+    println!("| customer | asked x quota | asked | passed | beyond quota | beyond ceiling | wrongful % | even split: passed | wrongful % |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let percent = |part: u64, of: u64| 100.0 * part as f64 / of.max(1) as f64;
+    let mut sums = [0; 5];
+    for c in &all {
+        let beyond = |b: &Bucket| (-b.lowest).max(0.0);
+        println!(
+            "| {} | {:.1} | {} | {} | {:.1} | {:.1} | {:.1} | {} | {:.1} |",
+            c.key.0,
+            c.demand,
+            c.asked,
+            c.passed,
+            beyond(&c.quota),
+            beyond(&c.ceiling),
+            percent(c.wrongful, c.asked),
+            c.split_passed,
+            percent(c.split_wrongful, c.asked)
+        );
+        let row = [c.asked, c.passed, c.wrongful, c.split_passed, c.split_wrongful];
+        sums.iter_mut().zip(row).for_each(|(sum, n)| *sum += n);
+    }
+    println!(
+        "together: {} asked; slices passed {}, wrongful {:.1}%; even split passed {}, wrongful {:.1}%",
+        sums[0],
+        sums[1],
+        percent(sums[2], sums[0]),
+        sums[3],
+        percent(sums[4], sums[0])
+    );
+    let over = all.iter().filter(|c| -c.ceiling.lowest > SLACK).count();
+    println!("customers beyond the ceiling and its slack: {over}");
+}
--- a/crates/starlinghill-rig/src/proxy.rs
+++ b/crates/starlinghill-rig/src/proxy.rs
@@ -558,3 +558,14 @@
     lines.insert(target.id.clone(), line);
     answer.starts_with(b"HTTP/1.1 200")
 }
+
+/// Asks for the clusters over a channel of the caller's making; returns how many there are.
+pub async fn ask_clusters(channel: Channel, node: &str) -> Result<usize, Status> {
+    let mut client = AggregatedDiscoveryServiceClient::new(channel);
+    let (tx, requests) = outbound();
+    let node = Some(Node { id: node.into(), ..Default::default() });
+    let _ = tx.send(DiscoveryRequest { node, type_url: Cluster::type_url(), ..Default::default() }).await;
+    let mut responses = client.stream_aggregated_resources(requests).await?.into_inner();
+    let first = responses.message().await?;
+    Ok(first.map_or(0, |first| first.resources.len()))
+}
--- a/crates/starlinghill-rig/src/world.rs
+++ b/crates/starlinghill-rig/src/world.rs
@@ -198,10 +198,14 @@
 pub fn list(revision: u64, complete: bool, members: &str) -> String {
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
 }
-/// One member in discovery's form.
+/// One member in discovery's form, long since started.
 pub fn member(id: &str, address: SocketAddr, phase: &str) -> String {
+    member_since(id, address, phase, 0)
+}
+/// One member in discovery's form, with its start in Unix time, in milliseconds.
+pub fn member_since(id: &str, address: SocketAddr, phase: &str, up_since_ms: u64) -> String {
     format!(
-        r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+        r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":{up_since_ms}}}"#
     )
 }
 
@@ -251,6 +255,16 @@
     )
 }
 
+/// An operators' file with a control service for these proxies, before this discovery. `plans` go before those of
+/// the settings, as JSON, each with a comma behind it; `more` stands at the file's end.
+pub fn control_file(discovery: SocketAddr, proxies: &[&str], plans: &str, more: &str) -> PathBuf {
+    let platform = config(discovery, discovery).replace("\"plans\":[", &format!("\"plans\":[{plans}"));
+    let platform = file(&platform);
+    let proxies: String = proxies.iter().map(|id| format!("[[control.proxies]]\nid = \"{id}\"\n")).collect();
+    let platform = platform.display();
+    file(&format!("[control]\nlisten = \"127.0.0.1:0\"\nplatform = \"{platform}\"\n{proxies}{more}"))
+}
+
 /// A file of its own with this configuration.
 pub fn file(config: &str) -> PathBuf {
     use std::sync::atomic::{AtomicUsize, Ordering};
@@ -280,10 +294,12 @@
 impl Node {
     /// Starts it and waits until it listens.
     pub fn spawn(mut command: Command) -> Node {
-        let mut child = command.spawn().expect("it starts");
-        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let child = command.spawn().expect("it starts");
+        // From here on it ends with the test, also if what it says is not understood.
+        let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
+        let mut log = BufReader::new(node.child.stderr.take().expect("piped"));
         let mut told = String::new();
-        let address = loop {
+        node.address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened: {told}");
             told.push_str(&line);
@@ -293,7 +309,7 @@
         };
         // Its log must not fill the pipe.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { child, address }
+        node
     }
     /// A gateway with these round it, ready.
     pub fn start(path: &str, discovery: &Discovery, counter: &Stub) -> Node {
@@ -311,9 +327,7 @@
     }
     /// Connects to it.
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("it listens");
-        stream.set_read_timeout(Some(LIMIT)).expect("a socket");
-        Client { reader: BufReader::new(stream.try_clone().expect("a socket")), stream }
+        Client::connect(self.address)
     }
     /// Sends it a signal, such as TERM.
     pub fn signal(&self, name: &str) {
@@ -347,6 +361,12 @@
 }
 
 impl Client {
+    /// Connects to a gateway.
+    pub fn connect(at: SocketAddr) -> Client {
+        let stream = TcpStream::connect(at).expect("it listens");
+        stream.set_read_timeout(Some(LIMIT)).expect("a socket");
+        Client { reader: BufReader::new(stream.try_clone().expect("a socket")), stream }
+    }
     /// Writes this.
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("it reads");
--- /dev/null
+++ b/crates/starlinghill-xds/tests/resources.rs
@@ -0,0 +1,179 @@
+//! What the resources say, read back as a proxy reads them.
+
+use envoy_types::pb::envoy::config::cluster::v3::Cluster;
+use envoy_types::pb::envoy::config::core::v3::HealthStatus;
+use envoy_types::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
+use envoy_types::pb::envoy::config::listener::v3::{filter::ConfigType, Listener};
+use envoy_types::pb::envoy::config::route::v3::{route::Action, RouteConfiguration};
+use envoy_types::pb::envoy::extensions::filters::http::rate_limit_quota::v3::{
+    RateLimitQuotaBucketSettings, RateLimitQuotaFilterConfig,
+};
+use envoy_types::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
+    http_filter, HttpConnectionManager,
+};
+use envoy_types::pb::xds::r#type::matcher::v3::matcher::on_match::OnMatch;
+use prost::Message;
+use starlinghill_decision::api::Micros;
+use starlinghill_view::fleet::{Endpoint, Picture, Use};
+use starlinghill_view::routes::{ClassRoute, RetryOn};
+use starlinghill_xds::resources::*;
+
+fn wiring(quotas: bool) -> Wiring {
+    let quotas = quotas.then(|| QuotaWiring {
+        cluster: "control".into(),
+        customer_header: "x-customer".into(),
+        plan_header: "x-plan".into(),
+        units_header: "x-units".into(),
+        interval: Micros(250_000),
+    });
+    Wiring { connect_timeout: Micros(250_000), attempts_out: 10, quotas }
+}
+
+fn endpoint(id: &str, port: u16, usage: Use, weight: u32) -> Endpoint {
+    Endpoint { id: id.into(), address: ([127, 0, 0, 1], port).into(), zone: "a".into(), usage, weight }
+}
+
+fn one<M: Message + Default>(set: TypeSet, kind: Kind, name: &str) -> M {
+    let nothing = || std::sync::Arc::new(TypeSet::default());
+    let mut types = [nothing(), nothing(), nothing(), nothing()];
+    types[kind as usize] = std::sync::Arc::new(set);
+    let set = ResourceSet::new(types);
+    let resource = set.get(kind, name).expect("there");
+    assert_eq!(resource.body.type_url, kind.url());
+    M::decode(resource.body.value.as_slice()).expect("it can be read")
+}
+
+#[test]
+fn endpoints_tell_state_weight_and_what_is_to_be_turned_away() {
+    let picture = Picture {
+        endpoints: vec![
+            endpoint("s-0", 1, Use::Healthy, 1000),
+            endpoint("s-1", 2, Use::Draining, 1000),
+            endpoint("s-2", 3, Use::Ejected, 1000),
+            endpoint("s-3", 4, Use::Healthy, 170),
+        ],
+        drop: 2_500,
+    };
+    let all: ClusterLoadAssignment = one(endpoints(&picture), Kind::Endpoints, SAVE_NODES);
+    let localities: Vec<(String, Option<u32>, usize)> = all
+        .endpoints
+        .iter()
+        .map(|l| {
+            let locality = l.locality.clone().expect("a locality");
+            (locality.sub_zone, l.load_balancing_weight.map(|w| w.value), l.lb_endpoints.len())
+        })
+        .collect();
+    // What drains or is ejected adds nothing to its locality; what is cold has a locality of its own.
+    assert_eq!(localities, [(String::new(), Some(1000), 3), ("lesser-s-3".into(), Some(170), 1)]);
+    let health: Vec<i32> = all.endpoints[0].lb_endpoints.iter().map(|e| e.health_status).collect();
+    let wanted = [HealthStatus::Healthy, HealthStatus::Draining, HealthStatus::Unhealthy];
+    assert_eq!(health, wanted.map(|h| h as i32));
+    let drop = &all.policy.expect("a policy").drop_overloads[0];
+    assert_eq!(drop.drop_percentage.expect("a part").numerator, 2_500);
+    let empty: ClusterLoadAssignment = one(endpoints(&Picture::default()), Kind::Endpoints, SAVE_NODES);
+    assert!(empty.endpoints.is_empty() && empty.policy.is_none());
+}
+
+#[test]
+fn a_locality_of_which_nothing_can_be_used_has_no_weight() {
+    let picture = Picture { endpoints: vec![endpoint("s-1", 2, Use::Draining, 1000)], drop: 0 };
+    let all: ClusterLoadAssignment = one(endpoints(&picture), Kind::Endpoints, SAVE_NODES);
+    assert_eq!(all.endpoints[0].load_balancing_weight, None);
+}
+
+#[test]
+fn a_proxy_never_panics_into_what_drains_and_keeps_to_the_modules_bounds() {
+    let cluster: Cluster = one(clusters(&wiring(false), 12), Kind::Cluster, SAVE_NODES);
+    let lb = cluster.common_lb_config.expect("there");
+    assert_eq!(lb.healthy_panic_threshold.map(|p| p.value), Some(0.0));
+    let thresholds = &cluster.circuit_breakers.expect("there").thresholds[0];
+    assert_eq!(thresholds.max_requests.map(|n| n.value), Some(160), "ten at each of sixteen");
+    let budget = thresholds.retry_budget.as_ref().expect("there");
+    assert_eq!(budget.budget_percent.map(|p| p.value), Some(20.0));
+    let outliers = cluster.outlier_detection.expect("there");
+    assert_eq!(outliers.base_ejection_time.map(|t| t.seconds), Some(1));
+    assert_eq!(outliers.max_ejection_time.map(|t| t.seconds), Some(8));
+    assert_eq!(clusters(&wiring(false), 9), clusters(&wiring(false), 16), "not a message for each newcomer");
+}
+
+#[test]
+fn routes_try_three_times_at_most_and_never_two_at_once() {
+    let class = |name: &str, method, on| ClassRoute {
+        name: name.into(),
+        method,
+        timeout: Micros(4_000_000),
+        per_try: (on == RetryOn::Failed).then_some(Micros(700_000)),
+        retries: 2,
+        on,
+    };
+    let list = [class("look", "GET", RetryOn::Failed), class("once", "POST", RetryOn::NeverRan)];
+    for (name, grpc) in [(HTTP_ROUTES, false), (GRPC_ROUTES, true)] {
+        let table: RouteConfiguration = one(route_tables(&list), Kind::Routes, name);
+        let host = &table.virtual_hosts[0];
+        assert!(host.retry_policy.is_none() && host.hedge_policy.is_none());
+        assert_eq!(host.routes.len(), if grpc { 2 } else { 3 });
+        for (route, class) in host.routes.iter().zip(&list) {
+            let headers = &route.r#match.as_ref().expect("a match").headers;
+            assert_eq!(headers.len(), if grpc { 1 } else { 2 }, "class, and method where there is one");
+            let Some(Action::Route(action)) = &route.action else { panic!("it routes") };
+            assert!(action.hedge_policy.is_none(), "never two at once");
+            assert_eq!(action.timeout.map(|t| t.seconds), Some(4));
+            let Some(retry) = &action.retry_policy else {
+                assert!(
+                    grpc && class.on == RetryOn::NeverRan,
+                    "a gRPC status does not tell that nothing ran"
+                );
+                continue;
+            };
+            assert_eq!(retry.num_retries.map(|n| n.value), Some(2));
+            if class.on == RetryOn::NeverRan {
+                assert_eq!(retry.retry_on, "connect-failure,refused-stream,retriable-headers");
+                assert_eq!(retry.retriable_headers[0].name, "x-rejected");
+                assert!(retry.per_try_timeout.is_none());
+            }
+        }
+        if let Some(last) = host.routes.get(2) {
+            assert!(
+                matches!(&last.action, Some(Action::DirectResponse(r)) if r.status == 400),
+                "no class, no work"
+            );
+        }
+    }
+}
+
+fn manager(listener: &Listener) -> HttpConnectionManager {
+    let filter = &listener.filter_chains[0].filters[0];
+    let Some(ConfigType::TypedConfig(config)) = &filter.config_type else { panic!("a configuration") };
+    HttpConnectionManager::decode(config.value.as_slice()).expect("it can be read")
+}
+
+#[test]
+fn the_quota_filter_names_customer_plan_and_units_and_lets_nothing_through_without_a_slice() {
+    let at = ([127, 0, 0, 1], 8080).into();
+    let listener: Listener = one(listeners("edge-1", Some(at), &wiring(true)), Kind::Listener, HTTP_LISTENER);
+    let filters = manager(&listener).http_filters;
+    assert_eq!(filters.len(), 2, "quotas, then the router");
+    let Some(http_filter::ConfigType::TypedConfig(config)) = &filters[0].config_type else { panic!("typed") };
+    let config = RateLimitQuotaFilterConfig::decode(config.value.as_slice()).expect("it can be read");
+    assert_eq!(config.domain, DOMAIN);
+    assert_eq!(config.rlqs_server.expect("there").initial_metadata[0].value, "edge-1");
+    let matcher = config.bucket_matchers.expect("there").on_no_match.expect("there");
+    let Some(OnMatch::Action(action)) = matcher.on_match else { panic!("an action") };
+    let bytes = action.typed_config.expect("there").value;
+    let settings = RateLimitQuotaBucketSettings::decode(bytes.as_slice()).expect("it can be read");
+    let mut keys: Vec<String> =
+        settings.bucket_id_builder.expect("there").bucket_id_builder.into_keys().collect();
+    keys.sort();
+    assert_eq!(keys, ["customer", "plan", "units"], "written one by one, and read as one map");
+    assert!(settings.no_assignment_behavior.is_some() && settings.expired_assignment_behavior.is_some());
+    assert_eq!(settings.deny_response_settings.expect("there").http_status.map(|s| s.code), Some(429));
+    let plain: Listener = one(listeners("edge-1", Some(at), &wiring(false)), Kind::Listener, HTTP_LISTENER);
+    assert_eq!(manager(&plain).http_filters.len(), 1);
+}
+
+#[test]
+fn the_same_is_encoded_the_same() {
+    let at = Some(([127, 0, 0, 1], 8080).into());
+    assert_eq!(listeners("edge-1", at, &wiring(true)), listeners("edge-1", at, &wiring(true)));
+    assert_ne!(listeners("edge-1", at, &wiring(true)), listeners("edge-2", at, &wiring(true)));
+}
