--- a/crates/starlinghill-control/tests/common/mod.rs
+++ b/crates/starlinghill-control/tests/common/mod.rs
@@ -1,12 +1,12 @@
 //! A control service under test, and what surrounds it.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 use starlinghill_control::{prepare, start, Running};
-use starlinghill_rig::nodes::SaveNode;
 use starlinghill_rig::world::{self, Discovery, LIMIT};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+pub use starlinghill_rig::nodes::listed as nodes;
 pub use starlinghill_rig::world::member_since as member;
 
 /// The operators' file round this discovery, with more lines at its end.
@@ -19,21 +19,6 @@
     start(prepared).await.expect("it starts")
 }
 
-/// Save nodes `s-0`, `s-1`...
-pub async fn nodes(n: usize) -> (Vec<SaveNode>, Discovery) {
-    let mut nodes = Vec::new();
-    for _ in 0..n {
-        nodes.push(SaveNode::start().await);
-    }
-    let members: Vec<String> = nodes
-        .iter()
-        .enumerate()
-        .map(|(i, node)| member(&format!("s-{i}"), node.address, "ready", 0))
-        .collect();
-    let discovery = Discovery::start(&members.join(","));
-    (nodes, discovery)
-}
-
 /// Waits until a condition holds.
 pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + LIMIT;
--- a/crates/starlinghill-rig/examples/common/mod.rs
+++ b/crates/starlinghill-rig/examples/common/mod.rs
@@ -2,24 +2,10 @@
 #![allow(dead_code)]
 
 use starlinghill_control::{prepare, start, Running};
-use starlinghill_rig::nodes::SaveNode;
 use starlinghill_rig::world::{self, Discovery};
 use std::time::Duration;
 
-/// Save nodes `s-0`, `s-1`..., and discovery that lists them.
-pub async fn nodes(n: usize) -> (Vec<SaveNode>, Discovery) {
-    let mut nodes = Vec::new();
-    for _ in 0..n {
-        nodes.push(SaveNode::start().await);
-    }
-    let members: Vec<String> = nodes
-        .iter()
-        .enumerate()
-        .map(|(i, node)| world::member(&format!("s-{i}"), node.address, "ready"))
-        .collect();
-    let discovery = Discovery::start(&members.join(","));
-    (nodes, discovery)
-}
+pub use starlinghill_rig::nodes::listed as nodes;
 
 /// A control service before this discovery.
 pub async fn service(discovery: &Discovery, proxies: &[&str], plans: &str, more: &str) -> Running {
--- a/crates/starlinghill-rig/src/nodes.rs
+++ b/crates/starlinghill-rig/src/nodes.rs
@@ -1,5 +1,6 @@
 //! Save nodes: they answer at once, or fail, and note when whose request came.
 
+use crate::world::{self, Discovery};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::server::conn::http1;
@@ -87,3 +88,16 @@
         self.task.abort();
     }
 }
+
+/// Save nodes `s-0`, `s-1`..., and discovery that lists them.
+pub async fn listed(n: usize) -> (Vec<SaveNode>, Discovery) {
+    let mut nodes = Vec::new();
+    for _ in 0..n {
+        nodes.push(SaveNode::start().await);
+    }
+    let named = nodes.iter().enumerate();
+    let members: Vec<String> =
+        named.map(|(i, node)| world::member(&format!("s-{i}"), node.address, "ready")).collect();
+    let discovery = Discovery::start(&members.join(","));
+    (nodes, discovery)
+}
--- a/crates/starlinghill-view/tests/fleet.rs
+++ b/crates/starlinghill-view/tests/fleet.rs
@@ -120,6 +120,19 @@
     assert_eq!((usage(&mut fleet, now, "c").expect("listed").1, now), (1000, NOW + 16 * S));
 }
 
+#[test]
+fn a_service_that_comes_back_empty_ramps_cold_servers_as_the_one_before_did() {
+    let mut members: Vec<Member> = (0..4).map(|i| member(&format!("s-{i}"), i, Phase::Ready, 0)).collect();
+    members.push(member("c", 9, Phase::Ready, NOW / 1000));
+    let (mut before, mut after) = (fleet(), fleet());
+    before.list(Micros(NOW), list(true, &members)).expect("taken");
+    for second in [1, 5, 12, 16] {
+        let now = Micros(NOW + second * S);
+        after.list(now, list(true, &members)).expect("taken");
+        assert_eq!(before.picture(now), after.picture(now), "after {second} s");
+    }
+}
+
 #[test]
 fn where_most_of_the_fleet_is_cold_the_rest_is_turned_away() {
     let mut fleet = fleet();
--- a/crates/starlinghill-view/tests/ledger.rs
+++ b/crates/starlinghill-view/tests/ledger.rs
@@ -357,3 +357,46 @@
     ledger.sweep(Micros(200 * S));
     assert_eq!(ledger.customers(), 0);
 }
+
+#[test]
+fn a_load_that_moves_from_proxy_to_proxy_is_followed() {
+    let (rate, burst) = (18.0, 36.0);
+    let mut passed = [0_u64; 3];
+    for (seed, demand) in [(1, 0.8), (2, 0.8), (3, 3.0)] {
+        println!("seed {seed}");
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut w = World::new(rate, burst, 3, 1);
+        (0..3).for_each(|p| w.connect(p));
+        calm(&mut w, 10, &[1.0, 1.0, 1.0]);
+        let mut ideal = Reference::new(rate, burst);
+        let mut split = [0, 1, 2].map(|_| Reference::new(rate / 3.0, burst / 3.0));
+        for reference in split.iter_mut().chain([&mut ideal]) {
+            reference.at = w.now;
+        }
+        for step in 0..6_400_u64 {
+            let now = w.now;
+            w.pass_to(now + 10 * MS, &mut || 2 * MS);
+            if rng.f64() < demand * rate * 0.01 {
+                // The busiest proxy changes every 8 s.
+                let p = if rng.f64() < 0.7 { (step / 800 % 3) as usize } else { rng.usize(0..3) };
+                passed[0] += u64::from(w.ask(p));
+                for (i, reference) in [(1, &mut ideal), (2, &mut split[p])] {
+                    reference.pass(w.now, 0.0);
+                    if reference.level >= 1.0 {
+                        reference.pass(w.now, 1.0);
+                        passed[i] += 1;
+                    }
+                }
+            }
+            for p in 0..3 {
+                if step % 25 == p as u64 {
+                    w.report(p, 2 * MS);
+                }
+            }
+        }
+        assert!(w.quota.lowest > -1e-3);
+    }
+    let part = |n: u64| 1.0 - n as f64 / passed[1] as f64;
+    println!("wrongly refused: slices {:.3}, even split {:.3}", part(passed[0]), part(passed[2]));
+    assert!(part(passed[0]) < 0.1 && part(passed[0]) < part(passed[2]) / 2.0, "{passed:?}");
+}
