--- a/crates/starlinghill-rig/examples/common/mod.rs
+++ b/crates/starlinghill-rig/examples/common/mod.rs
@@ -1,5 +1,5 @@
 //! What the measurements share.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 use starlinghill_control::{prepare, start, Running};
 use starlinghill_rig::world::{self, Discovery};
