Give the rig a counter with a capacity and all its failures

Need: counter loss can only be shown against a counter that refuses, stalls, crawls, turns away, spoils, is split, merged, emptied or set back, and that still tells what it really counted. Each fault has a test. deploy/operators.toml holds every key, all off, and a test switches them on.

Not measured: nothing that the platform runs changed.

--- a/crates/starlinghill-operators/tests/control.rs
+++ b/crates/starlinghill-operators/tests/control.rs
@@ -84,3 +84,12 @@
     let problems = starlinghill_operators::read(Path::new("no/such/file.toml")).expect_err("not there");
     assert!(problems[0].to_string().starts_with("no/such/file.toml: "), "{}", problems[0]);
 }
+
+#[test]
+fn the_file_under_deploy_turns_nothing_on_and_its_examples_are_sound() {
+    let text = include_str!("../../../deploy/operators.toml");
+    assert_eq!(read(text).expect("sound").control, None);
+    let on: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("#:")).map(str::trim).collect();
+    let control = read(&on.join("\n")).expect("sound").control.expect("on");
+    assert!(control.tls.is_some() && control.quotas.is_some() && control.proxies.len() == 1);
+}
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -2,10 +2,12 @@
 //! script for them. No program that is shipped depends on this package.
 //!
 //! - [`world`]: stubs of backends, the counter and discovery, a client, and a gateway as a process.
+//! - [`counter`]: the shared counter with a capacity, its failures, and what it really counted.
 //! - [`nodes`]: save nodes that many proxies send to at once, and what they saw.
 //! - [`proxy`]: a proxy that takes its routing over xDS and forwards to save nodes.
 //! - [`quota`]: that proxy's buckets, filled by quota assignments.
 
+pub mod counter;
 pub mod nodes;
 pub mod proxy;
 pub mod quota;
