--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -1,4 +1,4 @@
-//! The life of a request: its arrival, its attempts one after another, what waits for a server, its one answer.
+//! The life of a request: its arrival, its attempts one after another, what waits for a server, its answer.
 
 use crate::admission::{Admission, Asked, Purpose, FORGET};
 use crate::api::*;
