--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Share of requests that ask: cut by each failed call and a little by an answer that took more than half of
-/// the time there is, raised by each other answer, and never below `LEAST_PART`. Raised by as much whatever it
-/// is, so that gateways come to equal shares of a counter that can't bear all.
+/// the time there is, raised by each other answer, and never below `LEAST_PART`. Raised by as much whatever
+/// it is, so that gateways come to equal shares of a counter that can't bear all.
 const ASK_CUT: f64 = 0.8;
 const ASK_SLOW: f64 = 0.97;
 const ASK_GROW: f64 = 0.005;
@@ -335,7 +335,7 @@
         Some(call)
     }
 
-    /// Takes an answer in; returns the total that decides the request, where one was heard. `None`: the
+    /// Takes an answer in; returns the total that decides the request, if one was heard. `None`: the
     /// customer was forgotten meanwhile.
     pub(crate) fn counted(
         &mut self,
