Pay anew for a slice that was given up, and let it end with its stream

Cause, found on rereading: a bucket idle for 60 s is abandoned, and the proxy forgets it. Asked for again within a lease, the same figures were told as a renewal, for which nothing is paid, and began full: 13 + 13 at once of a burst of 20. The bucket was also no longer among its holder's, so its slice outlived the stream and its customer was never forgotten.

Change: giving a bucket up forgets that anything was told, and each report puts its bucket among the holder's, within the same bound.

--- a/crates/starlinghill-view/src/ledger.rs
+++ b/crates/starlinghill-view/src/ledger.rs
@@ -10,16 +10,16 @@
 //! ```
 //!
 //! `store` is what nobody was given, and fills with the part of the rate that nobody holds; `paid` grows by the
-//! tokens of each new assignment and by the largest rate among those that may be in use; `used` is what the holder
-//! reported. One may be in use until it lapses, or until a report shows that the one after it has arrived. All holders together can therefore never pass what a bucket of this rate and burst lets pass, in
-//! any interval, whatever is lost, late, doubled or restarted. What a holder was seen not to use beyond the
-//! tokens it may still have goes back to the store.
+//! tokens of each new assignment and by the largest rate among those that may be in use; `used` is what the
+//! holder reported. One may be in use until it lapses, or until a report shows that the one after it has arrived.
+//! All holders together can therefore never pass what a bucket of this rate and burst lets pass, in any interval,
+//! whatever is lost, late, doubled or restarted. What a holder was seen not to use beyond the tokens it may still
+//! have goes back to the store.
 //!
 //! Times are this process's alone. A proxy's clock matters in nothing but how fast it runs.
 
 use starlinghill_decision::api::{CustomerId, Micros, PlanId, Settings};
-use std::collections::btree_map::{BTreeMap, Entry};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// Part of the rate that is not dealt out by demand but fills the store, for holders that come new and for
@@ -413,15 +413,14 @@
         });
         account.roll(now);
         let at = (holder, key.units);
-        if let Entry::Vacant(vacant) = account.slices.entry(at) {
-            let buckets = self.holders.entry(holder).or_default();
-            if buckets.len() >= self.set.buckets {
-                return Err(LedgerError::TooManyBuckets(self.set.buckets));
-            }
-            buckets.insert(key);
-            vacant.insert(Slice::new(now));
+        // Also one that was given up and is asked for again while its slice is still out: what is not among its
+        // holder's buckets would outlive the stream.
+        let buckets = self.holders.entry(holder).or_default();
+        if !buckets.contains(&key) && buckets.len() >= self.set.buckets {
+            return Err(LedgerError::TooManyBuckets(self.set.buckets));
         }
-        let Some(slice) = account.slices.get_mut(&at) else { return Ok(Assignment::Keep) };
+        buckets.insert(key);
+        let slice = account.slices.entry(at).or_insert_with(|| Slice::new(now));
         let (units, allowed) = (f64::from(key.units), usage.allowed as f64);
         // A holder that reports more than it ever had has spent it all the same: the debt is the store's.
         slice.used += allowed * units;
@@ -439,7 +438,8 @@
             slice.demand = Some(old + weight * (newest - old));
         }
         if now > slice.asked + IDLE {
-            slice.live = false;
+            // The holder forgets its bucket: the same figures would begin full when it asks again.
+            (slice.live, slice.told) = (false, None);
             self.holders.get_mut(&holder).into_iter().for_each(|buckets| {
                 buckets.remove(&key);
             });
--- a/crates/starlinghill-view/tests/ledger.rs
+++ b/crates/starlinghill-view/tests/ledger.rs
@@ -358,6 +358,31 @@
     assert_eq!(ledger.customers(), 0);
 }
 
+#[test]
+fn a_bucket_given_up_and_asked_for_again_is_paid_for_anew_and_ends_with_its_stream() {
+    let mut ledger = Ledger::new(Micros(0), SET, &settings(10.0, 20.0));
+    let tokens = |told| if let Assignment::Tokens { most, .. } = told { f64::from(most) } else { 0.0 };
+    let (mut at, mut held) = (100 * S, 0.0);
+    loop {
+        let told = ledger.report(Micros(at), HolderId(1), key(1, 1), usage(0, 0, 250 * MS)).expect("taken");
+        if told == Assignment::Abandon {
+            break;
+        }
+        held = tokens(told);
+        at += 250 * MS;
+        assert!(at < 200 * S, "it is never given up");
+    }
+    assert!(held > 10.0, "a lone holder has most of the burst: {held}");
+    // It may have used all of that by now. The bucket that it makes when it asks again begins full.
+    at += 10 * MS;
+    let told = ledger.report(Micros(at), HolderId(1), key(1, 1), usage(0, 1, 10 * MS)).expect("taken");
+    assert!(held + tokens(told) <= 20.0, "{held}, then {told:?}, at once of a burst of 20");
+    // Its stream ends: nothing of it stays.
+    ledger.gone(Micros(at), HolderId(1));
+    ledger.sweep(Micros(at + 100 * S));
+    assert_eq!(ledger.customers(), 0);
+}
+
 #[test]
 fn a_load_that_moves_from_proxy_to_proxy_is_followed() {
     let (rate, burst) = (18.0, 36.0);
