Add the operators' door, new versions under load, and new settings at SIGHUP

Door: a listener of its own (ops, NODE_OPS); orders in a pure book (starlinghill-maintenance), kept in TMPDIR, merged between processes ten times a second; a backend that is out is told to the module as draining, one called back as started at the call. New version: the inherited socket (NODE_ACCEPT_FD, listenfd), accepted from once a list is in hand; at SIGTERM the old process ends connections with their next answer and the module gives up what is open before the kill (Event::Closing). Settings: classes and attempts are followed at SIGHUP, a file that lost a key is refused whole (Event::Rules).

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -53,7 +53,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -289,6 +289,19 @@
     Peer(u32, Vec<u8>),
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
+    /// New rules for what comes from now on.
+    Rules(Rules),
+    /// This gateway is to end: all that is open must have its answer by then.
+    Closing(Micros),
+}
+
+/// Rules that may change while a gateway runs. What is open keeps those under which it came.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// The classes. One that a request may still have keeps its place and is as it was; changed ones are new.
+    pub classes: Vec<Class>,
+    /// The most attempts for one request.
+    pub max_attempts: usize,
 }
 
 /// What a gateway does.
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -21,10 +21,10 @@
 /// One gateway. It shares nothing with others but what the counter tells.
 #[derive(Default)]
 pub struct Gateway {
-    cx: Context,
+    pub(crate) cx: Context,
     admission: Admission,
     fleet: Fleet,
-    requests: BTreeMap<RequestId, Request>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
     hold_timer: bool,
     retries: f64,
@@ -68,6 +68,8 @@
             Event::Counted(name, nth, outcome, total) => self.on_counted(name, nth, outcome, total),
             Event::Peer(from, message) => self.admission.on_peer(&mut self.cx, from, &message),
             Event::AttemptEnded(end) => self.on_attempt(end),
+            Event::Rules(rules) => self.on_rules(rules),
+            Event::Closing(by) => self.on_closing(by),
         }
         self.admission.tell(&mut self.cx);
         out.append(&mut self.cx.out);
@@ -85,6 +87,7 @@
             Some(Timer::Resubscribe) => {
                 self.cx.out.extend(self.cx.set.must_subscribe.then_some(Action::Subscribe))
             }
+            Some(Timer::Closing) => self.close(),
             Some(Timer::Sweep) => {
                 self.admission.sweep(&self.cx);
                 self.cx.timer(Timer::Sweep, FORGET);
@@ -99,10 +102,12 @@
             return self.cx.out.push(Action::Refuse(id, None));
         }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        let a = self.cx.under_rules(a);
         // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
         self.cx.timer(Timer::Deadline(id), a.deadline - now - self.cx.set.tick - self.cx.set.tick);
         let resent = self.admission.note(&self.cx, &a);
-        self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
+        let (a, most) = (Arrival { resent, ..a }, self.cx.set.max_attempts);
+        self.requests.insert(id, Request { a, arrived: now, most, ..Request::default() });
         self.admission.roll(&self.cx, customer);
         if self.shed(id) {
             return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
@@ -213,7 +218,7 @@
         // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
         let again = class.effect != Effect::Unsafe
             && !class.stream
-            && r.attempts.len() + 1 < self.cx.set.max_attempts
+            && r.attempts.len() + 1 < r.most
             && (class.effect == Effect::Safe || class.group == Group::All)
             && self.fleet.fail_share < CALM_SHARE;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
@@ -249,7 +254,7 @@
     }
 
     /// Refuses with a retry-after where that is allowed, or fails.
-    fn refuse(&mut self, id: RequestId) {
+    pub(crate) fn refuse(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
         let wait = self.admission.refused(&self.cx, &r.a);
         let answer = if r.may_refuse(&self.cx) { Action::Refuse(id, wait) } else { Action::Fail(id) };
--- a/crates/starlinghill-decision/src/context.rs
+++ b/crates/starlinghill-decision/src/context.rs
@@ -15,6 +15,7 @@
     Held,
     Resubscribe,
     Sweep,
+    Closing,
 }
 
 /// Handed to each part with every event.
@@ -26,6 +27,8 @@
     /// When this gateway was first told something.
     pub(crate) started: Option<Micros>,
     pub(crate) out: Vec<Action>,
+    /// All that is open must have its answer by then.
+    pub(crate) closing: Option<Micros>,
     pub(crate) timers: BTreeMap<TimerId, Timer>,
     serial: u64,
 }
--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Request {
     pub(crate) a: Arrival,
     pub(crate) arrived: Micros,
+    /// The most attempts, by the rules under which it came.
+    pub(crate) most: usize,
     pub(crate) attempts: Vec<Attempt>,
     /// Window whose count holds this request's units, until the first send.
     pub(crate) counted: Option<u64>,
@@ -41,10 +43,8 @@
     /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
     pub(crate) fn may_go(&self, cx: &Context, servers: &BTreeMap<ServerId, Server>, s: &Server) -> bool {
         let class = &cx.set.classes[self.a.class.0];
-        let over = self.done
-            || self.streaming
-            || cx.now >= self.a.deadline
-            || self.attempts.len() >= cx.set.max_attempts;
+        let over =
+            self.done || self.streaming || cx.now >= self.a.deadline || self.attempts.len() >= self.most;
         let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
         let second = self.is_out() && !cx.set.second_copies;
         if over || pushed || second || !s.listed {
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -3,7 +3,7 @@
 //! adapter and the control service all decide through this package.
 //!
 //! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `breaker`, `context`, `fleet`,
-//! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `fleet_view`.
+//! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `lifecycle`, `fleet_view`.
 
 pub mod api;
 
@@ -17,6 +17,7 @@
 mod fleet_view;
 mod guards;
 mod health;
+mod lifecycle;
 mod sharing;
 mod tally;
 
--- /dev/null
+++ b/crates/starlinghill-decision/src/lifecycle.rs
@@ -0,0 +1,48 @@
+//! What changes while a gateway runs but is no traffic: its rules, and its end.
+
+use crate::api::*;
+use crate::attempts::Gateway;
+use crate::context::{Context, Timer};
+
+impl Context {
+    /// A request as it stands under the rules of the moment: none waits beyond the gateway's end.
+    pub(crate) fn under_rules(&self, a: Arrival) -> Arrival {
+        Arrival { deadline: a.deadline.min(self.closing.unwrap_or(a.deadline)), ..a }
+    }
+}
+
+impl Gateway {
+    /// Takes new rules for what comes from now on. Rules under which an open request came are kept, whatever was
+    /// handed in: guards against another effect for one that has run. Rules that make no sense change nothing.
+    pub(crate) fn on_rules(&mut self, rules: Rules) {
+        let mut set =
+            Settings { classes: rules.classes, max_attempts: rules.max_attempts, ..self.cx.set.clone() };
+        let open = self.requests.values().map(|r| r.a.class.0);
+        let kept = open.max().map_or(0, |highest| highest + 1).min(self.cx.set.classes.len());
+        for (place, class) in self.cx.set.classes[..kept].iter().enumerate() {
+            match set.classes.get_mut(place) {
+                Some(new) => *new = class.clone(),
+                None => set.classes.push(class.clone()),
+            }
+        }
+        if set.check().is_ok() {
+            self.cx.set = set;
+        }
+    }
+
+    /// All that is open, or still comes, must have its answer by then. Guards against what the end of the process
+    /// would leave without one.
+    pub(crate) fn on_closing(&mut self, by: Micros) {
+        if self.cx.closing.is_none() {
+            self.cx.closing = Some(by);
+            self.cx.timer(Timer::Closing, by - self.cx.now);
+        }
+    }
+
+    /// Gives up what is still open.
+    pub(crate) fn close(&mut self) {
+        let open: Vec<RequestId> =
+            self.requests.iter().filter(|(_, r)| !r.done && !r.streaming).map(|(&id, _)| id).collect();
+        open.into_iter().for_each(|id| self.refuse(id));
+    }
+}
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -4,10 +4,11 @@
 use serde::Deserialize;
 use starlinghill_settings::members::MemberList;
 use starlinghill_settings::{flatten, Fields, Site};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::env;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// A configuration that a gateway can't start with; one plain line.
 #[derive(Debug)]
@@ -29,6 +30,7 @@
 #[derive(Deserialize)]
 struct Document {
     listen: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
@@ -75,15 +77,74 @@
     }
 }
 
-impl Upstreams {
-    /// Reads the configuration's file again. It goes before the environment, which is as it was at the start;
-    /// what else it says takes effect with the next start only, but must make sense.
-    pub fn from_file() -> Result<Upstreams, ConfigError> {
+/// The keys that a configuration has, with items of a list counted as one. Guards against taking a file that was cut short
+/// or lost a key for one that sets less.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shape(BTreeSet<String>);
+
+impl Shape {
+    /// Of a list's items only the keys that all of them have.
+    fn of(document: &serde_json::Value) -> Shape {
+        let mut keys = BTreeSet::new();
+        Shape::walk("", document, &mut keys);
+        Shape(keys)
+    }
+
+    fn walk(prefix: &str, value: &serde_json::Value, keys: &mut BTreeSet<String>) {
+        use serde_json::Value;
+        match value {
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    // What is known of the backends may well be less than before.
+                    if prefix.is_empty() && name == "known" {
+                        continue;
+                    }
+                    let key = if prefix.is_empty() { name.clone() } else { format!("{prefix}.{name}") };
+                    Shape::walk(&key, value, keys);
+                    keys.insert(key);
+                }
+            }
+            Value::Array(items) if items.iter().all(Value::is_object) => {
+                let all = items.iter().map(|item| {
+                    let mut keys = BTreeSet::new();
+                    Shape::walk(&format!("{prefix}[]"), item, &mut keys);
+                    keys
+                });
+                keys.extend(all.reduce(|some, more| &some & &more).unwrap_or_default());
+            }
+            _ => {}
+        }
+    }
+
+    /// The first key that is missing in another.
+    fn missing_in<'a>(&'a self, other: &'a Shape) -> Option<&'a str> {
+        self.0.difference(&other.0).map(String::as_str).next()
+    }
+}
+
+/// What a configuration that was read again changes.
+pub struct Reloaded {
+    /// The services.
+    pub upstreams: Upstreams,
+    /// The settings, of which classes and attempts are followed.
+    pub site: Site,
+}
+
+impl Reloaded {
+    /// Reads the configuration's file again, whole or not at all. It goes before the environment, which is as it was at the
+    /// start; but for services, classes and attempts, what it says takes effect with the next start only.
+    pub fn from_file(shape: &Shape) -> Result<Reloaded, ConfigError> {
         let (path, text) = file()?;
-        let address = from_environment("NODE_LISTEN")?;
-        Config::parse(&text, address, None)
-            .map(|config| config.upstreams())
-            .map_err(|e| ConfigError(format!("{path}: {e}")))
+        let named = |e: ConfigError| ConfigError(format!("{path}: {e}"));
+        Reloaded::parse(&text, from_environment("NODE_LISTEN")?, shape).map_err(named)
+    }
+
+    fn parse(text: &str, listen: Option<SocketAddr>, shape: &Shape) -> Result<Reloaded, ConfigError> {
+        let config = Config::parse(text, listen, None)?;
+        if let Some(key) = shape.missing_in(&config.shape) {
+            return Err(ConfigError(format!("{key}: expected as at the start, found nothing")));
+        }
+        Ok(Reloaded { upstreams: config.upstreams(), site: config.site })
     }
 }
 
@@ -111,6 +172,13 @@
     pub(crate) seed: u64,
     pub(crate) known: MemberList,
     pub(crate) site: Site,
+    pub(crate) shape: Shape,
+    /// The operators' door.
+    pub(crate) ops: Option<SocketAddr>,
+    /// The number of the inherited socket for clients, which other processes of this gateway have as well.
+    pub(crate) inherited: Option<u32>,
+    /// A folder that the processes of this gateway share.
+    pub(crate) folder: Option<PathBuf>,
     pub(crate) sockets: SocketLimits,
     /// In bytes.
     pub(crate) memory: usize,
@@ -144,10 +212,29 @@
     pub fn from_environment() -> Result<Config, ConfigError> {
         let (path, text) = file()?;
         Config::parse(&text, from_environment("NODE_LISTEN")?, from_environment("NODE_DISCOVERY")?)
-            .map(|c| Config { name: env::var("NODE_NAME").unwrap_or_default(), ..c })
+            .and_then(|c| c.under_environment())
             .map_err(|e| ConfigError(format!("{path}: {e}")))
     }
 
+    fn under_environment(self) -> Result<Config, ConfigError> {
+        let inherited = match env::var("NODE_ACCEPT_FD") {
+            Ok(text) => {
+                Some(text.parse::<u32>().ok().filter(|fd| (3..1 << 20).contains(fd)).ok_or_else(|| {
+                    ConfigError(format!("NODE_ACCEPT_FD: expected a descriptor from 3, found '{text}'"))
+                })?)
+            }
+            Err(_) => None,
+        };
+        let name = env::var("NODE_NAME").unwrap_or_default();
+        let folder = env::var_os("TMPDIR").map(PathBuf::from).filter(|folder| folder.is_dir());
+        Ok(Config { name, inherited, folder, ops: from_environment("NODE_OPS")?.or(self.ops), ..self })
+    }
+
+    /// The keys that it has.
+    pub fn shape(&self) -> &Shape {
+        &self.shape
+    }
+
     /// The settings and their names.
     pub fn site(&self) -> &Site {
         &self.site
@@ -169,7 +256,10 @@
         listen: Option<SocketAddr>,
         discovery: Option<SocketAddr>,
     ) -> Result<Config, ConfigError> {
-        let document: Document = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let plain = |e: serde_json::Error| ConfigError(e.to_string());
+        let document: serde_json::Value = serde_json::from_str(text).map_err(plain)?;
+        let shape = Shape::of(&document);
+        let document: Document = serde_json::from_str(text).map_err(plain)?;
         let seed = u64::from_str_radix(&document.seed, 16)
             .map_err(|_| ConfigError(format!("seed: expected 16 hex digits, found '{}'", document.seed)))?;
         let mut names = BTreeMap::new();
@@ -204,6 +294,10 @@
         let mut site = site;
         site.settings.peers_per_s = peers.as_ref().map_or(0.0, |_| per_s);
         Ok(Config {
+            shape,
+            ops: document.ops,
+            inherited: None,
+            folder: None,
             peers,
             name: String::new(),
             listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -4,21 +4,23 @@
 use crate::backend::{Backend, Ended, Forward, Pool};
 use crate::config::{Config, ConfigError, Upstreams};
 use crate::counter::{Calls, Counted, Counter};
+use crate::ops::Ordered;
+use crate::orders::Orders;
 use crate::peers::Post;
 use bytes::Bytes;
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
+use starlinghill_maintenance::{Book, Roster};
 use starlinghill_settings::members::{MemberList, Phase};
 use starlinghill_settings::Site;
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep_until, Instant};
-use tracing::{debug, info};
+use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
+use tracing::{debug, info, warn};
 
 /// How many inputs may wait for the driver; whoever has one more waits with it.
 const INBOX: usize = 1024;
@@ -28,6 +30,9 @@
 /// How long a gateway that knows a list from before waits for news of it before it is ready.
 const WAIT_FOR_DISCOVERY: Duration = Duration::from_secs(1);
 
+/// How often orders that another process wrote are looked for. With the grace of 1 s after a yes there, this is soon.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// The way to the driver.
 pub type Inbox = mpsc::Sender<Input>;
 
@@ -64,6 +69,21 @@
     Counter(Option<SocketAddr>),
     /// A message from another gateway, by its number.
     Peer(u32, Vec<u8>),
+    /// Other gateways can be reached from now on.
+    Post(Rc<Post>),
+    /// New rules for what comes from now on.
+    Rules(Rules),
+    /// All that is open must have its answer by then.
+    Closing(Micros),
+    /// Staff take a backend out, or call it back.
+    Order {
+        /// Its id.
+        id: String,
+        /// Out, or back.
+        out: bool,
+        /// What came of it.
+        reply: oneshot::Sender<Ordered>,
+    },
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
     /// An attempt ended: its request, number and backend, how, and how long it was out.
@@ -147,25 +167,28 @@
     /// The way to the other gateways.
     post: Option<Rc<Post>>,
     backends: HashMap<ServerId, Rc<Backend>>,
+    /// The list as discovery told it, and the orders under which it stands.
+    roster: Roster,
+    book: Book,
+    orders: Option<Orders>,
     requests: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Micros, TimerId)>>,
     batch: Vec<Event>,
     actions: Vec<Action>,
     /// Set once the list of backends is in hand.
-    ready: Rc<Cell<bool>>,
+    ready: watch::Sender<bool>,
     /// When the list known from before is taken for it.
     ready_at: Option<Instant>,
 }
 
 impl Driver {
     /// A driver that knows nothing yet but the configuration.
-    pub fn new(
-        config: Config,
-        clock: Clock,
-        ready: Rc<Cell<bool>>,
-        post: Option<Rc<Post>>,
-    ) -> Result<Driver, ConfigError> {
+    pub fn new(config: Config, clock: Clock, ready: watch::Sender<bool>) -> Result<Driver, ConfigError> {
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
+        // Without a door there are no orders, and nothing to keep.
+        let folder = config.ops.and(config.folder);
+        let mut orders = folder.map(|folder| Orders::at(&folder, &config.name));
+        let book = orders.as_mut().and_then(Orders::news).unwrap_or_default();
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
         let (timeout, lines) = (duration(site.settings.count_timeout), sockets.counter);
@@ -182,8 +205,11 @@
             counter: counter.map(&counter_at),
             counter_at,
             calls: Calls::default(),
-            post,
+            post: None,
             backends: HashMap::new(),
+            roster: Roster::default(),
+            book,
+            orders,
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             batch: Vec::new(),
@@ -193,7 +219,7 @@
         };
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
-            driver.members(MemberList { complete: true, ..known });
+            driver.told(MemberList { complete: true, ..known });
             driver.ready_at = Some(Instant::now() + WAIT_FOR_DISCOVERY);
         }
         Ok(driver)
@@ -213,6 +239,8 @@
                 pool.retire();
             }
         });
+        let mut look = interval(LOOK_EVERY);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = Instant::now();
         loop {
             let due = match self.timers.peek() {
@@ -229,6 +257,7 @@
                 () = sleep_until(self.ready_at.unwrap_or_else(Instant::now)), if self.ready_at.is_some() => {
                     self.become_ready();
                 }
+                _ = look.tick(), if self.orders.is_some() => self.look_for_orders(),
                 input = self.inputs.recv() => {
                     let mut next = input;
                     while let Some(input) = next {
@@ -280,7 +309,7 @@
                 }
             }
             Input::Members(list) => {
-                self.members(list);
+                self.told(list);
                 self.become_ready();
             }
             Input::Counter(address) => {
@@ -290,6 +319,10 @@
                     self.counter = address.map(&self.counter_at);
                 }
             }
+            Input::Post(post) => self.post = Some(post),
+            Input::Rules(rules) => self.batch.push(Event::Rules(rules)),
+            Input::Closing(by) => self.batch.push(Event::Closing(by)),
+            Input::Order { id, out, reply } => drop(reply.send(self.order(&id, out))),
             Input::Peer(from, message) => self.batch.push(Event::Peer(from, message)),
             Input::Counted(name, serial, counted) => {
                 let nth = self.calls.answered(name, serial);
@@ -315,6 +348,54 @@
         self.batch.push(Event::AttemptEnded(end));
     }
 
+    fn told(&mut self, list: MemberList) {
+        let list = self.roster.take(list, &self.book);
+        self.members(list);
+    }
+
+    /// Puts an order in force, once it is kept: a yes holds also after a kill.
+    fn order(&mut self, id: &str, out: bool) -> Ordered {
+        if !*self.ready.borrow() {
+            return Ordered::NotReady;
+        }
+        if !self.roster.holds(id) && !self.book.is_out(id) {
+            return Ordered::Unknown;
+        }
+        let now = self.clock.now();
+        let mut next = self.book.clone();
+        let (mut changed, mut ordered) = (Vec::new(), Ok(false));
+        let mut change = |held: Book| {
+            changed = next.merge(&held);
+            ordered = next.order(id, out, now);
+            next.clone()
+        };
+        let kept = match &mut self.orders {
+            Some(orders) => orders.replace(change).map_err(|problem| problem.to_string()),
+            None => {
+                change(Book::default());
+                Ok(())
+            }
+        };
+        if let Err(problem) = kept.and_then(|()| ordered.map_err(|problem| problem.to_string())) {
+            warn!(id, out, problem, "an order was not kept");
+            return Ordered::NotKept(problem);
+        }
+        self.book = next;
+        changed.push(id.to_string());
+        self.members(self.roster.again(&changed, &self.book));
+        Ordered::Done
+    }
+
+    /// Puts in force what another process of this gateway was ordered.
+    fn look_for_orders(&mut self) {
+        let Some(news) = self.orders.as_mut().and_then(Orders::news) else { return };
+        let changed = self.book.merge(&news);
+        if !changed.is_empty() {
+            info!(?changed, "orders came in at another process");
+            self.members(self.roster.again(&changed, &self.book));
+        }
+    }
+
     fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
         debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
@@ -360,7 +441,7 @@
 
     fn become_ready(&mut self) {
         self.ready_at = None;
-        if !self.ready.replace(true) {
+        if !self.ready.send_replace(true) {
             info!(backends = self.backends.len(), "ready");
         }
     }
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -6,21 +6,35 @@
 pub mod discovery;
 pub mod driver;
 pub mod http;
+pub mod inherit;
+pub mod names;
+pub mod ops;
+pub mod orders;
 pub mod peers;
 pub mod server;
 
 use config::{Config, ConfigError, Upstreams};
-use driver::{Clock, Driver};
-use peers::Post;
+use driver::{Clock, Driver, Inbox, Input};
+use names::Names;
+use ops::Door;
+use peers::{Peers, Post};
 use server::Front;
-use std::cell::Cell;
+use starlinghill_decision::api::{Micros, PlanId};
+use starlinghill_settings::classes::Classes;
+use starlinghill_settings::Site;
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Semaphore};
-use tracing::info;
+use tokio::task::spawn_local;
+use tracing::{info, warn};
 
 /// The part of the memory that clients' bodies may fill.
 const BODIES_PART: usize = 8;
+/// So long before the last answer of a gateway that ends, the module gives up what is open: the rest is for writing.
+const WRITING: Duration = Duration::from_millis(150);
 
 /// Why a gateway could not start or go on.
 #[derive(Debug)]
@@ -28,9 +42,11 @@
     /// Its configuration makes no sense.
     Config(ConfigError),
     /// It could not listen.
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
+    /// The socket that it should have inherited.
+    Inherit(u32, std::io::Error),
     /// It could not open its socket for messages between gateways.
-    Peers(std::net::SocketAddr, std::io::Error),
+    Peers(SocketAddr, std::io::Error),
     /// Its driver ended.
     Driver,
 }
@@ -40,6 +56,9 @@
         match self {
             RunError::Config(e) => e.fmt(f),
             RunError::Listen(address, e) => write!(f, "can't listen on {address}: {e}"),
+            RunError::Inherit(number, e) => {
+                write!(f, "NODE_ACCEPT_FD: expected a listening TCP socket as descriptor {number}: {e}")
+            }
             RunError::Peers(address, e) => write!(f, "can't take messages on {address}: {e}"),
             RunError::Driver => f.write_str("the driver ended"),
         }
@@ -47,52 +66,136 @@
 }
 impl std::error::Error for RunError {}
 
-/// Runs a gateway until `stopping` turns true and all that it took is answered. It follows `upstreams` when
-/// they change.
-pub async fn run(
-    config: Config,
-    upstreams: watch::Receiver<Upstreams>,
-    stopping: watch::Receiver<bool>,
-) -> Result<(), RunError> {
+/// What may come from outside while a gateway runs.
+pub struct Control {
+    /// The services, when they move.
+    pub upstreams: watch::Receiver<Upstreams>,
+    /// The settings, when they change.
+    pub site: watch::Receiver<Option<Rc<Site>>>,
+    /// It is to end.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// Runs a gateway until it is to end and all that it took is answered.
+pub async fn run(config: Config, control: Control) -> Result<(), RunError> {
+    let Control { upstreams, site, stopping } = control;
     let clock = Clock::start();
-    let ready = Rc::new(Cell::new(false));
-    let (listen, sockets) = (config.listen, config.sockets);
-    let classes = config.site.classes.iter().map(|(name, &i)| {
-        let class = &config.site.settings.classes[i];
-        (name.clone(), (starlinghill_decision::api::ClassId(i), class.effect, class.deadline))
-    });
-    let classes = classes.collect();
-    let plans = config
-        .site
-        .plans
-        .iter()
-        .map(|(name, &i)| (name.clone(), starlinghill_decision::api::PlanId(i)))
-        .collect();
+    let (ready, is_ready) = watch::channel(false);
+    let (listen, ops, sockets, shared) =
+        (config.listen, config.ops, config.sockets, config.inherited.is_some());
+    // Before anything else is opened, so that the number means what it meant when the process started.
+    let listener = match config.inherited {
+        Some(number) => inherit::listener(number)
+            .and_then(TcpListener::from_std)
+            .map_err(|e| RunError::Inherit(number, e))?,
+        None => bind(listen).await?,
+    };
+    let classes = Classes::new(&config.site);
+    let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), PlanId(i))).collect();
     let name = config.name.clone();
     let (most_units, gateways) = (config.site.settings.most_units, config.site.settings.gateways);
     let bodies = config.memory / BODIES_PART;
-    let post = match config.peers.clone() {
+    let peers = config.peers.clone();
+    let driver = Driver::new(config, clock, ready).map_err(RunError::Config)?;
+    let inbox = driver.inbox();
+    match peers {
+        // The process that this one takes over from may have the socket.
+        Some(peers) if shared => drop(spawn_local(post_later(peers, inbox.clone()))),
         Some(peers) => {
-            let listen = peers.listen;
-            Some(Rc::new(Post::open(peers).await.map_err(|e| RunError::Peers(listen, e))?))
+            let post = Post::open(&peers).await.map_err(|e| RunError::Peers(peers.listen, e))?;
+            post_over(post, &inbox).await;
         }
-        None => None,
-    };
-    let driver = Driver::new(config, clock, ready.clone(), post.clone()).map_err(RunError::Config)?;
-    let inbox = driver.inbox();
-    post.into_iter().for_each(|post| drop(tokio::task::spawn_local(post.receive(inbox.clone()))));
-    let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
+        None => {}
+    }
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
+    if let Some(ops) = ops {
+        let door = bind(ops).await?;
+        let address = door.local_addr().map_err(|e| RunError::Listen(ops, e))?;
+        info!(door = %address, "operators are heard");
+        let (inbox, ready, stopping) = (inbox.clone(), is_ready.clone(), stopping.clone());
+        spawn_local(ops::serve(door, Rc::new(Door { inbox, ready, stopping })));
+    }
     info!(name, %address, "listening");
-    tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone()));
-    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone()));
-    let driving = tokio::task::spawn_local(driver.run());
-    let (open, last, bodies) = (Default::default(), Default::default(), Semaphore::new(bodies));
-    let front =
-        Front { inbox, clock, ready, classes, plans, most_units, gateways, open, bodies, last, stopping };
+    spawn_local(discovery::watch(upstreams.clone(), inbox.clone()));
+    spawn_local(driver::follow(upstreams, inbox.clone()));
+    let driving = spawn_local(driver.run());
+    let front = Rc::new(Front {
+        inbox: inbox.clone(),
+        clock,
+        ready: is_ready.clone(),
+        names: RefCell::new(Names::new(&classes)),
+        plans,
+        most_units,
+        gateways,
+        open: Default::default(),
+        bodies: Semaphore::new(bodies),
+        last: Default::default(),
+        stopping: stopping.clone(),
+        shared,
+    });
+    spawn_local(follow_settings(site, classes, front.clone()));
+    spawn_local(tell_end(stopping.clone(), front.clone()));
+    let serving = async move {
+        // Another process serves meanwhile: what this one accepted it could not answer yet.
+        if shared {
+            let (mut is_ready, mut stopping) = (is_ready, stopping);
+            tokio::select! {
+                _ = is_ready.wait_for(|ready| *ready) => {}
+                _ = stopping.wait_for(|stop| *stop) => {}
+            }
+        }
+        server::serve(listener, front, sockets.clients).await;
+    };
     // Guards against living on without a driver, taking requests that nobody decides.
     tokio::select! {
-        () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
+        () = serving => Ok(()),
         _ = driving => Err(RunError::Driver),
     }
 }
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|e| RunError::Listen(address, e))
+}
+
+async fn post_later(peers: Peers, inbox: Inbox) {
+    let post = Post::open_later(&peers).await;
+    post_over(post, &inbox).await;
+}
+
+/// Lets the driver send messages, and tells it what comes.
+async fn post_over(post: Post, inbox: &Inbox) {
+    let post = Rc::new(post);
+    spawn_local(post.clone().receive(inbox.clone()));
+    // Without a driver nobody sends anything.
+    let _ = inbox.send(Input::Post(post)).await;
+}
+
+/// Hands on classes and attempts that change. The module is told before a request can come under the new ones.
+async fn follow_settings(
+    mut site: watch::Receiver<Option<Rc<Site>>>,
+    mut classes: Classes,
+    front: Rc<Front>,
+) {
+    while site.changed().await.is_ok() {
+        let Some(new) = site.borrow_and_update().clone() else { continue };
+        match classes.follow(&new) {
+            Ok(rules) => {
+                if front.inbox.send(Input::Rules(rules)).await.is_err() {
+                    return;
+                }
+                front.names.borrow_mut().follow(&classes);
+            }
+            Err(problem) => warn!(%problem, "new settings are not usable; the old ones stay"),
+        }
+    }
+}
+
+/// Tells the module by when all must be answered, once the gateway is to end.
+async fn tell_end(mut stopping: watch::Receiver<bool>, front: Rc<Front>) {
+    if stopping.wait_for(|stop| *stop).await.is_ok() {
+        let left = front.names.borrow().last_answer().saturating_sub(WRITING);
+        let by = front.clock.now() + Micros(left.as_micros() as u64);
+        // The driver may have ended.
+        let _ = front.inbox.send(Input::Closing(by)).await;
+    }
+}
--- a/crates/starlinghill-gateway/src/main.rs
+++ b/crates/starlinghill-gateway/src/main.rs
@@ -1,9 +1,11 @@
 //! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
 //! ends at SIGTERM.
 
-use starlinghill_gateway::{self as gateway, config::Config, config::Upstreams};
+use starlinghill_gateway::config::{Config, Reloaded};
+use starlinghill_gateway::{self as gateway, Control};
 use std::error::Error;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -19,6 +21,8 @@
         let mut hang_up = signal(SignalKind::hangup())?;
         let (stop, stopping) = watch::channel(false);
         let (reload, upstreams) = watch::channel(config.upstreams());
+        let (retune, site) = watch::channel(None);
+        let shape = config.shape().clone();
         tokio::task::spawn_local(async move {
             if terminate.recv().await.is_some() {
                 info!("stopping");
@@ -29,16 +33,17 @@
         });
         tokio::task::spawn_local(async move {
             while hang_up.recv().await.is_some() {
-                match Upstreams::from_file() {
-                    Ok(upstreams) => {
+                match Reloaded::from_file(&shape) {
+                    Ok(Reloaded { upstreams, site }) => {
                         info!(%upstreams, "configuration read again");
                         reload.send_replace(upstreams);
+                        retune.send_replace(Some(Rc::new(site)));
                     }
                     Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
                 }
             }
         });
-        Ok(gateway::run(config, upstreams, stopping).await?)
+        Ok(gateway::run(config, Control { upstreams, site, stopping }).await?)
     })
 }
 
--- a/crates/starlinghill-gateway/src/peers.rs
+++ b/crates/starlinghill-gateway/src/peers.rs
@@ -11,6 +11,8 @@
 
 /// The longest message; more voids the run.
 const LONGEST: usize = 256;
+/// How often the socket is tried for while another process holds it.
+const OPEN_AGAIN: Duration = Duration::from_millis(100);
 
 /// Where the other gateways are, by their numbers, this one among them.
 #[derive(Debug, Clone, PartialEq)]
@@ -41,13 +43,24 @@
 
 impl Post {
     /// Opens it.
-    pub async fn open(peers: Peers) -> std::io::Result<Post> {
-        let socket = UdpSocket::bind(peers.listen).await?;
+    pub async fn open(peers: &Peers) -> std::io::Result<Post> {
+        let (socket, peers) = (UdpSocket::bind(peers.listen).await?, peers.clone());
         // Until this was awaited once, `try_send_to` would not know that it may send.
         socket.writable().await?;
         Ok(Post { socket, peers })
     }
 
+    /// Opens it once it is free: the process that this one takes over from has it until it ends. Until then this one says
+    /// and hears nothing, as if all messages were lost.
+    pub async fn open_later(peers: &Peers) -> Post {
+        loop {
+            match Post::open(peers).await {
+                Ok(post) => return post,
+                Err(_) => tokio::time::sleep(OPEN_AGAIN).await,
+            }
+        }
+    }
+
     /// Where messages for this gateway arrive.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.socket.local_addr()
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -3,6 +3,7 @@
 use crate::backend::{strip_hop_by_hop, Forward, BUDGET};
 use crate::driver::{Answer, Clock, Inbox, Input, Taken};
 use crate::http::MAX_BODY;
+use crate::names::Names;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -52,8 +53,8 @@
 ];
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
-/// After SIGTERM all must be answered by then; SIGKILL comes 3.7 s on at the earliest.
-const LAST_ANSWER: Duration = Duration::from_millis(3500);
+/// Where other processes accept, a connection that was not used since SIGTERM is closed so long before the end.
+const LAST_USE: Duration = Duration::from_millis(800);
 
 /// What all connections of clients share.
 pub struct Front {
@@ -62,9 +63,9 @@
     /// The module's clock.
     pub clock: Clock,
     /// The list of backends is in hand.
-    pub ready: Rc<Cell<bool>>,
-    /// The names of classes, with what they may do and the longest wait.
-    pub classes: HashMap<String, (ClassId, Effect, Micros)>,
+    pub ready: watch::Receiver<bool>,
+    /// The names of classes.
+    pub names: RefCell<Names>,
     /// The names of plans.
     pub plans: HashMap<String, PlanId>,
     /// The most units that a request may take.
@@ -79,6 +80,8 @@
     pub last: Cell<u64>,
     /// Set by SIGTERM.
     pub stopping: watch::Receiver<bool>,
+    /// Other processes accept from the same socket.
+    pub shared: bool,
 }
 
 impl Front {
@@ -198,6 +201,8 @@
     let mut sweep = interval(SWEEP_EVERY);
     let mut waiting = None;
     let mut serial = 0;
+    let last_answer = front.names.borrow().last_answer();
+    let last_use = if front.shared { last_answer.saturating_sub(LAST_USE) } else { LAST_CALL };
     loop {
         tokio::select! {
             biased;
@@ -215,21 +220,26 @@
                     lines.ended.notify_one();
                 });
             }
-            stream = accept(&listener), if waiting.is_none() => waiting = Some(stream),
+            stream = accept(&listener), if waiting.is_none() && last_call.is_none_or(|_| !front.shared) => {
+                waiting = Some(stream);
+            }
             _ = sweep.tick() => lines.sweep(),
             Ok(_) = stopping.wait_for(|stop| *stop), if last_call.is_none() => {
                 last_call = Some(Instant::now());
                 // New connections are still taken, so a client whose request crosses the closing comes back
                 // on one of them. What is being received is answered and then closed.
-                let past = |line: &Rc<Line>| line.phase.get() != Phase::Receiving;
+                // Where other processes accept, each ends with the next answer on it instead: guards against a request
+                // that crosses the closing, which then nobody reads.
+                let past = |line: &Rc<Line>| line.phase.get() != Phase::Receiving && !front.shared;
                 lines.all().into_iter().filter(past).for_each(|line| line.close());
             }
-            () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL), if last_call.is_some() => break,
+            () = sleep_until(last_call.unwrap_or_else(Instant::now) + last_use), if last_call.is_some() => break,
+            () = lines.ended.notified(), if last_call.is_some() && front.shared && lines.open.borrow().is_empty() => break,
         }
     }
     drop(listener);
     lines.all().into_iter().for_each(|line| line.close());
-    let left = LAST_ANSWER.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
+    let left = last_answer.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
     let all_ended = async {
         while !lines.open.borrow().is_empty() {
             tokio::select! {
@@ -290,7 +300,7 @@
 async fn respond(request: Request<Incoming>, front: &Front, line: &Line) -> Response<Full<Bytes>> {
     line.turn(Phase::Receiving);
     let mut response = match request.uri().path() {
-        "/_health" => match front.ready.get() && !front.is_stopping() {
+        "/_health" => match *front.ready.borrow() && !front.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
@@ -314,7 +324,7 @@
     response
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+pub(crate) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
@@ -438,9 +448,9 @@
         }
         let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let named = |name| text(HeaderName::from_static(name));
-        let (class, effect, longest) = named("x-call-class")
-            .and_then(|class| front.classes.get(class))
-            .ok_or_else(|| bad("X-Call-Class: expected a known class\n"))?;
+        let names = front.names.borrow();
+        let class = named("x-call-class").and_then(|class| names.get(class, method));
+        let class = class.ok_or_else(|| bad("X-Call-Class: expected a known class\n"))?;
         let plan = named("x-plan").and_then(|plan| front.plans.get(plan));
         let plan = plan.ok_or_else(|| bad("X-Plan: expected a known plan\n"))?;
         let customer = query.and_then(customer).ok_or_else(|| bad("customer: expected 16 hex digits\n"))?;
@@ -451,19 +461,15 @@
             .ok_or_else(|| bad("X-Quota: expected units, spread and first in their ranges\n"))?;
         let call = headers.get("x-call-id").filter(|id| !id.is_empty()).cloned();
         let call = call.ok_or_else(|| bad("X-Call-Id: expected an id\n"))?;
-        let (wanted, keyed) = match effect {
-            Effect::Safe => (Method::GET, false),
-            Effect::Keyed => (Method::POST, true),
-            Effect::Unsafe => (Method::POST, false),
-        };
-        if *method != wanted {
+        let keyed = class.effect == Effect::Keyed;
+        if !class.fits(method) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method\n"));
         }
         if keyed && headers.get("idempotency-key").is_none_or(|key| key.is_empty()) {
             return Err(bad("Idempotency-Key: expected a key\n"));
         }
         let arrival = Arrival {
-            class: *class,
+            class: class.id,
             plan: *plan,
             customer,
             spread,
@@ -473,7 +479,7 @@
             ..Arrival::default()
         };
         // No client waits longer than its class says.
-        let budget = Micros(budget.saturating_mul(1000)).min(*longest);
+        let budget = Micros(budget.saturating_mul(1000)).min(class.deadline);
         Ok(Asked { arrival, call, budget })
     }
 }
--- a/crates/starlinghill-rig/examples/fleet.rs
+++ b/crates/starlinghill-rig/examples/fleet.rs
@@ -36,7 +36,9 @@
         local.block_on(&runtime, async {
             let (_stop, stopping) = watch::channel(false);
             let (_reload, upstreams) = watch::channel(config.upstreams());
-            starlinghill_gateway::run(config, upstreams, stopping).await.expect("it runs");
+            let (_settings, site) = watch::channel(None);
+            let control = starlinghill_gateway::Control { upstreams, site, stopping };
+            starlinghill_gateway::run(config, control).await.expect("it runs");
         });
     });
     address
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings by their dotted names, and the names of what they list. The simulator's adapter and the real
 //! gateway both read them here: one finds them on a line, the other flattens its JSON to the same form.
 
+pub mod classes;
 pub mod members;
 
 use starlinghill_decision::api::*;
