Send cold servers what warm ones bore, and hand that on between processes

Ruled out: the door (no call late), the hand-over (no request ends at the door), the shared count.

Change: what warm servers bear is remembered while enough of them are warm (borne), handed to the next process with its age (learned, handover), and a cold server gets up to 1.5 times its part of it, where it falls over at 4 times for 2 s.

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -291,10 +291,23 @@
     AttemptEnded(AttemptEnd),
     /// New rules for what comes from now on.
     Rules(Rules),
+    /// What an earlier process of this gateway knew.
+    Learned(Learned),
     /// This gateway is to end: all that is open must have its answer by then.
     Closing(Micros),
 }
 
+/// What a gateway has learned of the servers, for the process that takes over from it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// When this was so, Unix time.
+    pub at: Micros,
+    /// Units a second that a warm server gets from this gateway, for its weight.
+    pub per_weight: f64,
+    /// Of each server: the bound on attempts out, and the usual time to answer, in microseconds.
+    pub servers: Vec<(ServerId, f64, f64)>,
+}
+
 /// Rules that may change while a gateway runs. What is open keeps those under which it came.
 #[derive(Clone, Debug)]
 pub struct Rules {
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -23,7 +23,7 @@
 pub struct Gateway {
     pub(crate) cx: Context,
     admission: Admission,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
     hold_timer: bool,
@@ -69,6 +69,7 @@
             Event::Peer(from, message) => self.admission.on_peer(&mut self.cx, from, &message),
             Event::AttemptEnded(end) => self.on_attempt(end),
             Event::Rules(rules) => self.on_rules(rules),
+            Event::Learned(learned) => self.on_learned(learned),
             Event::Closing(by) => self.on_closing(by),
         }
         self.admission.tell(&mut self.cx);
--- a/crates/starlinghill-decision/src/fleet.rs
+++ b/crates/starlinghill-decision/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The servers as one gateway knows them, and how it shares them with the other gateways.
 
 use crate::api::*;
+use crate::borne::Borne;
 use crate::bucket::TokenBucket;
 use crate::context::{Context, Timer};
 use std::collections::BTreeMap;
@@ -50,6 +51,7 @@
     pub(crate) fail_share: f64,
     /// Part of the requests of usual worth that the servers can take.
     pub(crate) pass: f64,
+    pub(crate) borne: Borne,
 }
 
 impl Fleet {
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -26,10 +26,14 @@
 /// How long leave to send to a cold server holds where many gateways share it.
 const COLD_LEAVE: Micros = Micros(250_000);
 
+/// A cold server gets at most so many times the part of a warm one's work that its capacity is, and no more than half of
+/// what it falls over at. Fleets run at half of what they can: with most servers cold, the rest must not be refused.
+const COLD_PUSH: f64 = 1.5;
+
 /// The part of a warm server's work that one gets which started so long ago.
 pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
     let part = set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0);
-    part * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
+    part * if age < set.cold { (set.fall_multiple / 2.0).min(COLD_PUSH) } else { 1.0 }
 }
 
 impl Fleet {
@@ -108,15 +112,12 @@
     /// and each gateway scales its own, so the sum stays in proportion.
     pub(crate) fn warm_up(&mut self, cx: &Context) {
         let (now, set) = (cx.now, &cx.set);
-        if self.servers.values().all(|s| s.cold_since.is_none()) {
-            return;
-        }
         let many = self.sparse(cx);
         let usable = |s: &&Server| s.listed && now >= s.ejected_until;
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
         let all: f64 = self.servers.values().filter(|s| s.listed).map(|s| s.weight).sum();
-        let per_weight = self.flow_rate(cx) / if warm * 3.0 >= all { warm } else { all.max(1e-9) };
+        let per_weight = self.borne.per_weight(now, self.flow_rate(cx), warm, all);
         for s in self.servers.values_mut() {
             let Some(since) = s.cold_since else { continue };
             if now >= since + set.cold {
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,13 +2,14 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `breaker`, `context`, `fleet`,
-//! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `lifecycle`, `fleet_view`.
+//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `borne`, `breaker`, `context`, `fleet`,
+//! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
 
 pub mod api;
 
 mod admission;
 mod attempts;
+mod borne;
 mod breaker;
 mod bucket;
 mod choice;
@@ -17,6 +18,7 @@
 mod fleet_view;
 mod guards;
 mod health;
+mod learned;
 mod lifecycle;
 mod sharing;
 mod tally;
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -4,6 +4,7 @@
 use crate::backend::{Backend, Ended, Forward, Pool};
 use crate::config::{Config, ConfigError, Upstreams};
 use crate::counter::{Calls, Counted, Counter};
+use crate::handover::Handover;
 use crate::ops::Ordered;
 use crate::orders::Orders;
 use crate::peers::Post;
@@ -33,6 +34,9 @@
 /// How often orders that another process wrote are looked for. With the grace of 1 s after a yes there, this is soon.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// How often what was learned is left to the process that may take over.
+const LEAVE_EVERY: Duration = Duration::from_secs(1);
+
 /// The way to the driver.
 pub type Inbox = mpsc::Sender<Input>;
 
@@ -171,6 +175,8 @@
     roster: Roster,
     book: Book,
     orders: Option<Orders>,
+    /// What is left to the next process, where processes take over from each other.
+    handover: Option<Handover>,
     requests: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Micros, TimerId)>>,
     batch: Vec<Event>,
@@ -179,6 +185,8 @@
     ready: watch::Sender<bool>,
     /// When the list known from before is taken for it.
     ready_at: Option<Instant>,
+    /// It is to end.
+    closing: bool,
 }
 
 impl Driver {
@@ -186,8 +194,10 @@
     pub fn new(config: Config, clock: Clock, ready: watch::Sender<bool>) -> Result<Driver, ConfigError> {
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
         // Without a door there are no orders, and nothing to keep.
-        let folder = config.ops.and(config.folder);
-        let mut orders = folder.map(|folder| Orders::at(&folder, &config.name));
+        let ordered = config.ops.and(config.folder.as_deref());
+        let mut orders = ordered.map(|folder| Orders::at(folder, &config.name));
+        let shared = config.inherited.and(config.folder.as_deref());
+        let handover = shared.map(|folder| Handover::at(folder, &config.name));
         let book = orders.as_mut().and_then(Orders::news).unwrap_or_default();
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
@@ -210,18 +220,22 @@
             roster: Roster::default(),
             book,
             orders,
+            handover,
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             batch: Vec::new(),
             actions: Vec::new(),
             ready,
             ready_at: None,
+            closing: false,
         };
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
             driver.told(MemberList { complete: true, ..known });
             driver.ready_at = Some(Instant::now() + WAIT_FOR_DISCOVERY);
         }
+        let learned = driver.handover.as_ref().and_then(Handover::read);
+        driver.batch.extend(learned.map(Event::Learned));
         Ok(driver)
     }
 
@@ -241,6 +255,8 @@
         });
         let mut look = interval(LOOK_EVERY);
         look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut leave = interval(LEAVE_EVERY);
+        leave.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = Instant::now();
         loop {
             let due = match self.timers.peek() {
@@ -258,6 +274,7 @@
                     self.become_ready();
                 }
                 _ = look.tick(), if self.orders.is_some() => self.look_for_orders(),
+                _ = leave.tick(), if self.handover.is_some() => self.leave(),
                 input = self.inputs.recv() => {
                     let mut next = input;
                     while let Some(input) = next {
@@ -321,7 +338,10 @@
             }
             Input::Post(post) => self.post = Some(post),
             Input::Rules(rules) => self.batch.push(Event::Rules(rules)),
-            Input::Closing(by) => self.batch.push(Event::Closing(by)),
+            Input::Closing(by) => {
+                self.closing = true;
+                self.batch.push(Event::Closing(by));
+            }
             Input::Order { id, out, reply } => drop(reply.send(self.order(&id, out))),
             Input::Peer(from, message) => self.batch.push(Event::Peer(from, message)),
             Input::Counted(name, serial, counted) => {
@@ -386,6 +406,17 @@
         Ordered::Done
     }
 
+    /// Leaves what was learned to the process that takes over.
+    fn leave(&mut self) {
+        let (Some(handover), learned) = (&self.handover, self.gateway.learned()) else { return };
+        // One that has learned nothing yet must not put that in the place of what is there.
+        if learned.per_weight > 0.0 && !self.closing {
+            if let Err(problem) = handover.write(&learned) {
+                debug!(%problem, "what was learned is not left to the next process");
+            }
+        }
+    }
+
     /// Puts in force what another process of this gateway was ordered.
     fn look_for_orders(&mut self) {
         let Some(news) = self.orders.as_mut().and_then(Orders::news) else { return };
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod handover;
 pub mod http;
 pub mod inherit;
 pub mod names;
--- a/crates/starlinghill-gateway/src/orders.rs
+++ b/crates/starlinghill-gateway/src/orders.rs
@@ -1,5 +1,6 @@
 //! The file of orders that the processes of one gateway share.
 
+use crate::handover::file_name;
 use starlinghill_maintenance::Book;
 use std::fs::{self, File, TryLockError};
 use std::io;
@@ -26,9 +27,7 @@
 impl Orders {
     /// The file of this gateway in a folder that outlives its processes.
     pub fn at(folder: &Path, gateway: &str) -> Orders {
-        let plain: String =
-            gateway.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-').take(64).collect();
-        let path = folder.join(format!("starlinghill-{plain}-orders.json"));
+        let path = folder.join(file_name(gateway, "orders"));
         Orders { lock: path.with_extension("lock"), path, seen: None }
     }
 
