--- a/crates/starlinghill-decision/src/borne.rs
+++ b/crates/starlinghill-decision/src/borne.rs
@@ -24,14 +24,17 @@
     ///
     /// Guards against a spiral: with nearly all servers cold, what goes out is bounded by the very figure that is
     /// reckoned from it, and falls and falls. The same holds for a process that has sent nothing yet.
-    pub(crate) fn per_weight(&mut self, now: Micros, flow: f64, warm: f64, all: f64) -> f64 {
+    ///
+    /// Never less than `least`: guards against a start with every server cold and nothing known, where what is allowed would be
+    /// nothing, and so would what goes out.
+    pub(crate) fn per_weight(&mut self, now: Micros, flow: f64, (warm, all): (f64, f64), least: f64) -> f64 {
         if warm <= 0.0 || warm < WARM_PART * all {
-            return (flow / all.max(1e-9)).max(self.rate);
+            return (flow / all.max(1e-9)).max(self.rate).max(least);
         }
         let present = flow / warm;
         let passed = self.at.map_or(0.0, |at| (now - at).secs());
         self.at = Some(now);
         self.rate += (present - self.rate) * (1.0 - (-passed / SPAN).exp());
-        present.max(self.rate)
+        present.max(self.rate).max(least)
     }
 }
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -117,7 +117,9 @@
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
         let all: f64 = self.servers.values().filter(|s| s.listed).map(|s| s.weight).sum();
-        let per_weight = self.borne.per_weight(now, self.flow_rate(cx), warm, all);
+        // All gateways together: the largest request, once a second.
+        let least = set.most_units / f64::from(set.gateways);
+        let per_weight = self.borne.per_weight(now, self.flow_rate(cx), (warm, all), least);
         for s in self.servers.values_mut() {
             let Some(since) = s.cold_since else { continue };
             if now >= since + set.cold {
--- a/crates/starlinghill-rig/src/world.rs
+++ b/crates/starlinghill-rig/src/world.rs
@@ -245,6 +245,8 @@
     pub child: Child,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where operators are heard, if anywhere.
+    pub door: Option<SocketAddr>,
 }
 
 /// A configuration round these services.
@@ -296,13 +298,16 @@
     pub fn spawn(mut command: Command) -> Node {
         let child = command.spawn().expect("it starts");
         // From here on it ends with the test, also if what it says is not understood.
-        let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
+        let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), door: None };
         let mut log = BufReader::new(node.child.stderr.take().expect("piped"));
         let mut told = String::new();
         node.address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened: {told}");
             told.push_str(&line);
+            if let Some(door) = line.split("door=").nth(1) {
+                node.door = Some(door.trim().parse().expect("an address"));
+            }
             if let Some(address) = line.split("address=").nth(1) {
                 break address.trim().parse().expect("an address");
             }
@@ -329,6 +334,13 @@
     pub fn client(&self) -> Client {
         Client::connect(self.address)
     }
+    /// Calls at the operators' door and returns the status.
+    pub fn call(&self, method: &str, path: &str, id: &str) -> u16 {
+        let mut client = Client::connect(self.door.expect("it has a door"));
+        client
+            .ask(&format!("{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{id}", id.len()))
+            .status()
+    }
     /// Sends it a signal, such as TERM.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
