Pass on large bodies as they come; ask a counter that is slow by itself as before

Now both ways pass on what they can't hold (passing, answer): an answer's attempt ends well when it begins to be passed on, one that breaks off later is told of its server (Event::Broke); an upload goes out once, its time runs from its last byte (Event::Whole), and till then it holds no place at its server; a refusal that comes early reads on, so that it is not lost with a reset. A chunked request beside a Content-Length is seen in the raw head (head), as hyper drops one of the two. An answer that ends with its connection counts if it says so.

Only what an answer takes beyond its best counts now (asking).

--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -2,25 +2,16 @@
 //! answers, by a local bucket where it does not.
 
 use crate::api::*;
+use crate::asking::Asking;
 use crate::breaker::Breaker;
 use crate::bucket::{mix, TokenBucket};
-use crate::context::{Context, LEAST_PART, SMOOTH};
+use crate::context::{Context, SMOOTH};
 use crate::tally::Tally;
 use starlinghill_ledger::flow::Flow;
 use starlinghill_ledger::shares::{Exchange, Shares};
 use starlinghill_ledger::{Quota, Store, Told};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Share of requests that ask: cut by each failed call and a little by an answer that took more than half of
-/// the time there is, raised by each other answer, and never below `LEAST_PART`. Raised by as much whatever
-/// it is, so that gateways come to equal shares of a counter that can't bear all.
-const ASK_CUT: f64 = 0.8;
-const ASK_SLOW: f64 = 0.97;
-const ASK_GROW: f64 = 0.005;
-/// The share with which asking begins again when a probe was answered.
-const ASK_AGAIN: f64 = 0.5;
-/// The share above which the counter has calls to spare.
-const ASK_SPARE: f64 = 0.9;
 /// The share of repeats that ask is the share of first tries to this power.
 const REPEAT_POWER: f64 = 3.0;
 /// How long after a refusal the like of it counts as its repeat.
@@ -115,9 +106,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     pub(crate) breaker: Breaker,
-    /// Share of requests that ask the counter.
-    ask: f64,
-    last_cut: Micros,
+    asking: Asking,
     last_failed: Option<CustomerId>,
     calls: BTreeMap<CountName, VecDeque<Call>>,
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
@@ -132,10 +121,6 @@
 }
 
 impl Admission {
-    pub(crate) fn new() -> Admission {
-        Admission { ask: 1.0, ..Admission::default() }
-    }
-
     /// How many things are kept in mind.
     pub(crate) fn kept(&self) -> usize {
         self.customers.len() + self.calls.len()
@@ -233,7 +218,7 @@
     /// capacity: while calls fail only a part asks, what is worth much first, repeats last, as they were
     /// refused a moment ago.
     fn asks(&self, cx: &mut Context, power: f64) -> bool {
-        self.breaker.opened.is_some() || cx.rng.f64() < self.ask.powf(power)
+        self.breaker.opened.is_some() || self.asking.asks(cx.rng.f64(), power)
     }
 
     fn may_call(&mut self, cx: &Context, customer: CustomerId) -> bool {
@@ -316,9 +301,7 @@
         outcome: Outcome,
     ) {
         let now = cx.now;
-        if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
-            (self.ask, self.last_cut) = ((self.ask * ASK_CUT).max(LEAST_PART), now);
-        }
+        self.asking.failed(made, now, outcome);
         if self.last_failed != Some(customer) || probe {
             self.breaker.failure(now, probe);
         }
@@ -386,9 +369,7 @@
             if !slight {
                 c.bucket = None;
             }
-            let slow = cx.now - call.at > cx.set.count_timeout.times(0.5);
-            self.ask = if slow { self.ask * ASK_SLOW } else { self.ask + ASK_GROW };
-            self.ask = self.ask.min(1.0).max(if call.probe { ASK_AGAIN } else { LEAST_PART });
+            self.asking.answered(cx.now - call.at, cx.set.count_timeout, call.probe);
             self.last_failed = None;
             self.breaker.success(call.probe);
         } else {
@@ -420,7 +401,7 @@
         c.window.owed -= units;
         c.store.take(quota_of(cx, c.plan), cx.now, -units);
         // Others see it as taken until it is back, but a counter that can't bear all must not bear more.
-        if self.breaker.opened.is_none() && self.ask >= ASK_SPARE {
+        if self.breaker.opened.is_none() && self.asking.spare() {
             self.call(cx, Purpose::Window, customer, None, 0.0);
         }
     }
--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -244,6 +244,8 @@
     pub first: u32,
     /// The client repeats a try that was refused, failed or given up (where clients say so).
     pub resent: bool,
+    /// Its body is passed on as it comes, so it can be sent once.
+    pub once: bool,
 }
 
 /// An attempt that ended.
@@ -289,6 +291,10 @@
     Peer(u32, Vec<u8>),
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
+    /// The last byte came of a request whose body is passed on.
+    Whole(RequestId),
+    /// An answer that was being passed on, whose attempt had ended well, broke off at this server.
+    Broke(ServerId),
     /// New rules for what comes from now on.
     Rules(Rules),
     /// What an earlier process of this gateway knew.
--- /dev/null
+++ b/crates/starlinghill-decision/src/asking.rs
@@ -0,0 +1,64 @@
+//! How many requests ask the shared counter: all where it bears that, a part where calls fail or queue.
+
+use crate::api::{Micros, Outcome};
+use crate::context::LEAST_PART;
+
+/// The share is cut by a failed call and a little by an answer that queued for more than half of the time there is, raised by each
+/// other answer, and never below `LEAST_PART`. Raised by as much whatever it is, so that gateways come to equal shares of a
+/// counter that can't bear all.
+const CUT: f64 = 0.8;
+const QUEUED: f64 = 0.97;
+const GROW: f64 = 0.005;
+/// The share with which asking begins again when a probe was answered.
+const AGAIN: f64 = 0.5;
+/// The share above which the counter has calls to spare.
+const SPARE: f64 = 0.9;
+/// How fast the time of an answer that did not queue is forgotten, with each that took longer.
+const FORGET: f64 = 0.005;
+
+/// The share of requests that ask.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asking {
+    share: f64,
+    last_cut: Micros,
+    /// What an answer takes that does not queue, in seconds: the least of late.
+    unqueued: Option<f64>,
+}
+
+impl Default for Asking {
+    fn default() -> Asking {
+        Asking { share: 1.0, last_cut: Micros(0), unqueued: None }
+    }
+}
+
+impl Asking {
+    /// Whether one asks by this draw (from 0 to 1): what is worth much first, repeats last.
+    pub(crate) fn asks(&self, draw: f64, power: f64) -> bool {
+        draw < self.share.powf(power)
+    }
+
+    /// The counter has calls to spare.
+    pub(crate) fn spare(&self) -> bool {
+        self.share >= SPARE
+    }
+
+    /// A call that was made then has failed. One cut answers for all calls that were out when it was made: guards against
+    /// asking next to nothing for a moment's jam. What comes back spoilt or broken says nothing of the counter's load.
+    pub(crate) fn failed(&mut self, made: Micros, now: Micros, outcome: Outcome) {
+        if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
+            (self.share, self.last_cut) = ((self.share * CUT).max(LEAST_PART), now);
+        }
+    }
+
+    /// A call was answered after so long, of the time there is. Guards against taking a counter that is slow by itself for one
+    /// that our calls drown: only what it takes beyond its best says that calls queue.
+    pub(crate) fn answered(&mut self, took: Micros, limit: Micros, probe: bool) {
+        let took = took.secs();
+        let best =
+            self.unqueued.map_or(took, |best| if took < best { took } else { best + (took - best) * FORGET });
+        self.unqueued = Some(best);
+        let queued = took - best > limit.secs() * 0.5;
+        let share = if queued { self.share * QUEUED } else { self.share + GROW };
+        self.share = share.min(1.0).max(if probe { AGAIN } else { LEAST_PART });
+    }
+}
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -35,7 +35,7 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let cx = Context::new(seed, set);
-        let (admission, fleet) = (Admission::new(), Fleet::new());
+        let (admission, fleet) = (Admission::default(), Fleet::new());
         let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.cx.timer(Timer::Sweep, FORGET);
@@ -68,6 +68,8 @@
             Event::Counted(name, nth, outcome, total) => self.on_counted(name, nth, outcome, total),
             Event::Peer(from, message) => self.admission.on_peer(&mut self.cx, from, &message),
             Event::AttemptEnded(end) => self.on_attempt(end),
+            Event::Whole(id) => self.came_whole(id),
+            Event::Broke(server) => self.fleet.broke(&self.cx, server),
             Event::Rules(rules) => self.on_rules(rules),
             Event::Learned(learned) => self.on_learned(learned),
             Event::Closing(by) => self.on_closing(by),
@@ -107,7 +109,8 @@
         // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
         self.cx.timer(Timer::Deadline(id), a.deadline - now - self.cx.set.tick - self.cx.set.tick);
         let resent = self.admission.note(&self.cx, &a);
-        let (a, most) = (Arrival { resent, ..a }, self.cx.set.max_attempts);
+        let most = if a.once { 1 } else { self.cx.set.max_attempts };
+        let a = Arrival { resent, ..a };
         self.requests.insert(id, Request { a, arrived: now, most, ..Request::default() });
         self.admission.roll(&self.cx, customer);
         if self.shed(id) {
@@ -230,6 +233,7 @@
         let (units, until) = (r.a.units, until.min(r.a.deadline));
         self.fleet.sent(&self.cx, server, units);
         self.cx.out.push(Action::Send(id, server, until));
+        self.still_comes(id, server);
     }
 
     fn serve_held(&mut self) {
@@ -292,6 +296,7 @@
 
     fn on_attempt(&mut self, end: AttemptEnd) {
         let (id, outcome) = (end.id, end.outcome);
+        self.came_whole(id);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let named = r.attempts.get_mut(end.attempt);
         let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -31,6 +31,8 @@
     pub(crate) asking: u32,
     pub(crate) held_since: Option<Micros>,
     pub(crate) streaming: bool,
+    /// Its body still comes, and its attempt is no load to its server yet.
+    pub(crate) coming: bool,
     pub(crate) done: bool,
 }
 
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -92,14 +92,24 @@
             s.ejected_until = s.ejected_until.max(now + REST);
             return;
         }
-        s.fail_share += SMOOTH * (1.0 - s.fail_share);
         if outcome == Outcome::ConnectFailed {
             s.unreached_since.get_or_insert(now);
         }
-        // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out
-        // of line only against the others, or overload would eject them one by one.
-        let out_of_line =
-            outcome == Outcome::ConnectFailed || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
+        self.failed(cx, server, outcome == Outcome::ConnectFailed, jitter);
+    }
+
+    /// An answer broke off after its attempt had ended well.
+    pub(crate) fn broke(&mut self, cx: &Context, server: ServerId) {
+        self.failed(cx, server, false, 1.0);
+    }
+
+    /// Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out of line
+    /// only against the others, or overload would eject them one by one.
+    fn failed(&mut self, cx: &Context, server: ServerId, unreached: bool, jitter: f64) {
+        let (now, all) = (cx.now, self.fail_share);
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.fail_share += SMOOTH * (1.0 - s.fail_share);
+        let out_of_line = unreached || s.fail_share > EJECT_SHARE.max(2.0 * all);
         if now >= s.ejected_until && (out_of_line || s.trial) {
             s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
             s.ejections = (s.ejections + 1).min(EJECT_DOUBLINGS);
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,12 +2,13 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `borne`, `breaker`, `context`, `fleet`,
+//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `borne`, `asking`, `breaker`, `context`, `fleet`,
 //! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
 
 pub mod api;
 
 mod admission;
+mod asking;
 mod attempts;
 mod borne;
 mod breaker;
--- a/crates/starlinghill-decision/src/lifecycle.rs
+++ b/crates/starlinghill-decision/src/lifecycle.rs
@@ -3,6 +3,7 @@
 use crate::api::*;
 use crate::attempts::Gateway;
 use crate::context::{Context, Timer};
+use crate::fleet::Fleet;
 
 impl Context {
     /// A request as it stands under the rules of the moment: none waits beyond the gateway's end.
@@ -11,6 +12,16 @@
     }
 }
 
+impl Fleet {
+    /// Changes what is out at a server.
+    fn bears(&mut self, server: ServerId, change: f64) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out = (s.out + change).max(0.0);
+            self.out_now = (self.out_now + change).max(0.0);
+        }
+    }
+}
+
 impl Gateway {
     /// Takes new rules for what comes from now on. Rules under which an open request came are kept, whatever was
     /// handed in: guards against another effect for one that has run. Rules that make no sense change nothing.
@@ -30,6 +41,24 @@
         }
     }
 
+    /// An attempt whose body is passed on loads its server from its last byte on. Guards against a few clients that send
+    /// slowly holding all that may be out at the servers.
+    pub(crate) fn still_comes(&mut self, id: RequestId, server: ServerId) {
+        if let Some(r) = self.requests.get_mut(&id).filter(|r| r.a.once) {
+            r.coming = true;
+            self.fleet.bears(server, -1.0);
+        }
+    }
+
+    /// Its last byte came, or its attempt ended.
+    pub(crate) fn came_whole(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let out = r.attempts.iter().find(|a| a.out).map(|a| a.server);
+        if let (true, Some(server)) = (std::mem::take(&mut r.coming), out) {
+            self.fleet.bears(server, 1.0);
+        }
+    }
+
     /// All that is open, or still comes, must have its answer by then. Guards against what the end of the process
     /// would leave without one.
     pub(crate) fn on_closing(&mut self, by: Micros) {
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -1,24 +1,42 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
-use crate::http::{CallError, Connection};
-use bytes::Bytes;
+use crate::http::{CallError, Connection, Outgoing, MAX_BODY};
+use crate::passing::{Download, Upload, Whole, MAX_PASSING};
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, StatusCode, Uri};
 use starlinghill_decision::api::Outcome;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{oneshot, Semaphore};
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// How long the client waits; to a backend: how long this gateway does.
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
 
+/// A client's body as it goes on to backends.
+pub enum Payload {
+    /// Held whole, so that it can go out again.
+    Whole(Bytes),
+    /// Passed on as it comes, which it can be once. Its time is `budget` from its last byte on.
+    Passing {
+        /// Taken by the attempt that sends it.
+        upload: RefCell<Option<Upload>>,
+        /// When its last byte came.
+        whole: Rc<Whole>,
+        /// How long the client waits from then on.
+        budget: Duration,
+    },
+}
+
 /// A client's request as it goes on to backends.
-#[derive(Debug)]
 pub struct Forward {
     /// Its method.
     pub method: Method,
@@ -27,18 +45,52 @@
     /// Its headers, without those that hold for the client's connection alone.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 impl Forward {
-    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Where its body is passed on: when that is whole.
+    pub fn whole(&self) -> Option<&Whole> {
+        match &self.body {
+            Payload::Whole(_) => None,
+            Payload::Passing { whole, .. } => Some(whole),
+        }
+    }
+
+    /// When its time began, where that was after the attempt went out.
+    pub fn whole_at(&self) -> Option<Instant> {
+        self.whole().and_then(Whole::at)
+    }
+
+    /// Waits until the attempt's time is over.
+    async fn over(&self, until: Instant) {
+        match &self.body {
+            Payload::Whole(_) => sleep_until(until).await,
+            Payload::Passing { whole, budget, .. } => {
+                tokio::select! {
+                    at = whole.wait() => sleep_until(until.min(at + *budget)).await,
+                    () = sleep_until(until) => {}
+                }
+            }
+        }
+    }
+
+    /// `None` where its body went out before.
+    fn request(&self, until: Instant) -> Option<Request<Outgoing>> {
+        let body = match &self.body {
+            Payload::Whole(body) => Outgoing::Whole(Full::new(body.clone())),
+            Payload::Passing { upload, .. } => Outgoing::Passing(upload.take()?),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        request.headers_mut().insert(BUDGET, HeaderValue::from(left));
-        request
+        let left = match &self.body {
+            Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
+            Payload::Passing { budget, .. } => *budget,
+        };
+        request.headers_mut().insert(BUDGET, HeaderValue::from(left.as_millis() as u64));
+        Some(request)
     }
 }
 
@@ -61,6 +113,10 @@
 /// that come after the look at the socket and would pass for the answer to the next request.
 const SETTLE: Duration = Duration::from_millis(5);
 
+/// How long the beginning of an answer of unknown length is held back, so that a short one is whole and one that breaks off
+/// early can be tried elsewhere.
+const HELD_BACK: Duration = Duration::from_millis(300);
+
 /// One backend as the list has it now. Guards against giving a connection to who stands at the same address
 /// later: connections are this backend's alone, by its number.
 #[derive(Debug)]
@@ -75,13 +131,20 @@
     pub open: Cell<bool>,
 }
 
+/// A 200's body.
+pub enum Served {
+    /// Whole.
+    Whole(Bytes),
+    /// It is too large to hold, or comes slowly: the attempt ends with it.
+    Passing(Box<Download>),
+}
+
 /// How an attempt ended, with the body where it was served.
-#[derive(Debug)]
 pub struct Ended {
     /// The outcome.
     pub outcome: Outcome,
     /// A 200's body.
-    pub body: Option<Bytes>,
+    pub body: Option<Served>,
 }
 
 impl From<Outcome> for Ended {
@@ -94,7 +157,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<u64, Vec<Connection>>>,
     backends: Cell<u64>,
-    places: Semaphore,
+    places: Arc<Semaphore>,
     dial_timeout: Duration,
     longest_idle: Duration,
 }
@@ -104,7 +167,8 @@
     pub fn new(connections: usize, dial_timeout: Duration, conn_idle: Duration) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let longest_idle = conn_idle / 2;
-        let (idle, backends, places) = (RefCell::default(), Cell::new(0), Semaphore::new(connections));
+        let (idle, backends, places) =
+            (RefCell::default(), Cell::new(0), Arc::new(Semaphore::new(connections)));
         Pool { idle, backends, places, dial_timeout, longest_idle }
     }
 
@@ -127,7 +191,7 @@
         None
     }
 
-    fn give_back(&self, backend: &Backend, mut connection: Connection) {
+    pub(crate) fn give_back(&self, backend: &Backend, mut connection: Connection) {
         if backend.open.get() && connection.is_usable() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(backend.serial).or_default().push(connection);
@@ -164,14 +228,14 @@
     /// Makes one attempt and returns how it ended, its connection closed or back in the pool. It ends by
     /// `until`, or when called off.
     pub async fn attempt(
-        &self,
-        backend: &Backend,
+        self: &Rc<Self>,
+        backend: &Rc<Backend>,
         request: &Forward,
         until: Instant,
         called_off: oneshot::Receiver<()>,
     ) -> Ended {
         // Guards the limit on descriptors: an attempt without a place was never sent.
-        let Ok(_place) = self.places.try_acquire() else { return Outcome::Moot.into() };
+        let Ok(place) = self.places.clone().try_acquire_owned() else { return Outcome::Moot.into() };
         while self.held() > self.places.available_permits() {
             self.evict();
         }
@@ -179,23 +243,26 @@
         tokio::select! {
             biased;
             _ = called_off => Outcome::Cancelled.into(),
-            () = sleep_until(until) => match wrote.get() {
+            () = request.over(until) => match wrote.get() {
                 true => Outcome::Timeout.into(),
                 false => Outcome::ConnectFailed.into(),
             },
-            ended = self.exchange(backend, request, until, &wrote) => ended,
+            ended = self.exchange(backend, request, until, &wrote, place) => ended,
         }
     }
 
     async fn exchange(
-        &self,
-        backend: &Backend,
+        self: &Rc<Self>,
+        backend: &Rc<Backend>,
         request: &Forward,
         until: Instant,
         wrote: &Cell<bool>,
+        place: OwnedSemaphorePermit,
     ) -> Ended {
+        // What can go out once must not meet a kept connection that has just been closed.
+        let once = matches!(request.body, Payload::Passing { .. });
         loop {
-            let (mut connection, reused) = match self.take(backend) {
+            let (mut connection, reused) = match self.take(backend).filter(|_| !once) {
                 Some(connection) => (connection, true),
                 None => match timeout(self.dial_timeout, Connection::open(backend.address)).await {
                     Ok(Ok(connection)) => (connection, false),
@@ -206,12 +273,13 @@
             if !backend.open.get() {
                 return Outcome::Moot.into();
             }
+            let Some(message) = request.request(until) else { return Outcome::Moot.into() };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
-            match connection.call(request.request(until)).await {
+            match connection.begin(message, MAX_PASSING).await {
                 Ok(response) => {
-                    self.give_back(backend, connection);
-                    return outcome_of(response);
+                    let (head, body) = response.into_parts();
+                    return self.answer(backend, outcome_of(&head), body, connection, place).await;
                 }
                 // Guards against a pooled connection that was closed just before it was written to.
                 Err(CallError::NotSent) if reused => wrote.set(false),
@@ -220,15 +288,73 @@
             }
         }
     }
+
+    /// Reads an answer's body: whole where it is short and comes soon, else its first part.
+    async fn answer(
+        self: &Rc<Self>,
+        backend: &Rc<Backend>,
+        outcome: Outcome,
+        mut body: Incoming,
+        mut connection: Connection,
+        place: OwnedSemaphorePermit,
+    ) -> Ended {
+        let length = body.size_hint().exact();
+        let (mut held, mut size) = (VecDeque::new(), 0);
+        let soon = sleep(HELD_BACK);
+        tokio::pin!(soon);
+        loop {
+            let passing =
+                size > MAX_BODY || size > 0 && length.is_some_and(|length| length > MAX_BODY as u64);
+            if outcome == Outcome::Ok && (passing || soon.is_elapsed() && size > 0) {
+                let around = (self.clone(), backend.clone(), place);
+                let download = Download::new(held, body, connection, length, around);
+                return Ended { outcome, body: Some(Served::Passing(Box::new(download))) };
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = connection.frame(&mut body) => frame,
+                () = &mut soon, if !soon.is_elapsed() => continue,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    size += bytes.len();
+                    // Nobody reads an error's body, which may be as long as it likes.
+                    if outcome == Outcome::Ok {
+                        held.push_back(bytes);
+                    } else if size > MAX_BODY {
+                        return outcome.into();
+                    }
+                }
+                Some(Err(_)) => return Outcome::Reset.into(),
+                None => break,
+            }
+        }
+        self.give_back(backend, connection);
+        match outcome {
+            Outcome::Ok => Ended { outcome, body: Some(Served::Whole(joined(held, size))) },
+            _ => outcome.into(),
+        }
+    }
+}
+
+/// The parts of a body as one.
+pub(crate) fn joined(mut parts: VecDeque<Bytes>, size: usize) -> Bytes {
+    if parts.len() == 1 {
+        return parts.pop_front().unwrap_or_default();
+    }
+    let mut whole = BytesMut::with_capacity(size);
+    parts.iter().for_each(|part| whole.extend_from_slice(part));
+    whole.freeze()
 }
 
-/// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
+/// What an answer's head says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
 /// the request never ran.
-fn outcome_of(response: Response<Bytes>) -> Ended {
-    let rejected = response.headers().get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
-    match response.status() {
-        StatusCode::OK => Ended { outcome: Outcome::Ok, body: Some(response.into_body()) },
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full.into(),
-        _ => Outcome::Error.into(),
+fn outcome_of(head: &hyper::http::response::Parts) -> Outcome {
+    let rejected = head.headers.get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
+    match head.status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+        _ => Outcome::Error,
     }
 }
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -1,14 +1,14 @@
 //! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
 //! its request table sees to it that every request gets exactly one final answer.
 
-use crate::backend::{Backend, Ended, Forward, Pool};
+use crate::backend::{Backend, Ended, Forward, Pool, Served};
 use crate::config::{Config, ConfigError, Upstreams};
 use crate::counter::{Calls, Counted, Counter};
 use crate::handover::Handover;
 use crate::ops::Ordered;
 use crate::orders::Orders;
+use crate::passing::Download;
 use crate::peers::Post;
-use bytes::Bytes;
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
 use starlinghill_maintenance::{Book, Roster};
@@ -41,10 +41,9 @@
 pub type Inbox = mpsc::Sender<Input>;
 
 /// The final answer to a client.
-#[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
-    /// A backend's 200, whole.
-    Served(Bytes),
+    /// A backend's 200.
+    Served(Served),
     /// Refused: trying again is harmless, best after this time.
     Refused(Option<Micros>),
     /// Failed, with no promise.
@@ -90,6 +89,12 @@
     },
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
+    /// An attempt's answer has begun and goes on: its request, number and backend, and how long it took to begin.
+    Began(RequestId, usize, ServerId, Box<Download>, Micros),
+    /// The last byte came of a request whose body is passed on.
+    Whole(RequestId),
+    /// An answer that had begun broke off at this backend.
+    Broke(ServerId),
     /// An attempt ended: its request, number and backend, how, and how long it was out.
     Ended(RequestId, usize, ServerId, Ended, Micros),
 }
@@ -348,6 +353,20 @@
                 let nth = self.calls.answered(name, serial);
                 self.batch.extend(nth.map(|nth| Event::Counted(name, nth, counted.outcome, counted.total)));
             }
+            Input::Began(id, attempt, server, mut download, took) => {
+                let inbox = self.inbox.clone();
+                download.when_ended(move |outcome| {
+                    if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+                        // It is told from where nobody can wait.
+                        tokio::task::spawn_local(async move { inbox.send(Input::Broke(server)).await });
+                    }
+                });
+                // From here on it is the client's, and its server has done its work.
+                let ended = Ended { outcome: Outcome::Ok, body: Some(Served::Passing(download)) };
+                self.take(Input::Ended(id, attempt, server, ended, took));
+            }
+            Input::Whole(id) => self.batch.push(Event::Whole(id)),
+            Input::Broke(server) => self.batch.push(Event::Broke(server)),
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
                 open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
@@ -525,10 +544,29 @@
         let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&backend, &forward, until, called_off).await;
-            let took = clock.now() - now;
+            let attempt_ended = pool.attempt(&backend, &forward, until, called_off);
+            let ended = match forward.whole() {
+                None => attempt_ended.await,
+                Some(whole) => {
+                    tokio::pin!(attempt_ended);
+                    tokio::select! {
+                        ended = &mut attempt_ended => ended,
+                        _ = whole.wait() => {
+                            let _ = inbox.send(Input::Whole(id)).await;
+                            attempt_ended.await
+                        }
+                    }
+                }
+            };
+            // The time of a body that is passed on runs from its last byte.
+            let from = forward.whole_at().map_or(now, |at| clock.at(at));
+            let took = clock.now() - from;
+            let input = match ended.body {
+                Some(Served::Passing(download)) => Input::Began(id, attempt, server, download, took),
+                _ => Input::Ended(id, attempt, server, ended, took),
+            };
             // The driver outlives every attempt but for the exit of the process.
-            let _ = inbox.send(Input::Ended(id, attempt, server, ended, took)).await;
+            let _ = inbox.send(input).await;
         });
     }
 
--- a/crates/starlinghill-gateway/src/http.rs
+++ b/crates/starlinghill-gateway/src/http.rs
@@ -1,9 +1,10 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
+use crate::passing::{BodyError, Upload};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -68,10 +69,42 @@
     }
 }
 
+/// A body that goes out.
+pub enum Outgoing {
+    /// Held whole.
+    Whole(Full<Bytes>),
+    /// Passed on as it comes.
+    Passing(Upload),
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Outgoing::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Outgoing::Passing(body) => Pin::new(body).poll_frame(cx),
+        }
+    }
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outgoing::Whole(body) => body.is_end_stream(),
+            Outgoing::Passing(body) => body.is_end_stream(),
+        }
+    }
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outgoing::Whole(body) => body.size_hint(),
+            Outgoing::Passing(body) => body.size_hint(),
+        }
+    }
+}
+
 /// A connection and its protocol machine. Dropping it closes the socket at once, whatever is under way.
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>,
+    sender: http1::SendRequest<Outgoing>,
+    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Outgoing>>>,
     wrote: Rc<Cell<bool>>,
     closed: bool,
     /// When it was last given back unused.
@@ -86,7 +119,7 @@
         let wrote = Rc::new(Cell::new(false));
         let metered = TokioIo::new(Metered { stream, wrote: wrote.clone() });
         let (sender, machine) = http1::Builder::new()
-            .max_buf_size(2 * MAX_BODY)
+            .max_buf_size(MAX_BODY)
             .handshake(metered)
             .await
             .map_err(io::Error::other)?;
@@ -131,6 +164,37 @@
 
     /// Makes one call and reads the whole answer. After an error the connection is of no further use.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.begin(request.map(Outgoing::Whole), MAX_BODY as u64).await?.into_parts();
+        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
+        let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// The next part of an answer's body; `None` at its end.
+    pub async fn frame(&mut self, body: &mut Incoming) -> Option<Result<Frame<Bytes>, BodyError>> {
+        std::future::poll_fn(|cx| self.poll_frame(cx, body)).await
+    }
+
+    /// The same, for who polls.
+    pub fn poll_frame(
+        &mut self,
+        cx: &mut Context,
+        body: &mut Incoming,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.turn(cx);
+        match Pin::new(body).poll_frame(cx) {
+            Poll::Pending if self.closed => Poll::Ready(Some(Err("the connection ended".into()))),
+            polled => polled.map_err(Into::into),
+        }
+    }
+
+    /// Makes one call and reads the answer's head, whose body may have so many bytes. After an error the connection is of no further
+    /// use; neither is it before the body was read.
+    pub async fn begin(
+        &mut self,
+        request: Request<Outgoing>,
+        longest: u64,
+    ) -> Result<Response<Incoming>, CallError> {
         self.wrote.set(false);
         let sending = self.sender.try_send_request(request);
         let head = self.drive(sending).await;
@@ -139,13 +203,15 @@
         // Guards against spoilt answers, of which a part would pass for the whole: two lengths, none (so that any
         // end of the connection looks like its own), or more than any answer has, which may keep coming for long.
         let (length, chunked) = (header::CONTENT_LENGTH, header::TRANSFER_ENCODING);
-        let one_length = head.headers.contains_key(length) != head.headers.contains_key(chunked);
+        let lengths =
+            usize::from(head.headers.contains_key(length)) + usize::from(head.headers.contains_key(chunked));
         let has_body = head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED;
-        if has_body && !one_length || body.size_hint().lower() > MAX_BODY as u64 {
+        // One whose end is the connection's must say so.
+        let closes =
+            head.headers.get(header::CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        if has_body && lengths != 1 && !(lengths == 0 && closes) || body.size_hint().lower() > longest {
             return Err(CallError::Broken);
         }
-        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
-        let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -1,16 +1,19 @@
 //! The real gateway: the decision module on sockets.
 
+pub mod answer;
 pub mod backend;
 pub mod config;
 pub mod counter;
 pub mod discovery;
 pub mod driver;
 pub mod handover;
+pub mod head;
 pub mod http;
 pub mod inherit;
 pub mod names;
 pub mod ops;
 pub mod orders;
+pub mod passing;
 pub mod peers;
 pub mod server;
 
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -1,20 +1,23 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
-use crate::backend::{strip_hop_by_hop, Forward, BUDGET};
+use crate::answer::{AnswerBody, Passing};
+use crate::backend::{joined, strip_hop_by_hop, Forward, Payload, Served, BUDGET};
 use crate::driver::{Answer, Clock, Inbox, Input, Taken};
+use crate::head::{Head, Seen};
 use crate::http::MAX_BODY;
 use crate::names::Names;
+use crate::passing::{Follower, Upload, Whole, MAX_PASSING};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use starlinghill_decision::api::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,9 +26,15 @@
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
 use tracing::{debug, warn};
 
-/// A request must have come whole so long after its connection was opened, or after the answer before it on a
-/// connection that is being closed. 3 s from connecting are owed to who sends none.
-const RECEIVE_TIME: Duration = Duration::from_millis(2000);
+/// A request's head, and a first byte of its body, must have come so long after its connection was opened, or after the
+/// answer before it on a connection that is being closed. Clients may need 2 s; 3 s are owed to who sends none.
+const RECEIVE_TIME: Duration = Duration::from_millis(2500);
+/// A body that comes must bring something more in this time,
+const BODY_STALL: Duration = Duration::from_millis(1500);
+/// and so many bytes a second on the whole; clients may send 64 kB.
+const BODY_RATE: u64 = 40_000;
+/// A client that reads nothing of its answer for so long is not waited for.
+const READ_STALL: Duration = Duration::from_secs(10);
 /// A connection is closed when no request was open on it for so long.
 const LONGEST_IDLE: Duration = Duration::from_secs(15);
 /// A new connection on which nothing came for so long gives way to newer ones; usual clients send at once.
@@ -97,14 +106,20 @@
     Receiving,
     /// A request was taken and is not answered.
     Busy,
+    /// Its answer is on its way.
+    Passing,
     /// Between requests.
     Idle,
 }
 
 /// A client's connection as those see it who may close it.
-struct Line {
+pub struct Line {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// Of the body that is being received: how many bytes came, and since when its client is waited for.
+    came: Cell<u64>,
+    waits_since: Cell<Option<Instant>>,
+    head: Rc<Head>,
     /// It is to end with the answer to what it is at.
     closing: Cell<bool>,
     /// It is to end at once.
@@ -115,7 +130,33 @@
 impl Line {
     fn new() -> Line {
         let (phase, since) = (Cell::new(Phase::Receiving), Cell::new(Instant::now()));
-        Line { phase, since, closing: Cell::new(false), cut: Cell::new(false), told: Notify::new() }
+        let (came, waits_since, head) = (Cell::new(0), Cell::new(None), Rc::new(Head::default()));
+        let (closing, cut, told) = (Cell::new(false), Cell::new(false), Notify::new());
+        Line { phase, since, came, waits_since, head, closing, cut, told }
+    }
+    /// Its answer moves.
+    pub(crate) fn passes(&self) {
+        self.phase.set(Phase::Passing);
+        self.since.set(Instant::now());
+    }
+    /// It is between requests.
+    pub(crate) fn is_between(&self) {
+        self.turn(Phase::Idle);
+    }
+    /// What is being received takes too long, or comes to a halt.
+    fn dawdles(&self) -> bool {
+        if self.phase.get() != Phase::Receiving {
+            return false;
+        }
+        let allowed = Duration::from_millis(self.came.get().saturating_mul(1000) / BODY_RATE);
+        // What waits for a backend to take it in is not the client's fault.
+        let waits = |since: Instant| {
+            since.elapsed() > BODY_STALL || self.since.get().elapsed() > RECEIVE_TIME + allowed
+        };
+        match self.waits_since.get() {
+            Some(since) => waits(since),
+            None => self.came.get() == 0 && self.since.get().elapsed() > RECEIVE_TIME,
+        }
     }
     /// A first request's time runs from the opening.
     fn turn(&self, phase: Phase) {
@@ -155,8 +196,9 @@
     /// request, or do not read their answer.
     fn sweep(&self) {
         for line in self.open.borrow().values() {
-            let unread = line.closing.get() && line.is(Phase::Idle, RECEIVE_TIME);
-            if line.is(Phase::Receiving, RECEIVE_TIME) || unread {
+            let unread = line.closing.get() && line.is(Phase::Idle, RECEIVE_TIME)
+                || line.is(Phase::Passing, READ_STALL);
+            if line.dawdles() || unread {
                 line.cut();
             } else if line.is(Phase::Idle, LONGEST_IDLE) {
                 line.close();
@@ -276,8 +318,9 @@
         let (front, line) = (front.clone(), line.clone());
         async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
+    let seen = Seen::new(stream, line.head.clone());
     let connection =
-        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
+        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(seen), service);
     let mut connection = std::pin::pin!(connection);
     let done = loop {
         tokio::select! {
@@ -297,29 +340,36 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, front: &Front, line: &Line) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, front: &Front, line: &Rc<Line>) -> Response<AnswerBody> {
     line.turn(Phase::Receiving);
+    line.came.set(0);
+    line.waits_since.set(None);
+    // Guards against what stands behind a body of which there may be two readings.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match request.uri().path() {
         "/_health" => match *front.ready.borrow() && !front.is_stopping() {
-            true => plain(StatusCode::OK, "ready\n"),
-            false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            true => plain(StatusCode::OK, "ready\n").map(AnswerBody::Whole),
+            false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n").map(AnswerBody::Whole),
         },
         "/api" => match take(request, front, line).await {
             Ok(answer) => answer,
-            Err((status, problem)) => last(plain(status, problem)),
+            Err((status, problem)) => last(plain(status, problem).map(AnswerBody::Whole)),
         },
-        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n")),
+        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n").map(AnswerBody::Whole)),
     };
-    if front.is_stopping() {
+    if front.is_stopping() || chunked {
         response = last(response);
     }
-    line.turn(Phase::Idle);
+    if line.phase.get() != Phase::Passing {
+        line.turn(Phase::Idle);
+    }
+    line.head.begin();
     response
 }
 
 /// Ends the connection with this answer. Guards against what follows a request that can't be believed, such as
 /// a body of 60 MB, which then is not read.
-fn last(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn last(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
@@ -375,47 +425,110 @@
     }
 }
 
+impl Follower for Line {
+    fn came(&self, bytes: usize) {
+        self.came.set(self.came.get() + bytes as u64);
+    }
+    fn waits(&self, for_client: bool) {
+        let since = self.waits_since.get().unwrap_or_else(Instant::now);
+        self.waits_since.set(for_client.then_some(since));
+    }
+    fn whole(&self) {
+        self.turn(Phase::Busy);
+    }
+}
+
+/// The longest that a body of this length, or of any, may take to come.
+fn longest_upload(length: Option<u64>) -> Duration {
+    RECEIVE_TIME + Duration::from_millis(length.unwrap_or(MAX_PASSING).saturating_mul(1000) / BODY_RATE)
+}
+
+/// A client's body: whole where it is short, else its first part, with the rest to come.
+enum Received {
+    Whole(Bytes),
+    Passing(VecDeque<Bytes>, Incoming),
+}
+
+async fn receive(mut body: Incoming, line: &Rc<Line>) -> Result<Received, Malformed> {
+    let (mut held, mut size) = (VecDeque::new(), 0);
+    while size <= MAX_BODY {
+        line.waits(true);
+        let Some(frame) = body.frame().await else {
+            return Ok(Received::Whole(joined(held, size)));
+        };
+        line.waits(false);
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?;
+        // Trailers hold for this connection alone.
+        let Ok(bytes) = frame.into_data() else { continue };
+        line.came(bytes.len());
+        size += bytes.len();
+        held.push_back(bytes);
+    }
+    Ok(Received::Passing(held, body))
+}
+
 async fn take(
     request: Request<Incoming>,
     front: &Front,
-    line: &Line,
-) -> Result<Response<Full<Bytes>>, Malformed> {
+    line: &Rc<Line>,
+) -> Result<Response<AnswerBody>, Malformed> {
     let (head, body) = request.into_parts();
-    let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
-    // Guards memory: its length is known before any of it is read.
-    let length = body.size_hint().upper().unwrap_or(u64::MAX);
-    if length > MAX_BODY as u64 {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
+    let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front, &line.head)?;
+    // Guards memory: where its length is known, that is before any of it is read.
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > MAX_PASSING) {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 32 MiB\n"));
     }
-    let Ok(_room) = front.bodies.try_acquire_many(length as u32) else {
+    let most = length.map_or(MAX_BODY, |length| length.min(MAX_BODY as u64) as usize);
+    let Ok(_room) = front.bodies.try_acquire_many(most as u32) else {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
     };
-    let body =
-        body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
+    let received = receive(body, line).await?;
     let _open = OpenCall::new(&front.open, asked.call)?;
-    line.turn(Phase::Busy);
-    // The request's time runs from its last byte.
-    let deadline = front.clock.now() + asked.budget;
-    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
-    let forward = Forward { method: head.method, uri: head.uri, headers, body };
+    let budget = Duration::from_micros(asked.budget.0);
+    let (body, once, upload) = match received {
+        Received::Whole(body) => {
+            line.turn(Phase::Busy);
+            (Payload::Whole(body), false, Duration::ZERO)
+        }
+        Received::Passing(held, rest) => {
+            let whole = Rc::new(Whole::default());
+            let upload = RefCell::new(Some(Upload::new(held, rest, length, line.clone(), whole.clone())));
+            (Payload::Passing { upload, whole, budget }, true, longest_upload(length))
+        }
+    };
+    // The request's time runs from its last byte.
+    let deadline = front.clock.now() + Micros(upload.as_micros() as u64) + asked.budget;
+    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
+    // Only path and query are the request's own; the rest of an absolute form names this gateway.
+    let uri = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or(head.uri);
+    let forward = Forward { method: head.method, uri, headers, body };
     let (reply, answer) = oneshot::channel();
-    let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, forward, reply };
+    let taken = Taken { arrival: Arrival { id, deadline, once, ..asked.arrival }, forward, reply };
     let mut watch = Watch { inbox: &front.inbox, id, answered: false };
     let told = front.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
     let answer = if told { answer.await.unwrap_or(Answer::Failed) } else { Answer::Failed };
     watch.answered = true;
-    Ok(match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+    let mut response = match answer {
+        Answer::Served(Served::Whole(body)) => Response::new(AnswerBody::Whole(Full::new(body))),
+        Answer::Served(Served::Passing(download)) => {
+            Response::new(AnswerBody::Passing(Passing::new(download, line.clone())))
+        }
         Answer::Refused(wait) => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n").map(AnswerBody::Whole);
             let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
             wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
             response
         }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-    })
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n").map(AnswerBody::Whole),
+    };
+    if line.phase.get() == Phase::Receiving {
+        // Answered before its body was read to the end: what still comes of it is nobody's.
+        response = last(response);
+    }
+    Ok(response)
 }
 
 /// What a request's head says of it.
@@ -432,12 +545,11 @@
         query: Option<&str>,
         headers: &HeaderMap,
         front: &Front,
+        seen: &Head,
     ) -> Result<Asked, Malformed> {
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
-        // Guards against a second request hidden in the body, which is there for who goes by the other of two
-        // lengths. A client's body has a length; hyper drops that of one that is chunked as well.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(bad("Transfer-Encoding: expected Content-Length alone\n"));
+        if headers.contains_key(header::TRANSFER_ENCODING) && seen.may_have_length() {
+            return Err(bad("Transfer-Encoding: expected no Content-Length beside it\n"));
         }
         // Guards against two readings of one request: which of two values counts, nobody says.
         let twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
--- a/crates/starlinghill-rig/src/world.rs
+++ b/crates/starlinghill-rig/src/world.rs
@@ -55,6 +55,10 @@
                 _ => message.line = line.to_string(),
             }
         }
+        if message.header("transfer-encoding") == Some("chunked") {
+            message.body = Message::chunks(from)?;
+            return Some(message);
+        }
         let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
         let mut body = vec![0; length];
         from.read_exact(&mut body).ok()?;
@@ -63,6 +67,24 @@
     }
 }
 
+impl Message {
+    /// A chunked body; `None` where it ends before its last chunk.
+    fn chunks(from: &mut BufReader<TcpStream>) -> Option<String> {
+        let mut body = Vec::new();
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok()?;
+            let size = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+            let mut chunk = vec![0; size + 2];
+            from.read_exact(&mut chunk).ok()?;
+            body.extend_from_slice(&chunk[..size]);
+            if size == 0 {
+                return String::from_utf8(body).ok();
+            }
+        }
+    }
+}
+
 /// What a stub does with a request.
 pub enum Reply {
     /// These bytes, as they stand.
--- a/crates/starlinghill-simhost/src/lib.rs
+++ b/crates/starlinghill-simhost/src/lib.rs
@@ -102,6 +102,7 @@
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
                     resent: f.flag_or("resent", false)?,
+                    once: false,
                 })
             }
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
