--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -358,8 +358,8 @@
                         c.beyond.level = (c.beyond.level + call.unheard).min(c.beyond.depth);
                     }
                 } else {
-                    // The window ended meanwhile: its total says nothing of this one, and no later one tells of
-                    // the amount.
+                    // The window ended meanwhile: its total says nothing of this one, and no later one
+                    // tells of the amount.
                     c.store.take(quota, cx.now, fresh);
                 }
                 heard = c.store.level(quota, cx.now);
@@ -435,7 +435,7 @@
         }
     }
 
-    /// By a total heard just now, the store held what was taken from it here, whenever the others took theirs.
+    /// By a total heard just now, the store held what was taken here, whenever the others took theirs.
     fn sure(&self, cx: &Context, customer: CustomerId) -> bool {
         let holds = |c: &Customer| c.store.heard_at() == cx.now && c.store.floor() >= 0.0;
         cx.now >= self.bound_until(cx) && self.customers.get(&customer).is_some_and(holds)
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -26,14 +26,14 @@
 /// How long leave to send to a cold server holds where many gateways share it.
 const COLD_LEAVE: Micros = Micros(250_000);
 
-/// A cold server gets at most so many times the part of a warm one's work that its capacity is, and no more than half of
-/// what it falls over at. Fleets run at half of what they can: with most servers cold, the rest must not be refused.
+/// What a gateway gives a cold server beyond that part, within half of what it falls over at. Fleets run at
+/// half of what they can: with most servers cold, the rest must not be refused. Proxies get the plain part.
 const COLD_PUSH: f64 = 1.5;
 
 /// The part of a warm server's work that one gets which started so long ago.
 pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
     let part = set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0);
-    part * if age < set.cold { (set.fall_multiple / 2.0).min(COLD_PUSH) } else { 1.0 }
+    part * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
 }
 
 impl Fleet {
@@ -103,8 +103,8 @@
         self.failed(cx, server, false, 1.0);
     }
 
-    /// Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out of line
-    /// only against the others, or overload would eject them one by one.
+    /// Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out of
+    /// line only against the others, or overload would eject them one by one.
     fn failed(&mut self, cx: &Context, server: ServerId, unreached: bool, jitter: f64) {
         let (now, all) = (cx.now, self.fail_share);
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -128,6 +128,7 @@
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
         let all: f64 = self.servers.values().filter(|s| s.listed).map(|s| s.weight).sum();
         // All gateways together: the largest request, once a second.
+        let push = (set.fall_multiple / 2.0).clamp(1.0, COLD_PUSH);
         let least = set.most_units / f64::from(set.gateways);
         let per_weight = self.borne.per_weight(now, self.flow_rate(cx), (warm, all), least);
         for s in self.servers.values_mut() {
@@ -136,7 +137,7 @@
                 s.cold_since = None;
                 continue;
             }
-            s.cold_room.rate = per_weight * s.weight * warm_part(set, now - since);
+            s.cold_room.rate = per_weight * push * s.weight * warm_part(set, now - since);
             s.cold_room.fill(now);
             // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
             if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
