Wait for the log where a broken file is tested; test uploads, broken answers and asking

Reread: the test that a broken file changes nothing slept for 30 ms and passed also where the signal had not been dealt with. It now waits until the log says of each file that it is not usable. The module's new events had tests over sockets only: an upload goes out once and takes a place from its last byte on, a server whose answers break off later is left alone, a counter that is slow by itself is asked. No change of the program; not measured.

--- a/crates/starlinghill-decision/tests/lifecycle.rs
+++ b/crates/starlinghill-decision/tests/lifecycle.rs
@@ -135,3 +135,101 @@
         assert_eq!(fresh(Some(bad.clone())), without, "{bad:?}");
     }
 }
+
+/// A request whose body is passed on, sent at once; returns where it went.
+fn upload(rig: &mut Rig, class: usize) -> (RequestId, Vec<Action>) {
+    let id = RequestId(rig.next);
+    rig.next += 1;
+    let deadline = Micros(rig.now + 60 * S);
+    let (class, plan, customer) = (ClassId(class), PlanId(3), CustomerId(1));
+    let a = Arrival {
+        id,
+        class,
+        plan,
+        customer,
+        spread: 2,
+        deadline,
+        units: 1.0,
+        once: true,
+        ..Arrival::default()
+    };
+    (id, rig.tell(Event::Request(a)))
+}
+
+#[test]
+fn what_can_be_sent_once_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::ConnectFailed] {
+        let mut rig = Rig::new(settings(), 4);
+        let (id, out) = upload(&mut rig, 0);
+        let server = sends(&out)[0].1;
+        let out = rig.ended(id, 0, server, outcome);
+        assert!(sends(&out).is_empty() && refused(&out, id), "{outcome:?}: {out:?}");
+    }
+}
+
+#[test]
+fn an_upload_takes_a_place_at_its_server_from_its_last_byte_on() {
+    let mut rig = Rig::new(settings(), 1);
+    // Far more than may be out at one server.
+    let coming: Vec<RequestId> = (0..30)
+        .map(|_| upload(&mut rig, 0))
+        .map(|(id, out)| {
+            assert_eq!(sends(&out).len(), 1);
+            id
+        })
+        .collect();
+    let (id, server) = rig.sent(0);
+    rig.ended(id, 0, server, Outcome::Ok);
+    // All are whole: now they are work, and the next one waits.
+    coming.iter().for_each(|id| drop(rig.tell(Event::Whole(*id))));
+    // Told twice is told once.
+    coming.iter().for_each(|id| drop(rig.tell(Event::Whole(*id))));
+    assert!(sends(&rig.request(0, 3, 1, 1.0).1).is_empty());
+    // Places come back, each once, also of one that ends before it is whole.
+    coming.iter().for_each(|id| drop(rig.ended(*id, 0, server, Outcome::Ok)));
+    rig.pass(S);
+    let (id, out) = upload(&mut rig, 0);
+    rig.ended(id, 0, sends(&out)[0].1, Outcome::Ok);
+    let out: usize = (0..2).map(|_| sends(&rig.request(0, 3, 1, 1.0).1).len()).sum();
+    assert!(out >= 1, "none is held for good");
+}
+
+#[test]
+fn a_server_whose_answers_break_off_later_is_left_alone_for_a_while() {
+    let mut rig = Rig::new(settings(), 4);
+    for _ in 0..8 {
+        rig.tell(Event::Broke(ServerId(2)));
+    }
+    for _ in 0..40 {
+        let (id, server) = rig.sent(0);
+        assert_ne!(server, ServerId(2));
+        rig.ended(id, 0, server, Outcome::Ok);
+        rig.pass(5 * MS);
+    }
+    // Of a server that nobody knows it says nothing.
+    rig.tell(Event::Broke(ServerId(99)));
+}
+
+/// How many of the last hundred of requests ask the counter, where it takes so long for its answers.
+fn asking(took: impl Fn(usize) -> u64) -> usize {
+    let mut rig = Rig::new(settings(), 8);
+    let mut asked = 0;
+    for n in 0..1_000 {
+        // Each of a customer of its own, so that none is full.
+        let (id, mut out) = rig.request(0, 0, 1_000 + n as u64, 1.0);
+        if let Some((name, _)) = adds(&out).first().copied() {
+            asked += usize::from(n >= 900);
+            rig.pass(took(n) * MS);
+            out.extend(rig.tell(Event::Counted(name, 0, Outcome::Ok, 1.0)));
+        }
+        sends(&out).iter().for_each(|(_, server)| drop(rig.ended(id, 0, *server, Outcome::Ok)));
+    }
+    asked
+}
+
+#[test]
+fn a_counter_that_is_slow_by_itself_is_asked_and_one_whose_calls_queue_is_asked_less() {
+    // The time there is is 80 ms.
+    assert!(asking(|_| 60) > 95, "slow, but no slower than ever");
+    assert!(asking(|n| if n % 10 == 0 { 10 } else { 60 }) < 60, "10 ms at its best: the rest is waiting");
+}
--- a/crates/starlinghill-gateway/tests/operators.rs
+++ b/crates/starlinghill-gateway/tests/operators.rs
@@ -372,7 +372,7 @@
     // In each the class would be there, if anything of the file were taken.
     let new = r#"{"name":"stream","effect":"side_effect","deadline":5000000,"on_time":1000000},"#;
     let with = good.replace("\"classes\":[", &format!("\"classes\":[{new}"));
-    for broken in [
+    let broken_files = [
         String::new(),
         with[..with.len() - 40].to_string(),
         with.replace("\"deadline\":8000000", "\"deadline\":0"),
@@ -383,12 +383,12 @@
         with.replace("\"effect\":\"side_effect\",", ""),
         with.replace("\"units_top\":4", "\"units_bottom\":4"),
         with.replace("\"seed\":\"8c1f30d27a5be964\",", ""),
-    ] {
+    ];
+    for (number, broken) in broken_files.into_iter().enumerate() {
         assert_ne!(broken, with, "each is broken");
         std::fs::write(&path, &broken).expect("written");
         node.signal("HUP");
-        // The signal has been dealt with once a good file, written after it, is followed: each round ends with one.
-        std::thread::sleep(Duration::from_millis(30));
+        node.wait_for_log("configuration not usable", number + 1);
         assert_eq!(node.client().ask(&named("stream", 1)).status(), 400, "{broken}");
         assert_eq!(node.client().ask(&named("look", 2)).status(), 200);
     }
--- a/crates/starlinghill-rig/src/world.rs
+++ b/crates/starlinghill-rig/src/world.rs
@@ -269,6 +269,8 @@
     pub address: SocketAddr,
     /// Where operators are heard, if anywhere.
     pub door: Option<SocketAddr>,
+    /// What it has logged since.
+    log: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
 /// A configuration round these services.
@@ -320,7 +322,8 @@
     pub fn spawn(mut command: Command) -> Node {
         let child = command.spawn().expect("it starts");
         // From here on it ends with the test, also if what it says is not understood.
-        let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), door: None };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut node = Node { child, address, door: None, log: Arc::default() };
         let mut log = BufReader::new(node.child.stderr.take().expect("piped"));
         let mut told = String::new();
         node.address = loop {
@@ -335,9 +338,22 @@
             }
         };
         // Its log must not fill the pipe.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        let lines = node.log.clone();
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                lines.0.lock().expect("whole").push(line);
+                lines.1.notify_all();
+            }
+        });
         node
     }
+    /// Waits until it has logged so many lines with this text.
+    pub fn wait_for_log(&self, text: &str, lines: usize) {
+        let held = self.log.0.lock().expect("whole");
+        let few = |log: &mut Vec<String>| log.iter().filter(|line| line.contains(text)).count() < lines;
+        let (_log, late) = self.log.1.wait_timeout_while(held, LIMIT, few).expect("whole");
+        assert!(!late.timed_out(), "waited in vain for {lines} lines of the log with '{text}'");
+    }
     /// A gateway with these round it, ready.
     pub fn start(path: &str, discovery: &Discovery, counter: &Stub) -> Node {
         let node = Node::spawn(program(path, &config(discovery.stub.address, counter.address)));
