--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -5,7 +5,9 @@
 use crate::asking::Asking;
 use crate::breaker::Breaker;
 use crate::bucket::{mix, TokenBucket};
+use crate::calls::{Call, Purpose};
 use crate::context::{Context, SMOOTH};
+use crate::scattered::Scattered;
 use crate::tally::Tally;
 use starlinghill_ledger::flow::Flow;
 use starlinghill_ledger::shares::{Exchange, Shares};
@@ -13,7 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// The share of repeats that ask is the share of first tries to this power.
-const REPEAT_POWER: f64 = 3.0;
+pub(crate) const REPEAT_POWER: f64 = 3.0;
 /// How long after a refusal the like of it counts as its repeat.
 const REPEAT_SPAN: Micros = Micros(1_000_000);
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten.
@@ -23,29 +25,6 @@
 /// The length of a window. Long ones are followed over their edges seldom; a name lives for 60 s at most.
 pub(crate) const WINDOW: Micros = Micros(25_000_000);
 
-/// What a count is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Purpose {
-    Window,
-    Open,
-}
-
-/// One call to the counter whose answer is still to come.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) at: Micros,
-    pub(crate) purpose: Purpose,
-    pub(crate) customer: CustomerId,
-    pub(crate) span: u64,
-    pub(crate) request: Option<RequestId>,
-    pub(crate) amount: f64,
-    /// The part of the amount that is not this request's own.
-    pub(crate) extra: f64,
-    /// The part of that which went on unheard.
-    pub(crate) unheard: f64,
-    pub(crate) probe: bool,
-}
-
 /// What was refused last, by which a repeat is known.
 #[derive(Debug)]
 pub(crate) struct Refusal {
@@ -77,6 +56,8 @@
     /// Own attempts out (of a plan that caps them).
     pub(crate) out: f64,
     pub(crate) used: Micros,
+    /// What is kept of one that comes through many gateways.
+    pub(crate) scattered: Scattered,
 }
 
 /// What came of asking for a request.
@@ -106,9 +87,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     pub(crate) breaker: Breaker,
-    asking: Asking,
-    last_failed: Option<CustomerId>,
-    calls: BTreeMap<CountName, VecDeque<Call>>,
+    pub(crate) asking: Asking,
+    pub(crate) last_failed: Option<CustomerId>,
+    pub(crate) calls: BTreeMap<CountName, VecDeque<Call>>,
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
     pub(crate) exchange: Exchange,
     /// A total was heard in this life.
@@ -122,6 +103,10 @@
 }
 
 impl Admission {
+    pub(crate) fn new(gateways: u32) -> Admission {
+        Admission { asking: Asking::of(gateways), ..Admission::default() }
+    }
+
     /// How many things are kept in mind.
     pub(crate) fn kept(&self) -> usize {
         self.customers.len() + self.calls.len()
@@ -220,7 +205,7 @@
         self.breaker.opened.is_some() || self.asking.asks(cx.rng.f64(), power)
     }
 
-    fn may_call(&mut self, cx: &Context, customer: CustomerId) -> bool {
+    pub(crate) fn may_call(&mut self, cx: &Context, customer: CustomerId) -> bool {
         let Some(c) = self.customers.get_mut(&customer) else { return false };
         let ready = cx.set.counter && self.breaker.ready(cx.now) && c.breaker.ready(cx.now);
         if ready {
@@ -230,14 +215,18 @@
         ready
     }
 
+    /// The power of a request's chance to ask: lower for what is worth much.
+    pub(crate) fn rank(&self, cx: &Context, a: &Arrival) -> f64 {
+        (self.usual_worth / cx.worth(a).max(1e-9)).clamp(0.5, 2.0)
+    }
+
     /// The ordinary path: one add on the customer's window before anything is sent on.
     pub(crate) fn ask_window(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
         let (customer, units, resent) = (a.customer, a.units, a.resent);
-        let worth = cx.worth(a).max(1e-9);
         if self.breaker.opened.is_none() && self.room(cx, customer).is_some_and(|room| room < units) {
             return Asked::Full; // Known full: a call could only tell the same.
         }
-        let power = if resent { REPEAT_POWER } else { (self.usual_worth / worth).clamp(0.5, 2.0) };
+        let power = if resent { REPEAT_POWER } else { self.rank(cx, a) };
         if self.asks(cx, power) && self.may_call(cx, customer) {
             self.call(cx, Purpose::Window, customer, Some(a.id), units);
             Asked::Called
@@ -269,7 +258,7 @@
         let Some(c) = self.customers.get_mut(&id) else { return };
         let (span, extra) = match purpose {
             Purpose::Window => (c.window.span, c.window.owed),
-            Purpose::Open => (c.epoch.span, c.epoch.owed),
+            _ => (c.epoch.span, c.epoch.owed),
         };
         if units + extra == 0.0 && request.is_none() {
             return;
@@ -281,7 +270,8 @@
         let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
         let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
         let (amount, customer) = (units + extra, id);
-        let call = Call { at: cx.now, purpose, customer, span, request, amount, extra, unheard, probe };
+        let call =
+            Call { at: cx.now, purpose, customer, span, request, amount, units, extra, unheard, probe };
         self.calls.entry(name).or_default().push_back(call);
         cx.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
     }
@@ -291,7 +281,7 @@
     ///
     /// One cut answers for all calls that were out when it was made. Guards against asking next to nothing
     /// for a moment's jam; what comes back spoilt or broken says nothing of the counter's load.
-    fn call_failed(
+    pub(crate) fn call_failed(
         &mut self,
         cx: &Context,
         customer: CustomerId,
@@ -326,6 +316,9 @@
         outcome: Outcome,
         total: f64,
     ) -> Option<(Option<f64>, bool)> {
+        if matches!(call.purpose, Purpose::Demand | Purpose::Turn) {
+            return Some((self.counted_scattered(cx, call, outcome, total), false));
+        }
         self.roll(cx, call.customer);
         let plan = self.customers.get(&call.customer).map(|c| c.plan)?;
         let (slight, known_from) = (self.slight(cx, call.customer), self.known_from(cx));
@@ -445,7 +438,7 @@
     /// with this gateway's part of what the customer's store was last known to hold; under a ceiling,
     /// `beyond_take` stands before it and does start empty. Guards against refusing customers with few units,
     /// for whom a share that starts empty admits nothing for seconds.
-    fn local_take(&mut self, cx: &Context, customer: CustomerId, units: f64) -> bool {
+    pub(crate) fn local_take(&mut self, cx: &Context, customer: CustomerId, units: f64) -> bool {
         let now = cx.now;
         self.local(cx, customer).is_some_and(|(_, bucket)| bucket.take(now, units))
     }
--- a/crates/starlinghill-decision/src/asking.rs
+++ b/crates/starlinghill-decision/src/asking.rs
@@ -9,8 +9,15 @@
 const CUT: f64 = 0.8;
 const QUEUED: f64 = 0.97;
 const GROW: f64 = 0.005;
+/// The same where more gateways ask than may do so for each request at first: each hears an answer or two a second, so each must
+/// tell more; and until the first cut (slow start).
+const MANY_CUT: f64 = 0.7;
+const MANY_GROW: f64 = 0.015;
+const MANY_START: f64 = 0.04;
 /// The share with which asking begins again when a probe was answered.
 const AGAIN: f64 = 0.5;
+/// Gateways that may ask for each request from their start; of more the like of so many.
+const START: f64 = 25.0;
 /// The share above which the counter has calls to spare.
 const SPARE: f64 = 0.9;
 /// How fast the time of an answer that did not queue is forgotten, with each that took longer.
@@ -20,6 +27,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asking {
     share: f64,
+    many: bool,
     last_cut: Micros,
     /// What an answer takes that does not queue, in seconds: the least of late.
     unqueued: Option<f64>,
@@ -27,14 +35,25 @@
 
 impl Default for Asking {
     fn default() -> Asking {
-        Asking { share: 1.0, last_cut: Micros(0), unqueued: None }
+        Asking { share: 1.0, many: false, last_cut: Micros(0), unqueued: None }
     }
 }
 
 impl Asking {
+    /// At the start of one of so many gateways. Guards against a counter that all of them fill before the first cut.
+    pub(crate) fn of(gateways: u32) -> Asking {
+        let share = (START / f64::from(gateways.max(1))).min(1.0);
+        Asking { share, many: share < 1.0, ..Asking::default() }
+    }
+
     /// Whether one asks by this draw (from 0 to 1): what is worth much first, repeats last.
     pub(crate) fn asks(&self, draw: f64, power: f64) -> bool {
-        draw < self.share.powf(power)
+        draw < self.chance(power)
+    }
+
+    /// The part that asks of what has this power.
+    pub(crate) fn chance(&self, power: f64) -> f64 {
+        self.share.powf(power)
     }
 
     /// The counter has calls to spare.
@@ -46,7 +65,8 @@
     /// asking next to nothing for a moment's jam. What comes back spoilt or broken says nothing of the counter's load.
     pub(crate) fn failed(&mut self, made: Micros, now: Micros, outcome: Outcome) {
         if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
-            (self.share, self.last_cut) = ((self.share * CUT).max(LEAST_PART), now);
+            let cut = if self.many { MANY_CUT } else { CUT };
+            (self.share, self.last_cut) = ((self.share * cut).max(LEAST_PART), now);
         }
     }
 
@@ -58,7 +78,12 @@
             self.unqueued.map_or(took, |best| if took < best { took } else { best + (took - best) * FORGET });
         self.unqueued = Some(best);
         let queued = took - best > limit.secs() * 0.5;
-        let share = if queued { self.share * QUEUED } else { self.share + GROW };
+        let grow = match self.many {
+            true if self.last_cut == Micros(0) => MANY_START,
+            true => MANY_GROW,
+            false => GROW,
+        };
+        let share = if queued { self.share * QUEUED } else { self.share + grow };
         self.share = share.min(1.0).max(if probe { AGAIN } else { LEAST_PART });
     }
 }
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -1,7 +1,8 @@
 //! The life of a request: its arrival, its attempts one after another, what waits for a server, its answer.
 
-use crate::admission::{Admission, Asked, Purpose, FORGET};
+use crate::admission::{Admission, Asked, FORGET};
 use crate::api::*;
+use crate::calls::Purpose;
 use crate::context::{Context, Timer};
 use crate::fleet::Fleet;
 use crate::guards::{Attempt, Request};
@@ -35,7 +36,7 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let cx = Context::new(seed, set);
-        let (admission, fleet) = (Admission::default(), Fleet::new());
+        let (admission, fleet) = (Admission::new(cx.set.gateways), Fleet::default());
         let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.cx.timer(Timer::Sweep, FORGET);
@@ -116,7 +117,8 @@
         if self.shed(id) {
             return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
         }
-        self.ask(id, if self.cx.set.plans[plan].rate > 0.0 { Purpose::Window } else { Purpose::Open });
+        let first = self.requests.get(&id).map(|r| self.admission.first_question(&self.cx, &r.a));
+        first.into_iter().for_each(|first| self.ask(id, first));
     }
 
     /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
@@ -124,7 +126,11 @@
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let power = self.admission.weigh(self.cx.worth(&r.a));
-        self.fleet.sparse(&self.cx) && self.cx.rng.f64() > self.fleet.pass.powf(power)
+        let shed = self.fleet.sparse(&self.cx) && self.cx.rng.f64() > self.fleet.throttle.pass().powf(power);
+        if shed {
+            self.fleet.throttle.shed(self.cx.now);
+        }
+        shed
     }
 
     fn ask(&mut self, id: RequestId, purpose: Purpose) {
@@ -132,11 +138,14 @@
         let asked = match purpose {
             Purpose::Window => self.admission.ask_window(&mut self.cx, &r.a),
             Purpose::Open => self.admission.ask_place(&mut self.cx, &r.a),
+            Purpose::Demand => self.admission.ask_demand(&mut self.cx, &r.a),
+            Purpose::Turn => self.admission.ask_turn(&mut self.cx, &r.a),
         };
         match asked {
             Asked::Called => r.asking += 1,
             Asked::Silent => self.decide(id, purpose, None),
             Asked::Full => self.refuse(id),
+            Asked::Free if purpose == Purpose::Turn => self.ask(id, Purpose::Open),
             Asked::Free => self.admit(id),
         }
     }
@@ -146,7 +155,12 @@
         let Some(r) = self.requests.get(&id) else { return };
         let customer = r.a.customer;
         match purpose {
-            Purpose::Window if r.done => {}
+            Purpose::Window | Purpose::Demand | Purpose::Turn if r.done => {}
+            Purpose::Demand if !self.admission.demand_holds(&mut self.cx, &r.a) => self.refuse(id),
+            Purpose::Demand if !self.admission.own_part_holds(&self.cx, &r.a) => self.ask(id, Purpose::Turn),
+            Purpose::Demand => self.ask(id, Purpose::Open),
+            Purpose::Turn if heard.is_some_and(|got| got >= r.a.units) => self.ask(id, Purpose::Open),
+            Purpose::Turn => self.refuse(id),
             Purpose::Window => {
                 match self.admission.window_holds(&self.cx, &r.a, heard, r.counted.is_some()) {
                     true => self.ask(id, Purpose::Open),
--- a/crates/starlinghill-decision/src/choice.rs
+++ b/crates/starlinghill-decision/src/choice.rs
@@ -6,13 +6,12 @@
 use crate::fleet::Fleet;
 use crate::guards::Request;
 
-/// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
-/// chance at the same moment.
-const FEW_OUT: f64 = 2.0;
-
 impl Fleet {
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
     pub(crate) fn pick(&mut self, cx: &mut Context, r: &Request) -> Option<ServerId> {
+        if self.sparse(cx) {
+            return self.pick_thin(cx, r);
+        }
         self.warm_up(cx);
         let salt = cx.rng.u64(..);
         let (reach, scale) = (self.reach(cx), self.scale(cx));
@@ -24,7 +23,7 @@
             .filter(|s| self.healthy(cx, s));
         let most: f64 = fit.map(|s| s.limit * scale).sum();
         let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(cx, s));
-        if most > 0.0 && self.out_now >= most.max(if self.sparse(cx) { FEW_OUT } else { 1.0 }) {
+        if most > 0.0 && self.out_now >= most.max(1.0) {
             return None;
         }
         let mut best: Option<(f64, ServerId)> = None;
--- a/crates/starlinghill-decision/src/fleet.rs
+++ b/crates/starlinghill-decision/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::borne::Borne;
 use crate::bucket::TokenBucket;
 use crate::context::{Context, Timer};
+use crate::throttle::Throttle;
 use std::collections::BTreeMap;
 
 /// Deterministic subsetting: servers in a gateway's own part of the fleet, at least, and for each unit a
@@ -49,16 +50,11 @@
     /// Smoothed over all servers: time to answer, share of attempts that failed or came too late.
     pub(crate) latency: f64,
     pub(crate) fail_share: f64,
-    /// Part of the requests of usual worth that the servers can take.
-    pub(crate) pass: f64,
+    pub(crate) throttle: Throttle,
     pub(crate) borne: Borne,
 }
 
 impl Fleet {
-    pub(crate) fn new() -> Fleet {
-        Fleet { pass: 1.0, ..Fleet::default() }
-    }
-
     pub(crate) fn update(&mut self, cx: &mut Context, scope: ListScope, entries: Vec<ServerEntry>) {
         if scope == ListScope::Lost {
             let wait = Micros(500_000 + cx.rng.u64(0..500_000));
--- a/crates/starlinghill-decision/src/fleet_view.rs
+++ b/crates/starlinghill-decision/src/fleet_view.rs
@@ -68,7 +68,7 @@
     /// A view that knows nothing but its settings.
     pub fn new(seed: u64, set: Settings) -> Result<FleetView, SettingsError> {
         set.check()?;
-        Ok(FleetView { cx: Context::new(seed, set), fleet: Fleet::new() })
+        Ok(FleetView { cx: Context::new(seed, set), fleet: Fleet::default() })
     }
 
     /// News of the list; [`ListScope::Lost`] changes nothing.
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::bucket::TokenBucket;
-use crate::context::{Context, LEAST_PART, SMOOTH};
+use crate::context::{Context, SMOOTH};
 use crate::fleet::{Fleet, Server};
 
 /// Bounds on attempts out at one server: the least, what a late answer leaves of it, what an early one adds.
@@ -14,26 +14,32 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
-/// What a late answer leaves of the part that passes, what others add.
-const PASS_CUT: f64 = 0.85;
-const PASS_GROW: f64 = 0.01;
 /// Outlier ejection: smoothed share of failures (four in a row pass it), first time out, its doublings.
 pub(crate) const EJECT_SHARE: f64 = 0.3;
 pub(crate) const EJECT_FIRST: Micros = Micros(1_000_000);
 pub(crate) const EJECT_DOUBLINGS: u32 = 3;
+/// What one failure counts for where traffic is thin: four in a row would take ten seconds to come.
+const THIN_SMOOTH: f64 = 0.35;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
-/// How long leave to send to a cold server holds where many gateways share it.
-const COLD_LEAVE: Micros = Micros(250_000);
 
 /// What a gateway gives a cold server beyond that part, within half of what it falls over at. Fleets run at
 /// half of what they can: with most servers cold, the rest must not be refused. Proxies get the plain part.
 const COLD_PUSH: f64 = 1.5;
 
+/// The part of its capacity that a server has so long after its start.
+fn capacity_part(set: &Settings, age: Micros) -> f64 {
+    set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0)
+}
+
+/// The part of its capacity that a server has now.
+pub(crate) fn present_part(set: &Settings, now: Micros, s: &Server) -> f64 {
+    s.cold_since.map_or(1.0, |since| capacity_part(set, now - since))
+}
+
 /// The part of a warm server's work that one gets which started so long ago.
 pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
-    let part = set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0);
-    part * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
+    capacity_part(set, age) * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
 }
 
 impl Fleet {
@@ -55,7 +61,7 @@
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
         let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
-        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
+        self.throttle.ended(now, outcome, took, aim);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
@@ -107,8 +113,9 @@
     /// line only against the others, or overload would eject them one by one.
     fn failed(&mut self, cx: &Context, server: ServerId, unreached: bool, jitter: f64) {
         let (now, all) = (cx.now, self.fail_share);
+        let weight = if self.sparse(cx) { THIN_SMOOTH } else { SMOOTH };
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.fail_share += SMOOTH * (1.0 - s.fail_share);
+        s.fail_share += weight * (1.0 - s.fail_share);
         let out_of_line = unreached || s.fail_share > EJECT_SHARE.max(2.0 * all);
         if now >= s.ejected_until && (out_of_line || s.trial) {
             s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
@@ -122,7 +129,6 @@
     /// and each gateway scales its own, so the sum stays in proportion.
     pub(crate) fn warm_up(&mut self, cx: &Context) {
         let (now, set) = (cx.now, &cx.set);
-        let many = self.sparse(cx);
         let usable = |s: &&Server| s.listed && now >= s.ejected_until;
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
@@ -139,10 +145,6 @@
             }
             s.cold_room.rate = per_weight * push * s.weight * warm_part(set, now - since);
             s.cold_room.fill(now);
-            // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
-            if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
-                s.cold_room.level = -set.most_units;
-            }
         }
     }
 }
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,8 +2,8 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `tally`, `borne`, `asking`, `breaker`, `context`, `fleet`,
-//! `guards`, `health`, `choice`, `admission`, `sharing`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
+//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `borne`, `throttle`, `asking`, `breaker`, `context`, `fleet`,
+//! `guards`, `health`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
 
 pub mod api;
 
@@ -13,6 +13,7 @@
 mod borne;
 mod breaker;
 mod bucket;
+mod calls;
 mod choice;
 mod context;
 mod fleet;
@@ -21,8 +22,11 @@
 mod health;
 mod learned;
 mod lifecycle;
+mod scattered;
 mod sharing;
 mod tally;
+mod thin;
+mod throttle;
 
 pub use attempts::Gateway;
 pub use fleet_view::{Bounds, FleetView, Health, ServerFacts, BOUNDS};
--- /dev/null
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -0,0 +1,246 @@
+//! Customers that come through many gateways. None of these sees enough of a customer to follow its store, and all of them
+//! together ask more often than a counter answers: what is asked for is counted by samples, and each gateway lets through the
+//! part of it that the quota bears (`starlinghill_ledger::demand`).
+//!
+//! A hard ceiling does not rest on samples. A part of it is split evenly over the customer's gateways; what a gateway lacks it
+//! may take from the rest, of which so much may be taken in each short turn, by a count of its own. Over any time the two together
+//! stay within the ceiling, in whatever order calls and gateways come.
+
+use crate::admission::{quota_of, Admission, Asked, REPEAT_POWER};
+use crate::api::*;
+use crate::bucket::{mix, TokenBucket};
+use crate::calls::{Call, Purpose};
+use crate::context::{Context, LEAST_PART};
+use starlinghill_ledger::demand::{Demand, SPAN};
+
+/// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter bears is shared by all.
+const MANY: u32 = 16;
+/// The part of a ceiling that is split evenly. Customers come unevenly: one gateway may see half of what one asks for.
+const SPLIT: f64 = 0.6;
+/// The length of a turn, at the least, and the requests that one has room for. Longer turns need fewer calls, and leave less to be
+/// split: a burst may spend two turns at once.
+const TURN: Micros = Micros(500_000);
+const TURN_HOLDS: f64 = 2.0;
+/// The most of a turn that is taken for requests to come.
+const MOST_AHEAD: f64 = 0.5;
+/// What was let through may still wait so long for a server.
+const ON_THE_WAY: Micros = Micros(100_000);
+/// A total that was heard within this time will do.
+const FRESH: Micros = Micros(1_000_000);
+/// Apart from the names of windows and places.
+const DEMAND_NAME: u64 = 0x6465_6d61_6e64;
+const TURN_NAME: u64 = 0x7475_726e;
+
+/// What a gateway keeps of a customer that comes through many.
+#[derive(Debug, Default)]
+pub(crate) struct Scattered {
+    /// What was heard of its demand, and when.
+    demand: Demand,
+    heard: Micros,
+    /// What goes with the next call of that span.
+    uncounted: (u64, f64),
+    /// This gateway's own part of its ceiling.
+    own_part: Option<TokenBucket>,
+    /// What is left here of a turn, and the last turn known to be spent.
+    turn: (u64, f64),
+    turn_spent: u64,
+}
+
+/// How a plan's ceiling is kept over the gateways of a customer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Split {
+    /// Each gateway's own part: units a second, and at once.
+    rate: f64,
+    depth: f64,
+    /// The turns' length, and the units of each; none where the ceiling holds too little for turns.
+    turn: Micros,
+    units: f64,
+}
+
+impl Split {
+    /// The same at each gateway: it follows from the settings and the customer's spread alone.
+    fn of(set: &Settings, plan: &Plan, spread: f64) -> Split {
+        let late = ON_THE_WAY + set.count_timeout;
+        let shared = |part: f64| {
+            let rate = plan.ceiling_rate * (1.0 - part);
+            let turn =
+                TURN.max(Micros((TURN_HOLDS * set.most_units / rate.max(1e-9) * 1e6).min(1e12) as u64));
+            // Two turns, one behind the other, can be spent at once, and calls that were late with them.
+            let held = rate * (turn + turn + late).secs();
+            let depth = (plan.ceiling_burst - held - plan.ceiling_rate * part * ON_THE_WAY.secs()) / spread;
+            (Split { rate: plan.ceiling_rate * part / spread, depth, turn, units: rate * turn.secs() }, depth)
+        };
+        let (split, depth) = shared(SPLIT);
+        if depth >= set.most_units {
+            return split;
+        }
+        // A part of less than one request is of no use: all by turns, or where the ceiling does not hold two of them, none.
+        let (turns, left) = shared(0.0);
+        if left >= 0.0 {
+            return Split { depth: 0.0, ..turns };
+        }
+        let depth = (plan.ceiling_burst - plan.ceiling_rate * ON_THE_WAY.secs()).max(0.0) / spread;
+        Split { rate: plan.ceiling_rate / spread, depth, turn: TURN, units: 0.0 }
+    }
+}
+
+/// The current span of a customer's demand, and how much of it has passed.
+fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
+    let shifted = cx.now.0 + mix(customer.0) % SPAN.0;
+    (shifted / SPAN.0, Micros(shifted % SPAN.0))
+}
+
+impl Admission {
+    /// What is to be asked first for a request.
+    pub(crate) fn first_question(&self, cx: &Context, a: &Arrival) -> Purpose {
+        match cx.set.gateways {
+            _ if cx.set.plans[a.plan.0].rate <= 0.0 => Purpose::Open,
+            MANY.. => Purpose::Demand,
+            _ => Purpose::Window,
+        }
+    }
+
+    /// Counts a request: with the next call where one was made a moment ago, else by chance, as many times as it is rare.
+    pub(crate) fn ask_demand(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
+        let (span, elapsed) = demand_span(cx, a.customer);
+        // A client's repeat belongs to its first try, which was counted.
+        let units = if a.resent { 0.0 } else { a.units };
+        let Some(c) = self.customers.get_mut(&a.customer) else { return Asked::Silent };
+        if c.scattered.uncounted.0 != span {
+            c.scattered.uncounted = (span, 0.0);
+        }
+        if c.scattered.heard + FRESH > cx.now {
+            c.scattered.uncounted.1 += units;
+            return Asked::Silent;
+        }
+        let power = if a.resent { REPEAT_POWER } else { self.rank(cx, a) };
+        let chance =
+            if self.breaker.opened.is_some() { 1.0 } else { self.asking.chance(power).max(LEAST_PART) };
+        if cx.rng.f64() >= chance || !self.may_call(cx, a.customer) {
+            return Asked::Silent;
+        }
+        let uncounted =
+            self.customers.get_mut(&a.customer).map(|c| std::mem::take(&mut c.scattered.uncounted.1));
+        let amount = units / chance + uncounted.unwrap_or_default();
+        let name = name_of(a.customer, DEMAND_NAME, span);
+        let life = SPAN - elapsed + SPAN;
+        self.call_for(cx, name, life, Call::new(cx.now, Purpose::Demand, a, span, amount));
+        Asked::Called
+    }
+
+    /// Takes from the turn of the moment what this gateway's own part of the ceiling lacks, for this request and for those that
+    /// are to be expected within the turn.
+    pub(crate) fn ask_turn(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
+        let split = self.split(cx, a);
+        let (turn, passed) = (cx.now.0 / split.turn.0, Micros(cx.now.0 % split.turn.0));
+        let Some(c) = self.customers.get_mut(&a.customer) else { return Asked::Full };
+        let expected = c.asked.now(cx.now).max(0.0) * (split.turn - passed).secs();
+        if c.scattered.turn.0 == turn && c.scattered.turn.1 >= a.units {
+            c.scattered.turn.1 -= a.units;
+            return Asked::Free;
+        }
+        // Known to be spent: a call could only tell the same, and a counter has better things to do.
+        let spent = c.scattered.turn_spent == turn;
+        if spent || a.units > split.units || !self.may_call(cx, a.customer) {
+            return Asked::Full;
+        }
+        let amount = a.units + expected.min(split.units * MOST_AHEAD).floor();
+        let name = name_of(a.customer, TURN_NAME, turn);
+        self.call_for(cx, name, split.turn + split.turn, Call::new(cx.now, Purpose::Turn, a, turn, amount));
+        Asked::Called
+    }
+
+    /// What was got of a turn, by the total that was heard; what the request leaves of it can be used while the turn lasts.
+    fn got_of_turn(&mut self, cx: &Context, call: &Call, units: f64, total: f64) -> f64 {
+        let Some(c) = self.customers.get_mut(&call.customer) else { return 0.0 };
+        let split = Split::of(&cx.set, &cx.set.plans[c.plan], c.spread);
+        let got = (split.units - (total - call.amount)).clamp(0.0, call.amount);
+        if got < call.amount {
+            c.scattered.turn_spent = call.span;
+        }
+        let rest = if got >= units { got - units } else { got };
+        if cx.now.0 / split.turn.0 == call.span {
+            let had = if c.scattered.turn.0 == call.span { c.scattered.turn.1 } else { 0.0 };
+            c.scattered.turn = (call.span, had + rest);
+        }
+        got
+    }
+
+    fn call_for(&mut self, cx: &mut Context, name: CountName, life: Micros, call: Call) {
+        let probe =
+            self.breaker.probing || self.customers.get(&call.customer).is_some_and(|c| c.breaker.probing);
+        let amount = call.amount;
+        self.calls.entry(name).or_default().push_back(Call { probe, ..call });
+        cx.out.push(Action::Count(name, amount, life));
+    }
+
+    /// Takes in what a call for such a customer came to; returns the total if one was heard, or what was got of a turn.
+    pub(crate) fn counted_scattered(
+        &mut self,
+        cx: &Context,
+        call: &Call,
+        outcome: Outcome,
+        total: f64,
+    ) -> Option<f64> {
+        if outcome != Outcome::Ok {
+            self.call_failed(cx, call.customer, call.probe, call.at, outcome);
+            return None;
+        }
+        let (span, elapsed) = demand_span(cx, call.customer);
+        let c = self.customers.get_mut(&call.customer)?;
+        if call.purpose == Purpose::Demand && call.span == span {
+            c.scattered.demand.heard(span, elapsed, total);
+            c.scattered.heard = cx.now;
+        }
+        c.breaker.success(call.probe);
+        let total =
+            if call.purpose == Purpose::Turn { self.got_of_turn(cx, call, call.units, total) } else { total };
+        self.asking.answered(cx.now - call.at, cx.set.count_timeout, call.probe);
+        (self.heard, self.last_failed) = (true, None);
+        self.breaker.success(call.probe);
+        Some(total)
+    }
+
+    /// Whether the quota bears a request: by what was heard of the demand, or by the local bucket while the counter is silent.
+    pub(crate) fn demand_holds(&mut self, cx: &mut Context, a: &Arrival) -> bool {
+        if self.silent(cx, a.customer) {
+            return self.local_take(cx, a.customer, a.units);
+        }
+        let (span, elapsed) = demand_span(cx, a.customer);
+        let Some(c) = self.customers.get_mut(&a.customer) else { return false };
+        c.asked.add(cx.now, a.units);
+        // Most customers keep to their quota. One that comes again was refused by a gateway that knew more.
+        let unknown = if a.resent { 0.0 } else { 1.0 };
+        let chance = c.scattered.demand.chance(quota_of(cx, c.plan), span, elapsed).unwrap_or(unknown);
+        // One that was refused by chance must not have its way by asking again.
+        cx.rng.f64() < if a.resent && chance < 1.0 { chance * chance } else { chance }
+    }
+
+    /// Whether this gateway's own part of the ceiling bears a request; it is taken from it then.
+    pub(crate) fn own_part_holds(&mut self, cx: &Context, a: &Arrival) -> bool {
+        if cx.set.plans[a.plan.0].ceiling_rate <= 0.0 {
+            return true;
+        }
+        let split = self.split(cx, a);
+        let (all, me) = (cx.set.gateways.max(1), cx.set.me);
+        // Guards the sum: parts are for the gateways of the set alone.
+        let mine = (me + all - a.first % all) % all < a.spread;
+        let started = cx.started.unwrap_or(cx.now);
+        let Some(c) = self.customers.get_mut(&a.customer).filter(|_| mine) else { return false };
+        let own = c.scattered.own_part.get_or_insert_with(|| {
+            // What an earlier life of this gateway may have spent is not there yet.
+            let level = (split.rate * (cx.now - started).secs()).min(split.depth);
+            TokenBucket { level, depth: split.depth, rate: split.rate, at: cx.now }
+        });
+        (own.depth, own.rate) = (split.depth, split.rate);
+        own.take(cx.now, a.units)
+    }
+
+    fn split(&self, cx: &Context, a: &Arrival) -> Split {
+        Split::of(&cx.set, &cx.set.plans[a.plan.0], f64::from(a.spread.max(1)))
+    }
+}
+
+fn name_of(customer: CustomerId, what: u64, span: u64) -> CountName {
+    CountName(mix(mix(customer.0 ^ mix(what)) ^ mix(span)) >> 1)
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/thin.rs
@@ -0,0 +1,75 @@
+//! Choice of a server where traffic is thin: so many gateways share the servers that none has more than an attempt or two out at any.
+//!
+//! What a gateway has out says nothing of a server's load there, and the gateway with the best figures for a server is not alone
+//! in that: whoever takes the best one takes the same as all others. So servers are drawn by chance in proportion to what they
+//! can do, of which all gateways together come to the right sums without a word: a cold server gets its part from the first moment,
+//! and no gateway has to save up leave for it.
+
+use crate::api::*;
+use crate::context::Context;
+use crate::fleet::Fleet;
+use crate::guards::Request;
+use crate::health::present_part;
+
+/// Attempts that a gateway may have out in all, and at one server. More are held for a moment.
+const MOST_OUT: f64 = 16.0;
+const MOST_AT_ONE: f64 = 2.0;
+/// How much a cold server may get beyond its part of what servers usually bear. Well within what it falls over at.
+const COLD_PUSH: f64 = 1.2;
+
+impl Fleet {
+    /// A server for a request, drawn by chance from this gateway's own part of the fleet, else from the rest.
+    pub(crate) fn pick_thin(&mut self, cx: &mut Context, r: &Request) -> Option<ServerId> {
+        if self.out_now >= MOST_OUT {
+            return None;
+        }
+        let cold = self.cold_share(cx);
+        let any_healthy = self.servers.values().any(|s| s.listed && self.healthy(cx, s));
+        let reach = self.reach(cx);
+        let mut best: Option<(f64, ServerId)> = None;
+        for (i, id) in self.own_part_first(cx).enumerate() {
+            if i >= reach && best.is_some() {
+                break;
+            }
+            let s = &self.servers[&id];
+            let most = if any_healthy { MOST_AT_ONE } else { 1.0 };
+            if s.out >= most || any_healthy && !self.healthy(cx, s) || !r.may_go(cx, &self.servers, s) {
+                continue;
+            }
+            let part = present_part(&cx.set, cx.now, s) * if s.cold_since.is_some() { cold } else { 1.0 };
+            let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
+            let tried = r.attempts.iter().filter(|a| a.server == id).count() as f64;
+            let held_against = (1.0 + s.out) * slow * (1.0 + 3.0 * s.fail_share) * (1.0 + 20.0 * tried);
+            let far = if s.zone == cx.set.zone { 1.0 } else { 1.05 };
+            // Weighted random choice (Efraimidis and Spirakis): the least of exponential draws, by weight.
+            let draw = -(1.0 - cx.rng.f64()).max(1e-300).ln();
+            let score = draw * held_against * far / (s.weight * part).max(1e-9);
+            if best.is_none_or(|(b, _)| score < b) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// What of their part by capacity cold servers may have. Less than all of it where nearly everything is cold: what comes
+    /// would be beyond what they bear, however evenly it is spread.
+    fn cold_share(&mut self, cx: &Context) -> f64 {
+        let (now, set) = (cx.now, &cx.set);
+        let (mut able, mut all) = (0.0, 0.0);
+        for s in self.servers.values_mut().filter(|s| s.listed) {
+            if s.cold_since.is_some_and(|since| now >= since + set.cold) {
+                s.cold_since = None;
+            }
+            // Leave is for who can measure it.
+            s.cold_room.level = 1.0;
+            all += s.weight;
+            if now >= s.ejected_until {
+                able += s.weight * present_part(set, now, s);
+            }
+        }
+        let (flow, least) = (self.flow_rate(cx), set.most_units / f64::from(set.gateways));
+        let usual = self.borne.per_weight(now, flow, (able, all), least);
+        let even = flow / f64::max(able, 1e-9);
+        (COLD_PUSH * usual / even.max(1e-9)).min(1.0)
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/src/throttle.rs
@@ -0,0 +1,49 @@
+//! Adaptive throttling towards the servers (Beyer et al., "Site Reliability Engineering", chapter 21): of what is asked for, a
+//! little more goes on than came back in time of late.
+
+use crate::api::{Micros, Outcome};
+use crate::context::LEAST_PART;
+
+/// Time over which requests are counted, in seconds. Shorter forgets overload between two of its answers.
+const SPAN: f64 = 5.0;
+/// How many go on for each that came back in time. Closer to one sheds for the few slow answers that there always are; more
+/// lets more work be wasted in overload. It is also how fast more goes on again afterwards: so many times for each span.
+const SLACK: f64 = 1.4;
+/// So many answers in time are taken to have come before the first: a late one or two at a start say little.
+const GRANTED: f64 = 3.0;
+
+/// What was asked for and what came back in time, over the last moments.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Throttle {
+    asked: f64,
+    in_time: f64,
+    at: Micros,
+}
+
+impl Throttle {
+    fn note(&mut self, now: Micros, in_time: f64) {
+        let kept = (-(now - self.at).secs() / SPAN).exp();
+        (self.asked, self.in_time) = (self.asked * kept + 1.0, self.in_time * kept + in_time);
+        self.at = now.max(self.at);
+    }
+
+    /// The part of the requests of usual worth that goes on.
+    pub(crate) fn pass(&self) -> f64 {
+        ((SLACK * self.in_time + GRANTED) / (self.asked + GRANTED)).clamp(LEAST_PART, 1.0)
+    }
+
+    /// One was shed.
+    pub(crate) fn shed(&mut self, now: Micros) {
+        self.note(now, 0.0);
+    }
+
+    /// An attempt ended. Only what tells of load counts: a server that can't be reached, breaks off or answers with an error
+    /// does so whatever the others bear, and what was called off was no server's fault.
+    pub(crate) fn ended(&mut self, now: Micros, outcome: Outcome, took: Micros, aim: Micros) {
+        match outcome {
+            Outcome::Ok => self.note(now, f64::from(u8::from(took <= aim))),
+            Outcome::Full | Outcome::Timeout => self.note(now, 0.0),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -0,0 +1,161 @@
+//! A fleet of a hundred gateways round one counter, in virtual time: what they come to together where none sees much.
+mod common;
+use common::*;
+use starlinghill_decision::api::*;
+use std::collections::BTreeMap;
+
+const GATEWAYS: u32 = 100;
+
+/// The gateways, what the counter holds, and how many calls it had.
+struct Fleet {
+    rigs: Vec<Rig>,
+    totals: BTreeMap<CountName, f64>,
+    calls: u32,
+    now: u64,
+    rng: fastrand::Rng,
+}
+
+impl Fleet {
+    fn new(seed: u64, servers: u32) -> Fleet {
+        println!("seed {seed}");
+        let settings = |me| Settings { gateways: GATEWAYS, me, most_units: 1.0, ..settings() };
+        let rigs = (0..GATEWAYS).map(|me| Rig::seeded(seed << 16 | u64::from(me), settings(me), servers));
+        let (totals, calls, now) = (BTreeMap::new(), 0, 1_000 * S);
+        Fleet { rigs: rigs.collect(), totals, calls, now, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// One request of a customer that comes through `spread` gateways from the first on, at one of them; whether it was sent on,
+    /// and to which server. It is served at once.
+    fn ask(&mut self, gateway: u32, plan: usize, customer: u64, spread: u32) -> Option<ServerId> {
+        let rig = &mut self.rigs[gateway as usize];
+        rig.pass(self.now - rig.now);
+        let id = RequestId(rig.next);
+        rig.next += 1;
+        let (plan, customer, deadline) = (PlanId(plan), CustomerId(customer), Micros(self.now + 3 * S));
+        let a = Arrival { id, plan, customer, spread, deadline, units: 1.0, ..Arrival::default() };
+        let mut waiting = rig.tell(Event::Request(a));
+        let mut out = waiting.clone();
+        while !waiting.is_empty() {
+            let called = counts(&waiting);
+            waiting.clear();
+            for (name, amount) in called {
+                let total = self.totals.entry(name).or_default();
+                *total += amount;
+                self.calls += 1;
+                waiting.extend(rig.tell(Event::Counted(name, 0, Outcome::Ok, *total)));
+            }
+            out.extend(waiting.iter().cloned());
+        }
+        let server = sends(&out).first().map(|s| s.1)?;
+        rig.ended(id, 0, server, Outcome::Ok);
+        Some(server)
+    }
+
+    /// So many requests a second for so long, at gateways drawn by `pick`; how many were sent on in each tenth of a second.
+    fn play(
+        &mut self,
+        rate: u64,
+        seconds: u64,
+        plan: usize,
+        spread: u32,
+        pick: impl Fn(&mut fastrand::Rng) -> u32,
+    ) -> Vec<u32> {
+        let mut sent = vec![0; (seconds * 10) as usize];
+        let start = self.now;
+        for n in 0..rate * seconds {
+            self.now = start + n * S / rate;
+            let gateway = pick(&mut self.rng);
+            let went = self.ask(gateway, plan, 9, spread).is_some();
+            sent[((self.now - start) / (100 * MS)) as usize] += u32::from(went);
+        }
+        self.now = start + seconds * S;
+        sent
+    }
+}
+
+#[test]
+fn of_a_customer_that_asks_three_times_its_quota_through_sixty_gateways_a_third_goes_on() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed, 60);
+        // 30 a second where 10 are allowed, 20 at once.
+        let sent = fleet.play(30, 30, 0, 60, |rng| rng.u32(0..60));
+        let (all, late): (u32, u32) = (sent.iter().sum(), sent[100..].iter().sum());
+        assert!((150..=330).contains(&late), "seed {seed}: {late} in 20 s, where 200 are allowed");
+        assert!(all <= 500, "seed {seed}: {all} in 30 s, where 320 are allowed");
+        // A call for each request would have been 900.
+        assert!(fleet.calls < 450, "seed {seed}: {} calls for 900 requests", fleet.calls);
+    }
+}
+
+#[test]
+fn one_that_keeps_to_its_quota_is_not_refused_by_any_of_sixty_gateways() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed, 60);
+        let sent: u32 = fleet.play(8, 30, 0, 60, |rng| rng.u32(0..60)).iter().sum();
+        assert!(sent >= 225, "seed {seed}: {sent} of 240 went on");
+    }
+}
+
+#[test]
+fn a_ceiling_holds_over_all_gateways_however_unevenly_a_customer_comes() {
+    for (seed, spread) in [(1, 6), (2, 6), (3, 40), (4, 40), (5, 1)] {
+        let mut fleet = Fleet::new(seed, 60);
+        // Half of it through one gateway; all of a sudden a hundred a second, under a ceiling of 20 and 40 at once.
+        let pick = move |rng: &mut fastrand::Rng| if rng.bool() { 0 } else { rng.u32(0..spread) };
+        let mut sent = fleet.play(5, 5, 1, spread, pick);
+        sent.extend(fleet.play(100, 10, 1, spread, pick));
+        let (mut level, mut lowest) = (40.0f64, 40.0f64);
+        for n in &sent {
+            level = (level + 2.0).min(40.0) - f64::from(*n);
+            lowest = lowest.min(level);
+        }
+        // The ceiling's own slack.
+        assert!(lowest >= -4.0, "seed {seed}, spread {spread}: {lowest}");
+        let served: u32 = sent[50..].iter().sum();
+        assert!(
+            served >= 80,
+            "seed {seed}, spread {spread}: {served} in 10 s, where the quota alone bears 120"
+        );
+    }
+}
+
+#[test]
+fn a_cold_server_has_its_part_from_its_first_moment_and_no_more() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed, 10);
+        let everyone = |fleet: &mut Fleet, n: u64| {
+            let mut at: BTreeMap<ServerId, u32> = BTreeMap::new();
+            for _ in 0..n {
+                fleet.now += S / 400;
+                let gateway = fleet.rng.u32(0..GATEWAYS);
+                let server = fleet.ask(gateway, 3, 1, 1).expect("there is room");
+                *at.entry(server).or_default() += 1;
+            }
+            at
+        };
+        everyone(&mut fleet, 2_000);
+        let (now, cold) = (fleet.now, entry(3, Listed::InService, Some(fleet.now)));
+        for rig in &mut fleet.rigs {
+            rig.pass(now - rig.now);
+            rig.tell(Event::Servers(ListScope::Changes, vec![cold.clone()]));
+        }
+        // In two seconds: a warm one gets 80 or a little more, a cold one has a fifth of its capacity and a little more each moment.
+        let at = everyone(&mut fleet, 800);
+        let got = at.get(&ServerId(3)).copied().unwrap_or_default();
+        assert!((8..=40).contains(&got), "seed {seed}: the cold one got {got}, of {at:?}");
+    }
+}
+
+#[test]
+fn gateways_with_a_request_or_two_spread_over_all_that_they_reach() {
+    let mut fleet = Fleet::new(3, 60);
+    let mut at: BTreeMap<ServerId, u32> = BTreeMap::new();
+    for n in 0..6_000 {
+        fleet.now += S / 600;
+        let server = fleet.ask(n % GATEWAYS, 3, 1, 1).expect("there is room");
+        *at.entry(server).or_default() += 1;
+    }
+    let (least, most) = (at.values().min().copied().unwrap_or(0), at.values().max().copied().unwrap_or(0));
+    assert_eq!(at.len(), 60);
+    assert!(most <= 3 * least, "from {least} to {most} a server");
+}
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
+use crate::discovery::Follower;
 use crate::peers::Peers;
 use serde::Deserialize;
 use starlinghill_settings::members::MemberList;
@@ -245,6 +246,12 @@
         self.seed
     }
 
+    /// How it follows the list of backends: from what it knows, if that is a list.
+    pub fn follower(&self) -> Follower {
+        let known = (!self.known.members.is_empty()).then_some(self.known.revision);
+        Follower::new(self.seed, self.site.settings.gateways, known)
+    }
+
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
         Upstreams { discovery: self.discovery, counter: self.counter }
--- a/crates/starlinghill-gateway/src/discovery.rs
+++ b/crates/starlinghill-gateway/src/discovery.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
+pub use starlinghill_registry::Follower;
+use starlinghill_registry::{Call, Verdict};
 use starlinghill_settings::members::MemberList;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,16 +18,19 @@
 const HOLD: Duration = Duration::from_secs(20);
 /// How long an answer may take beyond what it was asked to wait.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// The pause before a failed call is made again; a watch goes on if its next call comes within 200 ms.
-const PAUSE: Duration = Duration::from_millis(100);
 
-/// Fetches the whole list, then watches it for ever, telling whoever owns the inbox what is new.
-pub async fn watch<T: From<MemberList>>(mut upstreams: watch::Receiver<Upstreams>, inbox: mpsc::Sender<T>) {
+/// Watches the list for ever, telling whoever owns the inbox what is new.
+pub async fn watch<T: From<MemberList>>(
+    mut upstreams: watch::Receiver<Upstreams>,
+    mut follower: Follower,
+    inbox: mpsc::Sender<T>,
+) {
     let mut address = upstreams.borrow_and_update().discovery;
-    let mut revision = None;
     let mut connection = None;
     let mut silent = false;
+    let mut confused = false;
     loop {
+        let call = follower.next();
         let told = tokio::select! {
             biased;
             // Moves at once, though the old address may hold a watch for long. The new one may number its
@@ -33,48 +38,53 @@
             Ok(()) = upstreams.changed() => {
                 let moved = upstreams.borrow_and_update().discovery;
                 if moved != address {
-                    (address, connection, revision) = (moved, None, None);
+                    (address, connection) = (moved, None);
+                    follower.moved();
                 }
                 continue;
             }
-            told = next(address, &mut connection, revision) => told,
+            told = make(call, address, &mut connection) => told,
         };
         match told {
             Ok(list) => {
                 if std::mem::take(&mut silent) {
                     info!("discovery answers again");
                 }
-                // Guards against a stale answer that would undo a drain already told, and against changes to
-                // a list that is not held. The whole list, asked for anew, is what discovery has.
-                let older = revision.is_some_and(|held| list.revision < held);
-                if older || revision.is_none() && !list.complete {
-                    warn!(revision = list.revision, "discovery told what does not follow; asking for all");
-                    revision = None;
-                    sleep(PAUSE).await;
+                if follower.answered(list.revision, list.complete) == Verdict::Drop {
+                    if !std::mem::replace(&mut confused, true) {
+                        warn!(
+                            revision = list.revision,
+                            "discovery told what does not follow; asking for all"
+                        );
+                    }
                     continue;
                 }
-                revision = Some(list.revision);
+                confused = false;
                 if inbox.send(list.into()).await.is_err() {
                     return;
                 }
             }
             Err(problem) => {
                 connection = None;
+                follower.failed();
                 if !std::mem::replace(&mut silent, true) {
                     warn!(problem, "discovery failed; the list stays as it is");
                 }
-                sleep(PAUSE).await;
             }
         }
     }
 }
 
-async fn next(
+async fn make(
+    call: Call,
     address: SocketAddr,
     connection: &mut Option<Connection>,
-    revision: Option<u64>,
 ) -> Result<MemberList, &'static str> {
-    let path = match revision {
+    // A watch that goes on is not put off: it is over 200 ms after its last answer.
+    if !call.after.is_zero() {
+        sleep(call.after).await;
+    }
+    let path = match call.since {
         None => "/catalog/members".to_string(),
         Some(revision) => format!("/catalog/members?from={revision}&hold_ms={}", HOLD.as_millis()),
     };
@@ -88,7 +98,7 @@
         *connection = Some(opened.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?);
     }
     let Some(line) = connection.as_mut() else { return Err("no connection") };
-    let hold = if revision.is_some() { HOLD } else { Duration::ZERO };
+    let hold = if call.since.is_some() { HOLD } else { Duration::ZERO };
     let answer = timeout(hold + PATIENCE, line.call(request)).await;
     let answer = answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")?;
     if answer.status() != StatusCode::OK {
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -28,9 +28,6 @@
 /// How often connections that stand idle are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 
-/// How long a gateway that knows a list from before waits for news of it before it is ready.
-const WAIT_FOR_DISCOVERY: Duration = Duration::from_secs(1);
-
 /// How often orders that another process wrote are looked for. With the grace of 1 s after a yes there, this is soon.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -197,6 +194,7 @@
 impl Driver {
     /// A driver that knows nothing yet but the configuration.
     pub fn new(config: Config, clock: Clock, ready: watch::Sender<bool>) -> Result<Driver, ConfigError> {
+        let wait = config.follower().wait();
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
         // Without a door there are no orders, and nothing to keep.
         let ordered = config.ops.and(config.folder.as_deref());
@@ -237,7 +235,7 @@
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
             driver.told(MemberList { complete: true, ..known });
-            driver.ready_at = Some(Instant::now() + WAIT_FOR_DISCOVERY);
+            driver.ready_at = Some(Instant::now() + wait);
         }
         let learned = driver.handover.as_ref().and_then(Handover::read);
         driver.batch.extend(learned.map(Event::Learned));
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -102,6 +102,7 @@
     let (most_units, gateways) = (config.site.settings.most_units, config.site.settings.gateways);
     let bodies = config.memory / BODIES_PART;
     let peers = config.peers.clone();
+    let follower = config.follower();
     let driver = Driver::new(config, clock, ready).map_err(RunError::Config)?;
     let inbox = driver.inbox();
     match peers {
@@ -122,7 +123,7 @@
         spawn_local(ops::serve(door, Rc::new(Door { inbox, ready, stopping })));
     }
     info!(name, %address, "listening");
-    spawn_local(discovery::watch(upstreams.clone(), inbox.clone()));
+    spawn_local(discovery::watch(upstreams.clone(), follower, inbox.clone()));
     spawn_local(driver::follow(upstreams, inbox.clone()));
     let driving = spawn_local(driver.run());
     let front = Rc::new(Front {
--- a/crates/starlinghill-ledger/src/lib.rs
+++ b/crates/starlinghill-ledger/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`store`]: follows a quota's store of units from the totals that the counter tells.
 //! - [`time`]: the unit of time.
 
+pub mod demand;
 pub mod flow;
 pub mod shares;
 pub mod store;
--- /dev/null
+++ b/crates/starlinghill-registry/src/lib.rs
@@ -0,0 +1,109 @@
+//! Following the list of backends that discovery keeps: what to ask and when, and which answers to believe. Pure: who owns the
+//! socket asks for the next [`Call`], makes it, and tells what came of it.
+//!
+//! What one gateway does here all of them do, and often at once: after a release, or when discovery comes back, a hundred of
+//! them ask in the same moment. So the first call of a gateway that knows a list is put off by chance, it asks for what
+//! changed since that list, which costs discovery least, and calls that fail back off exponentially with jitter, further the
+//! more gateways there are. A discovery that can take one call of every gateway in some seconds then comes to answer them all.
+
+#![forbid(unsafe_code)]
+
+use std::time::Duration;
+
+/// The pause after a first failed call of a gateway that is one of a few. Short: a drain may be waiting to be told.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Gateways that may pause so shortly; of more, each pauses longer in proportion.
+const FEW: u32 = 8;
+/// The longest pause is so many of the first.
+const DOUBLINGS: u32 = 3;
+/// The first calls of gateways that know a list are spread over so long for each of them.
+const SPREAD: Duration = Duration::from_millis(10);
+/// How long a gateway that knows a list waits for news of it before it serves by that: one of a few, and one of many, whose
+/// fleet discovery could not answer in such a time.
+const WAIT: Duration = Duration::from_secs(1);
+const WAIT_OF_MANY: Duration = Duration::from_millis(100);
+
+/// A call to make.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// After so long.
+    pub after: Duration,
+    /// For what changed since that version, as a watch; `None`: for the whole list.
+    pub since: Option<u64>,
+}
+
+/// What to do with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It follows from what is held.
+    Take,
+    /// It does not; the list held stays, and the whole one is asked for.
+    Drop,
+}
+
+/// One gateway's following of the list.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    rng: fastrand::Rng,
+    pause: Duration,
+    revision: Option<u64>,
+    failures: u32,
+    after: Duration,
+}
+
+impl Follower {
+    /// At the start of one of so many gateways, which may know a list of some version from before.
+    pub fn new(seed: u64, gateways: u32, known: Option<u64>) -> Follower {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        // One of a few asks for all, which is answered at once; what a hundred whole lists cost, discovery may not have.
+        let known = known.filter(|_| gateways > FEW);
+        let many = known.is_some();
+        let after = if many { (SPREAD * gateways).mul_f64(rng.f64()) } else { Duration::ZERO };
+        let pause = PAUSE.mul_f64((f64::from(gateways) / f64::from(FEW)).max(1.0));
+        Follower { rng, pause, revision: known, failures: 0, after }
+    }
+
+    /// How long to wait for the first answer before the list that is known counts.
+    pub fn wait(&self) -> Duration {
+        if self.revision.is_some() {
+            WAIT_OF_MANY
+        } else {
+            WAIT
+        }
+    }
+
+    /// The next call.
+    pub fn next(&self) -> Call {
+        Call { after: self.after, since: self.revision }
+    }
+
+    /// An answer came.
+    pub fn answered(&mut self, revision: u64, complete: bool) -> Verdict {
+        // Guards against a stale answer that would undo a drain already told, and against changes to a list that is not held.
+        let older = self.revision.is_some_and(|held| revision < held);
+        if older || self.revision.is_none() && !complete {
+            self.revision = None;
+            self.back_off();
+            return Verdict::Drop;
+        }
+        (self.revision, self.failures, self.after) = (Some(revision), 0, Duration::ZERO);
+        Verdict::Take
+    }
+
+    /// A call failed: no answer, not in time, turned away, or not a list.
+    pub fn failed(&mut self) {
+        self.back_off();
+    }
+
+    /// Discovery is somewhere else, and may number its versions anew.
+    pub fn moved(&mut self) {
+        (self.revision, self.failures, self.after) = (None, 0, Duration::ZERO);
+    }
+
+    fn back_off(&mut self) {
+        let longest = self.pause * 2u32.pow(self.failures.min(DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        // Half of it by chance: guards against a fleet that asks in step for ever.
+        self.after = longest.mul_f64(0.5 + 0.5 * self.rng.f64());
+    }
+}
