--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -26,7 +26,11 @@
 /// What was let through may still wait so long for a server.
 const ON_THE_WAY: Micros = Micros(100_000);
 /// A total that was heard within this time will do.
-const FRESH: Micros = Micros(1_000_000);
+const FRESH: Micros = Micros(500_000);
+/// A gateway that heard nothing of a customer for this long is one of those that let it through unasked; of what these let
+/// through beyond the quota, the ones that do ask make up a part, by letting through less than the quota's part (its power).
+const STRANGER: Micros = Micros(5_000_000);
+const MAKES_UP: i32 = 4;
 /// Apart from the names of windows and places.
 const DEMAND_NAME: u64 = 0x6465_6d61_6e64;
 const TURN_NAME: u64 = 0x7475_726e;
@@ -37,6 +41,8 @@
     /// What was heard of its demand, and when.
     demand: Demand,
     heard: Micros,
+    /// Nothing was heard of it for long before that.
+    stranger: bool,
     /// What goes with the next call of that span.
     uncounted: (u64, f64),
     /// This gateway's own part of its ceiling.
@@ -189,6 +195,7 @@
         let (span, elapsed) = demand_span(cx, call.customer);
         let c = self.customers.get_mut(&call.customer)?;
         if call.purpose == Purpose::Demand && call.span == span {
+            c.scattered.stranger = c.scattered.heard + STRANGER < cx.now;
             c.scattered.demand.heard(span, elapsed, total);
             c.scattered.heard = cx.now;
         }
@@ -212,6 +219,8 @@
         // Most customers keep to their quota. One that comes again was refused by a gateway that knew more.
         let unknown = if a.resent { 0.0 } else { 1.0 };
         let chance = c.scattered.demand.chance(quota_of(cx, c.plan), span, elapsed).unwrap_or(unknown);
+        let makes_up = c.scattered.stranger && c.scattered.heard == cx.now;
+        let chance = if makes_up { chance.powi(MAKES_UP) } else { chance };
         // One that was refused by chance must not have its way by asking again.
         cx.rng.f64() < if a.resent && chance < 1.0 { chance * chance } else { chance }
     }
