Do not ask again for a turn of a ceiling whose call failed

Seen on zone+vast: in the first second 293 of 393 calls time out, as every publisher's own part starts empty and each of its requests asks for the turn; each failed call is followed by the next. A turn whose call failed now counts as spent at that gateway.

--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -189,6 +189,11 @@
         total: f64,
     ) -> Option<f64> {
         if outcome != Outcome::Ok {
+            // Guards against a jam that calls for the same turn would only make longer. What they lack comes with the next.
+            if let Some(c) = self.customers.get_mut(&call.customer).filter(|_| call.purpose == Purpose::Turn)
+            {
+                c.scattered.turn_spent = call.span;
+            }
             self.call_failed(cx, call.customer, call.probe, call.at, outcome);
             return None;
         }
