Use library types for inspected sockets and bodies; judge cold servers in the choice

From rereading the change. Seen and Metered are tokio-util's InspectReader and InspectWriter, Outgoing and AnswerBody http-body-util's Either: some 100 lines less. The thin choice no longer fills a cold server's leave on each pick to pass a guard that is not its own: what a cold server may have is checked where a server is chosen. A customer that comes through one gateway asks for no turns of its ceiling. The wait for discovery is worked out once.

Tests are as strict as they were meant: 100 refusals of 200, 440 and 290 beyond a quota; a share of less than one request is tried with and without a call.

--- a/crates/starlinghill-decision/src/borne.rs
+++ b/crates/starlinghill-decision/src/borne.rs
@@ -1,6 +1,7 @@
 //! What servers were seen to bear from this gateway, which is the measure for cold ones.
 
 use crate::api::Micros;
+use crate::fleet::Server;
 
 /// Time over which what warm servers bear is averaged.
 const SPAN: f64 = 10.0;
@@ -38,3 +39,15 @@
         present.max(self.rate).max(least)
     }
 }
+
+impl Server {
+    /// It is cold, and what is out at it is all that it may have.
+    pub(crate) fn pushed(&self) -> bool {
+        self.cold_since.is_some() && self.cold_room.level <= 0.0
+    }
+
+    /// It is cold no more once its time is over.
+    pub(crate) fn warms(&mut self, now: Micros, cold: Micros) {
+        self.cold_since = self.cold_since.filter(|&since| now < since + cold);
+    }
+}
--- a/crates/starlinghill-decision/src/choice.rs
+++ b/crates/starlinghill-decision/src/choice.rs
@@ -34,7 +34,11 @@
             let s = &self.servers[&sid];
             // With nothing healthy left, one at a time to whatever is listed.
             let most = if any_healthy { (s.limit * scale).floor().max(1.0) } else { 1.0 };
-            if s.out >= most || any_healthy && !self.healthy(cx, s) || !r.may_go(cx, &self.servers, s) {
+            if s.out >= most
+                || any_healthy && !self.healthy(cx, s)
+                || s.pushed()
+                || !r.may_go(cx, &self.servers, s)
+            {
                 continue;
             }
             let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
@@ -53,6 +57,7 @@
 
     /// Whether trying this request again is worth a thought: some server may have it now.
     pub(crate) fn may_repeat(&self, cx: &Context, r: &Request) -> bool {
-        self.servers.values().any(|s| r.may_go(cx, &self.servers, s))
+        let chance = self.sparse(cx); // Of a cold server, too.
+        self.servers.values().any(|s| (chance || !s.pushed()) && r.may_go(cx, &self.servers, s))
     }
 }
--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -42,14 +42,13 @@
         self.attempts.iter().any(|a| a.out)
     }
 
-    /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
+    /// Whether this request may go to this server now: lists and drains, effect, copies. Cold ones: see `pick`.
     pub(crate) fn may_go(&self, cx: &Context, servers: &BTreeMap<ServerId, Server>, s: &Server) -> bool {
         let class = &cx.set.classes[self.a.class.0];
         let over =
             self.done || self.streaming || cx.now >= self.a.deadline || self.attempts.len() >= self.most;
-        let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
         let second = self.is_out() && !cx.set.second_copies;
-        if over || pushed || second || !s.listed {
+        if over || second || !s.listed {
             return false;
         }
         let mut ran = self.attempts.iter().filter(|a| a.out || a.may_have_run);
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -138,11 +138,8 @@
         let least = set.most_units / f64::from(set.gateways);
         let per_weight = self.borne.per_weight(now, self.flow_rate(cx), (warm, all), least);
         for s in self.servers.values_mut() {
+            s.warms(now, set.cold);
             let Some(since) = s.cold_since else { continue };
-            if now >= since + set.cold {
-                s.cold_since = None;
-                continue;
-            }
             s.cold_room.rate = per_weight * push * s.weight * warm_part(set, now - since);
             s.cold_room.fill(now);
         }
--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -76,7 +76,8 @@
             let depth = (plan.ceiling_burst - held - plan.ceiling_rate * part * ON_THE_WAY.secs()) / spread;
             (Split { rate: plan.ceiling_rate * part / spread, depth, turn, units: rate * turn.secs() }, depth)
         };
-        let (split, depth) = shared(SPLIT);
+        // One that has a customer to itself has all of its ceiling.
+        let (split, depth) = shared(if spread > 1.0 { SPLIT } else { 1.0 });
         if depth >= set.most_units {
             return split;
         }
--- a/crates/starlinghill-decision/src/thin.rs
+++ b/crates/starlinghill-decision/src/thin.rs
@@ -57,11 +57,7 @@
         let (now, set) = (cx.now, &cx.set);
         let (mut able, mut all) = (0.0, 0.0);
         for s in self.servers.values_mut().filter(|s| s.listed) {
-            if s.cold_since.is_some_and(|since| now >= since + set.cold) {
-                s.cold_since = None;
-            }
-            // Leave is for who can measure it.
-            s.cold_room.level = 1.0;
+            s.warms(now, set.cold);
             all += s.weight;
             if now >= s.ejected_until {
                 able += s.weight * present_part(set, now, s);
--- a/crates/starlinghill-decision/tests/scale.rs
+++ b/crates/starlinghill-decision/tests/scale.rs
@@ -70,7 +70,7 @@
     };
     assert_eq!(refusals(50 * MS), 0);
     assert_eq!(refusals(700 * MS), 0, "slow, but within the aim");
-    assert!(refusals(900 * MS) > 80, "one at a time, never two out, and still it sheds");
+    assert!(refusals(900 * MS) > 100, "one at a time, never two out, and still it sheds");
 }
 
 #[test]
@@ -97,13 +97,20 @@
 
 #[test]
 fn a_share_of_less_than_one_request_still_lets_one_go() {
-    let mut rig = one_of(200, 3, 50);
-    rig.pass(300 * MS);
-    let (id, mut out) = wide(&mut rig, false);
-    for (name, _) in counts(&out) {
-        out = rig.tell(Event::Counted(name, 0, Outcome::Full, 0.0));
+    // A customer each: one that asks the counter, which turns it away, and one that does not.
+    let mut asked = [0, 0];
+    for gateway in 0..60 {
+        let mut rig = one_of(200, gateway, 50);
+        rig.pass(300 * MS);
+        let (id, mut out) = wide(&mut rig, false);
+        let called = counts(&out);
+        asked[called.len()] += 1;
+        for (name, _) in called {
+            out = rig.tell(Event::Counted(name, 0, Outcome::Full, 0.0));
+        }
+        assert_eq!(sends(&out).first().map(|s| s.0), Some(id), "gateway {gateway}");
     }
-    assert_eq!(sends(&out).first().map(|s| s.0), Some(id));
+    assert!(asked[0] > 0 && asked[1] > 0, "{asked:?}");
 }
 
 #[test]
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -80,8 +80,8 @@
         // 30 a second where 10 are allowed, 20 at once.
         let sent = fleet.play(30, 30, 0, 60, |rng| rng.u32(0..60));
         let (all, late): (u32, u32) = (sent.iter().sum(), sent[100..].iter().sum());
-        assert!((150..=330).contains(&late), "seed {seed}: {late} in 20 s, where 200 are allowed");
-        assert!(all <= 500, "seed {seed}: {all} in 30 s, where 320 are allowed");
+        assert!((150..=290).contains(&late), "seed {seed}: {late} in 20 s, where 200 are allowed");
+        assert!(all <= 440, "seed {seed}: {all} in 30 s, where 320 are allowed");
         // A call for each request would have been 900.
         assert!(fleet.calls < 450, "seed {seed}: {} calls for 900 requests", fleet.calls);
     }
@@ -111,6 +111,11 @@
         }
         // The ceiling's own slack.
         assert!(lowest >= -4.0, "seed {seed}, spread {spread}: {lowest}");
+        assert!(
+            spread > 1 || fleet.calls < 200,
+            "{} calls for one that has a gateway to itself",
+            fleet.calls
+        );
         let served: u32 = sent[50..].iter().sum();
         assert!(
             served >= 80,
--- a/crates/starlinghill-gateway/src/answer.rs
+++ b/crates/starlinghill-gateway/src/answer.rs
@@ -3,19 +3,14 @@
 use crate::passing::{BodyError, Download};
 use crate::server::Line;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
 /// The body of an answer.
-pub enum AnswerBody {
-    /// Held whole.
-    Whole(Full<Bytes>),
-    /// Passed on.
-    Passing(Passing),
-}
+pub type AnswerBody = Either<Full<Bytes>, Passing>;
 
 /// An answer that is passed on keeps its connection busy until its last byte.
 pub struct Passing {
@@ -37,30 +32,22 @@
     }
 }
 
-impl Body for AnswerBody {
+impl Body for Passing {
     type Data = Bytes;
     type Error = BodyError;
 
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.get_mut() {
-            AnswerBody::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            AnswerBody::Passing(passing) => {
-                // Whoever is asked for more has a client that reads.
-                passing.line.passes();
-                Pin::new(&mut *passing.download).poll_frame(cx)
-            }
-        }
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        // Whoever is asked for more has a client that reads.
+        self.line.passes();
+        Pin::new(&mut *self.download).poll_frame(cx)
     }
     fn is_end_stream(&self) -> bool {
-        match self {
-            AnswerBody::Whole(body) => body.is_end_stream(),
-            AnswerBody::Passing(passing) => passing.download.is_end_stream(),
-        }
+        self.download.is_end_stream()
     }
     fn size_hint(&self) -> SizeHint {
-        match self {
-            AnswerBody::Whole(body) => body.size_hint(),
-            AnswerBody::Passing(passing) => passing.download.size_hint(),
-        }
+        self.download.size_hint()
     }
 }
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -78,8 +78,8 @@
     /// `None` where its body went out before.
     fn request(&self, until: Instant) -> Option<Request<Outgoing>> {
         let body = match &self.body {
-            Payload::Whole(body) => Outgoing::Whole(Full::new(body.clone())),
-            Payload::Passing { upload, .. } => Outgoing::Passing(upload.take()?),
+            Payload::Whole(body) => Outgoing::Left(Full::new(body.clone())),
+            Payload::Passing { upload, .. } => Outgoing::Right(upload.take()?),
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -192,9 +192,13 @@
 }
 
 impl Driver {
-    /// A driver that knows nothing yet but the configuration.
-    pub fn new(config: Config, clock: Clock, ready: watch::Sender<bool>) -> Result<Driver, ConfigError> {
-        let wait = config.follower().wait();
+    /// A driver that knows nothing yet but the configuration, and for how long it waits for news of the list that it knows.
+    pub fn new(
+        config: Config,
+        clock: Clock,
+        ready: watch::Sender<bool>,
+        wait: Duration,
+    ) -> Result<Driver, ConfigError> {
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
         // Without a door there are no orders, and nothing to keep.
         let ordered = config.ops.and(config.folder.as_deref());
--- a/crates/starlinghill-gateway/src/head.rs
+++ b/crates/starlinghill-gateway/src/head.rs
@@ -1,12 +1,9 @@
 //! The head of a client's request as it came over the socket. hyper keeps one of two lengths and does not tell of the other.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio_util::io::InspectReader;
 
 /// The longest head that is looked at.
 const LONGEST: usize = 16 * 1024;
@@ -49,46 +46,7 @@
     }
 }
 
-/// A client's socket, and the head that came over it.
-pub struct Seen {
-    stream: TcpStream,
-    head: Rc<Head>,
-}
-
-impl Seen {
-    /// What comes over this socket goes into that head.
-    pub fn new(stream: TcpStream, head: Rc<Head>) -> Seen {
-        Seen { stream, head }
-    }
-}
-
-impl AsyncRead for Seen {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let from = buf.filled().len();
-        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.head.saw(&buf.filled()[from..]);
-        done
-    }
-}
-
-impl AsyncWrite for Seen {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
+/// A client's socket; what comes over it goes into that head.
+pub fn seen(stream: TcpStream, head: Rc<Head>) -> InspectReader<TcpStream, impl FnMut(&[u8])> {
+    InspectReader::new(stream, move |bytes| head.saw(bytes))
 }
--- a/crates/starlinghill-gateway/src/http.rs
+++ b/crates/starlinghill-gateway/src/http.rs
@@ -3,8 +3,8 @@
 
 use crate::passing::{BodyError, Upload};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -15,9 +15,9 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_util::io::InspectWriter;
 
 /// The longest body of any message.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -31,75 +31,11 @@
     Broken,
 }
 
-/// A socket that remembers whether anything was written to it.
-struct Metered {
-    stream: TcpStream,
-    wrote: Rc<Cell<bool>>,
-}
-
-impl AsyncRead for Metered {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
+/// A socket that tells what is written to it.
+type Metered = InspectWriter<TcpStream, Box<dyn FnMut(&[u8])>>;
 
-impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
-        done
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
-        done
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-/// A body that goes out.
-pub enum Outgoing {
-    /// Held whole.
-    Whole(Full<Bytes>),
-    /// Passed on as it comes.
-    Passing(Upload),
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.get_mut() {
-            Outgoing::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Outgoing::Passing(body) => Pin::new(body).poll_frame(cx),
-        }
-    }
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Outgoing::Whole(body) => body.is_end_stream(),
-            Outgoing::Passing(body) => body.is_end_stream(),
-        }
-    }
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Outgoing::Whole(body) => body.size_hint(),
-            Outgoing::Passing(body) => body.size_hint(),
-        }
-    }
-}
+/// A body that goes out: held whole, or passed on as it comes.
+pub type Outgoing = Either<Full<Bytes>, Upload>;
 
 /// A connection and its protocol machine. Dropping it closes the socket at once, whatever is under way.
 pub struct Connection {
@@ -118,7 +54,9 @@
         // Where it can't be set, a call may take longer, which is better than none.
         let _ = stream.set_nodelay(true);
         let wrote = Rc::new(Cell::new(false));
-        let metered = TokioIo::new(Metered { stream, wrote: wrote.clone() });
+        let noted = wrote.clone();
+        let note: Box<dyn FnMut(&[u8])> = Box::new(move |bytes| noted.set(noted.get() || !bytes.is_empty()));
+        let metered = TokioIo::new(Metered::new(stream, note));
         let (sender, machine) = http1::Builder::new()
             .max_buf_size(MAX_BODY)
             .handshake(metered)
@@ -165,7 +103,7 @@
 
     /// Makes one call and reads the whole answer. After an error the connection is of no further use.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
-        let (head, body) = self.begin(request.map(Outgoing::Whole), MAX_BODY as u64).await?.into_parts();
+        let (head, body) = self.begin(request.map(Outgoing::Left), MAX_BODY as u64).await?.into_parts();
         let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
         let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
         Ok(Response::from_parts(head, body))
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -103,7 +103,7 @@
     let bodies = config.memory / BODIES_PART;
     let peers = config.peers.clone();
     let follower = config.follower();
-    let driver = Driver::new(config, clock, ready).map_err(RunError::Config)?;
+    let driver = Driver::new(config, clock, ready, follower.wait()).map_err(RunError::Config)?;
     let inbox = driver.inbox();
     match peers {
         // The process that this one takes over from may have the socket.
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -3,7 +3,7 @@
 use crate::answer::{AnswerBody, Passing};
 use crate::backend::{joined, strip_hop_by_hop, Forward, Payload, Served, BUDGET};
 use crate::driver::{Answer, Clock, Inbox, Input, Taken};
-use crate::head::{Head, Seen};
+use crate::head::{seen, Head};
 use crate::http::MAX_BODY;
 use crate::names::Names;
 use crate::passing::{Follower, Upload, Whole, MAX_PASSING};
@@ -314,7 +314,7 @@
         let (front, line) = (front.clone(), line.clone());
         async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
-    let seen = Seen::new(stream, line.head.clone());
+    let seen = seen(stream, line.head.clone());
     let connection =
         http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(seen), service);
     let mut connection = std::pin::pin!(connection);
@@ -344,14 +344,14 @@
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match request.uri().path() {
         "/_health" => match *front.ready.borrow() && !front.is_stopping() {
-            true => plain(StatusCode::OK, "ready\n").map(AnswerBody::Whole),
-            false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n").map(AnswerBody::Whole),
+            true => plain(StatusCode::OK, "ready\n").map(AnswerBody::Left),
+            false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n").map(AnswerBody::Left),
         },
         "/api" => match take(request, front, line).await {
             Ok(answer) => answer,
-            Err((status, problem)) => last(plain(status, problem).map(AnswerBody::Whole)),
+            Err((status, problem)) => last(plain(status, problem).map(AnswerBody::Left)),
         },
-        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n").map(AnswerBody::Whole)),
+        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n").map(AnswerBody::Left)),
     };
     if front.is_stopping() || chunked {
         response = last(response);
@@ -508,17 +508,17 @@
     let answer = if told { answer.await.unwrap_or(Answer::Failed) } else { Answer::Failed };
     watch.answered = true;
     let mut response = match answer {
-        Answer::Served(Served::Whole(body)) => Response::new(AnswerBody::Whole(Full::new(body))),
+        Answer::Served(Served::Whole(body)) => Response::new(AnswerBody::Left(Full::new(body))),
         Answer::Served(Served::Passing(download)) => {
-            Response::new(AnswerBody::Passing(Passing::new(download, line.clone())))
+            Response::new(AnswerBody::Right(Passing::new(download, line.clone())))
         }
         Answer::Refused(wait) => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n").map(AnswerBody::Whole);
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n").map(AnswerBody::Left);
             let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
             wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
             response
         }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n").map(AnswerBody::Whole),
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n").map(AnswerBody::Left),
     };
     if line.phase.get() == Phase::Receiving {
         // Answered before its body was read to the end: what still comes of it is nobody's.
