--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -42,7 +42,7 @@
         self.attempts.iter().any(|a| a.out)
     }
 
-    /// Whether this request may go to this server now: lists and drains, effect, copies. Cold ones: see `pick`.
+    /// Whether this request may go to this server now: lists, drains, effect, copies. See `pick` for cold ones.
     pub(crate) fn may_go(&self, cx: &Context, servers: &BTreeMap<ServerId, Server>, s: &Server) -> bool {
         let class = &cx.set.classes[self.a.class.0];
         let over =
