--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -42,7 +42,8 @@
         self.attempts.iter().any(|a| a.out)
     }
 
-    /// Whether this request may go to this server now: lists, drains, effect, copies. See `pick` for cold ones.
+    /// Whether this request may go to this server now: lists, drains, effect, copies. For cold ones see
+    /// `pick`.
     pub(crate) fn may_go(&self, cx: &Context, servers: &BTreeMap<ServerId, Server>, s: &Server) -> bool {
         let class = &cx.set.classes[self.a.class.0];
         let over =
--- a/crates/starlinghill-gateway/src/http.rs
+++ b/crates/starlinghill-gateway/src/http.rs
@@ -32,7 +32,8 @@
 }
 
 /// A socket that tells what is written to it.
-type Metered = InspectWriter<TcpStream, Box<dyn FnMut(&[u8])>>;
+type Metered = InspectWriter<TcpStream, Tell>;
+type Tell = Box<dyn FnMut(&[u8])>;
 
 /// A body that goes out: held whole, or passed on as it comes.
 pub type Outgoing = Either<Full<Bytes>, Upload>;
@@ -55,7 +56,7 @@
         let _ = stream.set_nodelay(true);
         let wrote = Rc::new(Cell::new(false));
         let noted = wrote.clone();
-        let note: Box<dyn FnMut(&[u8])> = Box::new(move |bytes| noted.set(noted.get() || !bytes.is_empty()));
+        let note: Tell = Box::new(move |bytes| noted.set(noted.get() || !bytes.is_empty()));
         let metered = TokioIo::new(Metered::new(stream, note));
         let (sender, machine) = http1::Builder::new()
             .max_buf_size(MAX_BODY)
