Ask of demand whatever a request is worth; split a ceiling by the room that it leaves

So demand asks by the share itself.

Now the first of 0.6, 0.7, 0.8 that leaves 1.2 times the largest request.

--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -15,9 +15,10 @@
 
 /// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter bears is shared by all.
 const MANY: u32 = 16;
-/// The part of a ceiling that is split evenly. Customers come unevenly: one gateway may see half of what one asks for. Less takes
-/// calls that others need more: a quota lies far below its ceiling.
-const SPLIT: f64 = 0.8;
+/// The part of a ceiling that is split evenly: the least that leaves each gateway room for a little more than the largest request,
+/// else the most. Customers come unevenly, and one gateway may see half of what one asks for.
+const SPLITS: [f64; 3] = [0.6, 0.7, 0.8];
+const ROOMY: f64 = 1.2;
 /// The length of a turn, at the least, and the requests that one has room for. Longer turns need fewer calls, and leave less to be
 /// split: a burst may spend two turns at once.
 const TURN: Micros = Micros(500_000);
@@ -82,8 +83,10 @@
             (Split { rate: plan.ceiling_rate * part / spread, depth, turn, units: rate * turn.secs() }, depth)
         };
         // One that has a customer to itself has all of its ceiling.
-        let (split, depth) = shared(if spread > 1.0 { SPLIT } else { 1.0 });
-        if depth >= set.most_units {
+        let tries: &[f64] = if spread > 1.0 { &SPLITS } else { &[1.0] };
+        let splits = || tries.iter().map(|&part| shared(part)).filter(|split| split.1 >= set.most_units);
+        let roomy = splits().find(|split| split.1 >= set.most_units * ROOMY);
+        if let Some((split, _)) = roomy.or_else(|| splits().last()) {
             return split;
         }
         // A part of less than one request is of no use: all by turns, or where the ceiling does not hold two of them, none.
@@ -127,7 +130,8 @@
             c.scattered.uncounted.1 += units;
             return Asked::Silent;
         }
-        let power = if a.resent { REPEAT_POWER } else { self.rank(cx, a) };
+        // Whatever it is worth: of what is cheap nearly all comes where nothing is known of its customer.
+        let power = if a.resent { REPEAT_POWER } else { 1.0 };
         let chance =
             if self.breaker.opened.is_some() { 1.0 } else { self.asking.chance(power).max(LEAST_PART) };
         if cx.rng.f64() >= chance || !self.may_call(cx, a.customer) {
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -145,6 +145,63 @@
     assert!(unmarked <= 300.0, "where none is marked the like of what was refused is a repeat: {unmarked}");
 }
 
+#[test]
+fn a_ceiling_of_one_second_leaves_each_gateway_an_own_part() {
+    // Fifteen gateways, no more at once than in a second: six tenths split evenly would hold less than one request each.
+    let ceiling = Plan { ceiling_rate: 30.0, ceiling_burst: 30.0, ceiling_slack: 3.0, ..plan(12.0, 13.0) };
+    let set = Settings {
+        gateways: GATEWAYS,
+        me: 0,
+        most_units: 1.0,
+        plans: vec![plan(1.0, 1.0), ceiling],
+        ..settings()
+    };
+    let mut rig = Rig::seeded(1, set, 10);
+    rig.pass(5 * S);
+    let deadline = Micros(rig.now + 3 * S);
+    let (plan, customer) = (PlanId(1), CustomerId(4));
+    let a =
+        Arrival { id: RequestId(1), plan, customer, spread: 15, deadline, units: 1.0, ..Arrival::default() };
+    let mut out = rig.tell(Event::Request(a));
+    for (name, amount) in counts(&out) {
+        out.extend(rig.tell(Event::Counted(name, 0, Outcome::Ok, amount)));
+    }
+    assert_eq!(sends(&out).len(), 1, "by its own part");
+    assert!(counts(&out).len() <= 1, "no turn is asked for: {out:?}");
+}
+
+#[test]
+fn what_is_cheap_is_counted_as_often_as_what_is_dear() {
+    let calls = |dear: bool| {
+        let cheap = Plan { price: 0.2, ..plan(10.0, 20.0) };
+        let plans = vec![cheap, Plan { price: 5.0, ..plan(10.0, 20.0) }];
+        let mut rig = Rig::seeded(4, Settings { gateways: GATEWAYS, plans, ..settings() }, 10);
+        let mut calls = 0;
+        for n in 0..400 {
+            rig.pass(50 * MS);
+            // One of the other kind between two of this one, so that the usual worth lies in the middle.
+            for (plan, counted) in [(usize::from(dear), true), (usize::from(!dear), false)] {
+                let (_, out) = rig.request(0, plan, 1_000 + 2 * n + plan as u64, 1.0);
+                for (name, amount) in counts(&out) {
+                    calls += usize::from(counted);
+                    rig.tell(Event::Counted(
+                        name,
+                        0,
+                        if n % 9 == 0 { Outcome::Timeout } else { Outcome::Ok },
+                        amount,
+                    ));
+                }
+            }
+        }
+        calls as f64
+    };
+    let (cheap, dear) = (calls(false), calls(true));
+    assert!(
+        cheap > 30.0 && (cheap / dear - 1.0).abs() < 0.25,
+        "{cheap} of 400 cheap ones, {dear} of 400 dear ones"
+    );
+}
+
 #[test]
 fn a_ceiling_holds_over_all_gateways_however_unevenly_a_customer_comes() {
     for (seed, spread) in [(1, 6), (2, 6), (3, 40), (4, 40), (5, 1)] {
