Play a customer's store on between the totals of its demand, instead of means over spans

Now the store is played on from one total to the next with what was asked for in between, and the pace is a mean over 0.7 s. A total serves for 0.7 s instead of 1, 2 s instead of 3 while there is little to tell.

--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -27,11 +27,11 @@
 const MOST_AHEAD: f64 = 0.5;
 /// What was let through may still wait so long for a server.
 const ON_THE_WAY: Micros = Micros(100_000);
-/// A total that was heard within this time will do, and one within the second as long as there is little to tell: less than this
+/// A total that was heard within this time will do, and one within the next as long as there is little to tell: less than this
 /// gateway's part of what the quota gives in so many seconds. Guards against a few busy customers, each seen by a few gateways,
 /// that take half of a counter's calls, while gateways that know nothing of a customer can't ask. Longer hears of a spike too late.
-const FRESH: Micros = Micros(1_000_000);
-const STALE: Micros = Micros(3_000_000);
+const FRESH: Micros = Micros(700_000);
+const STALE: Micros = Micros(2_000_000);
 const WORTH_TELLING: f64 = 1.0;
 /// A gateway that heard nothing of a customer for this long is one of those that let it through unasked; of what these let
 /// through beyond the quota, the ones that do ask make up a part, by letting through less than the quota's part (its power).
@@ -213,7 +213,7 @@
         let c = self.customers.get_mut(&call.customer)?;
         if call.purpose == Purpose::Demand && call.span == span {
             c.scattered.stranger = c.scattered.heard + STRANGER < cx.now;
-            c.scattered.demand.heard(span, elapsed, total);
+            c.scattered.demand.heard(quota_of(cx, c.plan), cx.now, span, elapsed, total);
             c.scattered.heard = cx.now;
         }
         c.breaker.success(call.probe);
@@ -230,12 +230,11 @@
         if self.silent(cx, a.customer) {
             return self.local_take(cx, a.customer, a.units);
         }
-        let (span, elapsed) = demand_span(cx, a.customer);
         let Some(c) = self.customers.get_mut(&a.customer) else { return false };
         c.asked.add(cx.now, a.units);
         // Most customers keep to their quota. One that comes again was refused by a gateway that knew more.
         let unknown = if a.resent { 0.0 } else { 1.0 };
-        let chance = c.scattered.demand.chance(quota_of(cx, c.plan), span, elapsed).unwrap_or(unknown);
+        let chance = c.scattered.demand.chance(quota_of(cx, c.plan), cx.now).unwrap_or(unknown);
         let makes_up = c.scattered.stranger && c.scattered.heard == cx.now;
         let chance = if makes_up { chance.powi(MAKES_UP) } else { chance };
         // One that was refused by chance must not have its way by asking again.
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -124,8 +124,8 @@
         // Six times its quota: what is told comes a second late at most.
         let before = fleet.calls;
         let sent: u32 = fleet.play(60, 18, 0, 6, |rng| rng.u32(0..6))[60..].iter().sum();
-        assert!((80..=240).contains(&sent), "seed {seed}: {sent} in 12 s, where 120 are allowed");
-        assert!(fleet.calls - before <= 125, "seed {seed}: {} calls in 18 s", fleet.calls - before);
+        assert!((100..=160).contains(&sent), "seed {seed}: {sent} in 12 s, where 120 are allowed");
+        assert!(fleet.calls - before <= 150, "seed {seed}: {} calls in 18 s", fleet.calls - before);
     }
 }
 
--- a/crates/starlinghill-ledger/src/demand.rs
+++ b/crates/starlinghill-ledger/src/demand.rs
@@ -10,20 +10,29 @@
 
 /// The length of a span over which demand is counted. Shorter sees spikes sooner and has fewer samples.
 pub const SPAN: Micros = Micros(6_000_000);
-/// What the store is taken to hold when a span begins, as part of its burst: unknown, so in the middle.
+/// What the store of an unknown customer is taken to have held when the span began, as part of its burst: in the middle.
 const HELD: f64 = 0.5;
 /// No rate is reckoned over less than this, in seconds: two requests at once say nothing of a rate.
 const LEAST: f64 = 0.3;
 
-/// A total, as of a moment of its span.
+/// The pace of the demand is averaged over this time, in seconds, where totals follow one another. Longer sees spikes too late.
+const PACE: f64 = 0.7;
+/// Two totals further apart than this say nothing of the time between them.
+const FOLLOWS: Micros = Micros(9_000_000);
+
+/// A total, as of a moment of its span, and what follows from it and those before it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Heard {
+    at: Micros,
     span: u64,
-    elapsed: Micros,
     total: f64,
+    /// Units a second that are asked for.
+    rate: f64,
+    /// What a store would hold that lets through whatever it has room for.
+    level: f64,
 }
 
-/// What was heard last of one customer's demand.
+/// What was heard of one customer's demand.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Demand {
     heard: Option<Heard>,
@@ -31,20 +40,41 @@
 
 impl Demand {
     /// A total was heard, so long after its span began.
-    pub fn heard(&mut self, span: u64, elapsed: Micros, total: f64) {
-        self.heard = total.is_finite().then_some(Heard { span, elapsed, total: total.max(0.0) });
+    ///
+    /// Between two totals the store is played on with what was asked for in between: it says more of a moment than the mean of
+    /// a span does. Of a customer heard of for the first time in long, the store is taken to have been half full.
+    pub fn heard(&mut self, quota: Quota, now: Micros, span: u64, elapsed: Micros, total: f64) {
+        if !total.is_finite() {
+            return self.heard = None;
+        }
+        let total = total.max(0.0);
+        let before = self.heard.filter(|last| now < last.at + FOLLOWS && span <= last.span + 2);
+        let (rate, level) = match before {
+            None => {
+                let held = HELD * quota.burst + quota.rate * elapsed.secs();
+                (total / elapsed.secs().max(LEAST), held - total)
+            }
+            Some(last) => {
+                let passed = (now - last.at).secs();
+                let asked = match last.span == span {
+                    true => total - last.total,
+                    // The rest of the span before is not told any more: it is taken to have gone on as it was.
+                    false => total + last.rate * (passed - elapsed.secs()).max(0.0),
+                }
+                .max(0.0);
+                let newest = 1.0 - (-passed / PACE).exp();
+                let rate = last.rate + (asked / passed.max(LEAST) - last.rate) * newest;
+                (rate, (last.level + quota.rate * passed).min(quota.burst) - asked)
+            }
+        };
+        self.heard =
+            Some(Heard { at: now, span, total, rate, level: level.clamp(0.0, quota.burst.max(0.0)) });
     }
 
-    /// The part of the requests that may go on at this moment of a span; `None` while nothing was heard.
-    pub fn chance(&self, quota: Quota, span: u64, elapsed: Micros) -> Option<f64> {
-        let Heard { span: of, elapsed: then, total } = self.heard?;
-        let asked = total / then.secs().max(LEAST);
-        if of != span {
-            // Demand is taken to go on; of the store nothing is known any more.
-            return Some(if asked > quota.rate { quota.rate / asked } else { 1.0 });
-        }
-        let total = total + asked * (elapsed - then).secs();
-        let level = HELD * quota.burst + quota.rate * elapsed.secs() - total;
-        Some(if level >= 0.0 || asked <= quota.rate { 1.0 } else { quota.rate / asked })
+    /// The part of the requests that may go on now; `None` while nothing was heard.
+    pub fn chance(&self, quota: Quota, now: Micros) -> Option<f64> {
+        let Heard { at, rate, level, .. } = self.heard?;
+        let level = level + (quota.rate - rate) * (now - at).secs();
+        Some(if level > 0.0 || rate <= quota.rate { 1.0 } else { quota.rate / rate })
     }
 }
