--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -86,7 +86,7 @@
         let tries: &[f64] = if spread > 1.0 { &SPLITS } else { &[1.0] };
         let splits = || tries.iter().map(|&part| shared(part)).filter(|split| split.1 >= set.most_units);
         let roomy = splits().find(|split| split.1 >= set.most_units * ROOMY);
-        if let Some((split, _)) = roomy.or_else(|| splits().last()) {
+        if let Some((split, _)) = roomy.or_else(|| splits().next_back()) {
             return split;
         }
         // A part of less than one request is of no use: all by turns, or where the ceiling does not hold two of them, none.
