--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -126,7 +126,7 @@
             c.beyond.at = cx.now; // Starts empty: an earlier life of this gateway may have spent it.
         }
         (c.plan, c.spread, c.first, c.used) = (a.plan.0, f64::from(a.spread.max(1)), a.first, cx.now);
-        // Where clients do not mark repeats: the like of what was refused here a moment ago. Of a busy customer nearly all is.
+        // Where clients do not mark repeats, the like of what was refused. Of a busy customer nearly all is.
         let alike = |r: &Refusal| r.class == a.class && r.units == a.units && cx.now < r.at + REPEAT_SPAN;
         self.marked |= a.resent;
         a.resent || !self.marked && c.refused.as_ref().is_some_and(alike)
--- a/crates/starlinghill-decision/src/fleet.rs
+++ b/crates/starlinghill-decision/src/fleet.rs
@@ -11,7 +11,7 @@
 /// second that it sends on. More spreads its load better, fewer lets it learn of each in a second or two.
 const REACH_LEAST: f64 = 8.0;
 const REACH_FLOW: f64 = 1.0;
-/// The same where gateways outnumber the servers: each has some in its part anyway, and wider parts cost connections.
+/// The same where gateways outnumber the servers, and each has some. Wider parts cost connections.
 const REACH_FLOW_MANY: f64 = 0.25;
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
