--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -84,9 +84,14 @@
         };
         // One that has a customer to itself has all of its ceiling.
         let tries: &[f64] = if spread > 1.0 { &SPLITS } else { &[1.0] };
-        let splits = || tries.iter().map(|&part| shared(part)).filter(|split| split.1 >= set.most_units);
-        let roomy = splits().find(|split| split.1 >= set.most_units * ROOMY);
-        if let Some((split, _)) = roomy.or_else(|| splits().next_back()) {
+        let mut fits = None;
+        for (split, depth) in tries.iter().map(|&part| shared(part)) {
+            fits = if depth >= set.most_units { Some(split) } else { fits };
+            if depth >= set.most_units * ROOMY {
+                break;
+            }
+        }
+        if let Some(split) = fits {
             return split;
         }
         // A part of less than one request is of no use: all by turns, or where the ceiling does not hold two of them, none.
--- a/crates/starlinghill-decision/src/thin.rs
+++ b/crates/starlinghill-decision/src/thin.rs
@@ -23,12 +23,10 @@
         if self.out_now >= MOST_OUT {
             return None;
         }
-        let cold = self.cold_share(cx);
+        let (cold, usual) = self.cold_share(cx);
         let any_healthy = self.servers.values().any(|s| s.listed && self.healthy(cx, s));
         // The part is counted by what its servers can do now. Guards against cold ones whose neighbours in the ring are cold too,
         // and which would be all that some gateways have.
-        let usual =
-            self.ring.iter().map(|id| self.servers[id].weight).sum::<f64>() / self.ring.len().max(1) as f64;
         let (reach, mut able) = (self.reach(cx) as f64 * usual, 0.0);
         let mut best: Option<(f64, ServerId)> = None;
         for id in self.own_part_first(cx) {
@@ -57,8 +55,8 @@
     }
 
     /// What of their part by capacity cold servers may have. Less than all of it where nearly everything is cold: what comes
-    /// would be beyond what they bear, however evenly it is spread.
-    fn cold_share(&mut self, cx: &Context) -> f64 {
+    /// would be beyond what they bear, however evenly it is spread. With it the mean weight of a listed server.
+    fn cold_share(&mut self, cx: &Context) -> (f64, f64) {
         let (now, set) = (cx.now, &cx.set);
         let (mut able, mut all) = (0.0, 0.0);
         for s in self.servers.values_mut().filter(|s| s.listed) {
@@ -71,6 +69,6 @@
         let (flow, least) = (self.flow_rate(cx), set.most_units / f64::from(set.gateways));
         let usual = self.borne.per_weight(now, flow, (able, all), least);
         let even = flow / f64::max(able, 1e-9);
-        (COLD_PUSH * usual / even.max(1e-9)).min(1.0)
+        ((COLD_PUSH * usual / even.max(1e-9)).min(1.0), all / self.ring.len().max(1) as f64)
     }
 }
--- a/crates/starlinghill-decision/tests/scale.rs
+++ b/crates/starlinghill-decision/tests/scale.rs
@@ -66,7 +66,6 @@
         all += used.len();
         used.into_keys().for_each(|server| *at.entry(server).or_insert(0) += 1);
     }
-    // A server holds some 460 to 890 a core; all of these together, and as many again while servers are replaced.
     assert!(all <= 1_300, "{all} connections where a part of 20 servers each made 1,900");
     assert_eq!(at.len(), 60, "no server is left out");
     let most = at.values().max().copied().unwrap_or(0);
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -125,7 +125,7 @@
         let before = fleet.calls;
         let sent: u32 = fleet.play(60, 18, 0, 6, |rng| rng.u32(0..6))[60..].iter().sum();
         assert!((100..=160).contains(&sent), "seed {seed}: {sent} in 12 s, where 120 are allowed");
-        assert!(fleet.calls - before <= 150, "seed {seed}: {} calls in 18 s", fleet.calls - before);
+        assert!(fleet.calls - before <= 140, "seed {seed}: {} calls in 18 s", fleet.calls - before);
     }
 }
 
@@ -277,7 +277,7 @@
         let mut fleet = Fleet::new(seed, 60);
         let mut pairs = std::collections::BTreeSet::new();
         let mut first_two: BTreeMap<ServerId, (u64, u32)> = BTreeMap::new();
-        let mut warm = 0;
+        let (mut warm, mut replaced) = (0, 0);
         let steps = 36 * 80;
         for n in 0..2_000 + steps + 2_000u64 {
             fleet.now += S / 400;
@@ -287,6 +287,7 @@
                 let news =
                     [entry(i, Listed::Draining, None), entry(100 + i, Listed::InService, Some(fleet.now))];
                 first_two.insert(ServerId(u64::from(100 + i)), (fleet.now, 0));
+                replaced = u64::from(i + 1);
                 let now = fleet.now;
                 for rig in &mut fleet.rigs {
                     rig.pass(now - rig.now);
@@ -295,9 +296,10 @@
             }
             let gateway = fleet.rng.u32(0..GATEWAYS);
             let server = fleet.ask(gateway, 3, 1, 1).expect("there is room");
-            let replaced = n.saturating_sub(2_000).div_ceil(80).min(36);
-            let gone = n > 2_000 && server.0 < replaced;
-            assert!(!gone, "seed {seed}: {server:?} was told to drain, {replaced} are replaced");
+            assert!(
+                server.0 >= replaced,
+                "seed {seed}: {server:?} was told to drain, {replaced} are replaced"
+            );
             pairs.insert((gateway, server));
             match first_two.get_mut(&server) {
                 Some((since, got)) if fleet.now < *since + 2 * S => *got += 1,
--- a/crates/starlinghill-ledger/src/demand.rs
+++ b/crates/starlinghill-ledger/src/demand.rs
@@ -48,7 +48,7 @@
             return self.heard = None;
         }
         let total = total.max(0.0);
-        let before = self.heard.filter(|last| now < last.at + FOLLOWS && span <= last.span + 2);
+        let before = self.heard.filter(|last| now < last.at + FOLLOWS);
         let (rate, level) = match before {
             None => {
                 let held = HELD * quota.burst + quota.rate * elapsed.secs();
@@ -57,11 +57,12 @@
             Some(last) => {
                 let passed = (now - last.at).secs();
                 let asked = match last.span == span {
-                    true => total - last.total,
+                    true if total >= last.total => total - last.total,
+                    // A counter that lost what it held. Guards against a fresh burst for whoever asked for much before.
+                    true => total.max(last.rate * passed),
                     // The rest of the span before is not told any more: it is taken to have gone on as it was.
                     false => total + last.rate * (passed - elapsed.secs()).max(0.0),
-                }
-                .max(0.0);
+                };
                 let newest = 1.0 - (-passed / PACE).exp();
                 let rate = last.rate + (asked / passed.max(LEAST) - last.rate) * newest;
                 (rate, (last.level + quota.rate * passed).min(quota.burst) - asked)
--- a/crates/starlinghill-ledger/tests/demand.rs
+++ b/crates/starlinghill-ledger/tests/demand.rs
@@ -62,10 +62,17 @@
         demand.heard(QUOTA, at, 50, Micros(1_000 * MS), spoilt);
         assert!(demand.chance(QUOTA, at).is_none_or(|chance| chance == 1.0), "{spoilt}");
     }
-    // A counter that lost what it held: less than before is no demand below nothing.
+}
+
+#[test]
+fn a_counter_that_lost_its_numbers_grants_no_fresh_burst() {
+    let at = Micros(SPAN.0 * 50 + 1_000 * MS);
     let mut demand = Demand::default();
     demand.heard(QUOTA, at, 50, Micros(1_000 * MS), 50.0);
-    demand.heard(QUOTA, at + Micros(500 * MS), 50, Micros(1_500 * MS), 3.0);
-    let chance = demand.chance(QUOTA, at + Micros(500 * MS)).expect("heard");
-    assert!((0.0..=1.0).contains(&chance), "{chance}");
+    assert_eq!(demand.chance(QUOTA, at), Some(0.2), "fifty a second");
+    // Emptied, and told of three since.
+    let later = at + Micros(500 * MS);
+    demand.heard(QUOTA, later, 50, Micros(1_500 * MS), 3.0);
+    let chance = demand.chance(QUOTA, later).expect("heard");
+    assert!((chance - 0.2).abs() < 1e-9, "it is taken to go on as it was: {chance}");
 }
