Tell repeats from first tries in a file of its own, and give the policy its comments back

What was in the way is how a repeat is known, which decides nothing.

Change: repeats.rs holds the refusal and whether clients mark repeats; admission.rs asks it.

--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::bucket::{mix, TokenBucket};
 use crate::calls::{Call, Purpose};
 use crate::context::{Context, SMOOTH};
+use crate::repeats::{Refusal, Repeats};
 use crate::scattered::Scattered;
 use crate::tally::Tally;
 use starlinghill_ledger::flow::Flow;
@@ -16,8 +17,6 @@
 
 /// The share of repeats that ask is the share of first tries to this power.
 pub(crate) const REPEAT_POWER: f64 = 3.0;
-/// How long after a refusal the like of it counts as its repeat.
-const REPEAT_SPAN: Micros = Micros(1_000_000);
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten.
 const EPOCH: Micros = Micros(5_000_000);
 /// Life of idle customers, of whom many come once.
@@ -25,14 +24,6 @@
 /// The length of a window. Long ones are followed over their edges seldom; a name lives for 60 s at most.
 pub(crate) const WINDOW: Micros = Micros(25_000_000);
 
-/// What was refused last, by which a repeat is known.
-#[derive(Debug)]
-pub(crate) struct Refusal {
-    pub(crate) class: ClassId,
-    pub(crate) units: f64,
-    pub(crate) at: Micros,
-}
-
 /// One customer as this gateway knows it.
 #[derive(Debug, Default)]
 pub(crate) struct Customer {
@@ -98,8 +89,7 @@
     pub(crate) lost_at: Micros,
     /// Until when this gateway promised to go by no total.
     pub(crate) quiet_until: Micros,
-    /// Clients mark their repeats: one did.
-    marked: bool,
+    repeats: Repeats,
     /// The usual worth of a request.
     usual_worth: f64,
 }
@@ -126,10 +116,7 @@
             c.beyond.at = cx.now; // Starts empty: an earlier life of this gateway may have spent it.
         }
         (c.plan, c.spread, c.first, c.used) = (a.plan.0, f64::from(a.spread.max(1)), a.first, cx.now);
-        // Where clients do not mark repeats, the like of what was refused. Of a busy customer nearly all is.
-        let alike = |r: &Refusal| r.class == a.class && r.units == a.units && cx.now < r.at + REPEAT_SPAN;
-        self.marked |= a.resent;
-        a.resent || !self.marked && c.refused.as_ref().is_some_and(alike)
+        self.repeats.is_one(a, c.refused.as_ref(), cx.now)
     }
 
     /// Notes a request's worth; returns the power of its chance to pass: above one for little worth.
@@ -145,7 +132,7 @@
     /// Notes a refusal or failure; returns when to come back, where that is told.
     pub(crate) fn refused(&mut self, cx: &Context, a: &Arrival) -> Option<Micros> {
         if let Some(c) = self.customers.get_mut(&a.customer) {
-            c.refused = Some(Refusal { class: a.class, units: a.units, at: cx.now });
+            c.refused = Some(Refusal::of(a, cx.now));
         }
         (cx.set.retry_after && cx.set.plans[a.plan.0].rate > 0.0).then(|| {
             let p = &cx.set.plans[a.plan.0];
@@ -201,8 +188,9 @@
         self.customers.get(&customer).is_some_and(|c| c.spread * cx.set.most_units > burst(c))
     }
 
-    /// Whether a request is to ask. Guards against a counter that our own calls drown: while calls fail
-    /// only a part asks, what is worth much first, repeats last, as they were refused a moment ago.
+    /// Whether a request is to ask. Guards against a counter that our own calls drown, slow or near its
+    /// capacity: while calls fail only a part asks, what is worth much first, repeats last, as they were
+    /// refused a moment ago.
     fn asks(&self, cx: &mut Context, power: f64) -> bool {
         self.breaker.opened.is_some() || self.asking.asks(cx.rng.f64(), power)
     }
@@ -222,6 +210,7 @@
         (self.usual_worth / cx.worth(a).max(1e-9)).clamp(0.5, 2.0)
     }
 
+    /// The ordinary path: one add on the customer's window before anything is sent on.
     pub(crate) fn ask_window(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
         let (customer, units, resent) = (a.customer, a.units, a.resent);
         if self.breaker.opened.is_none() && self.room(cx, customer).is_some_and(|room| room < units) {
@@ -279,6 +268,8 @@
 
     /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
     /// count once for the common breaker, while that customer's own breaker opens.
+    ///
+    /// One cut of the share that asks answers for all calls that were out when it was made (`asking`).
     pub(crate) fn call_failed(
         &mut self,
         cx: &Context,
@@ -398,6 +389,7 @@
         }
     }
 
+    /// Decides a request by the total heard, or without one by the local bucket.
     pub(crate) fn window_holds(&mut self, cx: &Context, a: &Arrival, heard: Option<f64>, held: bool) -> bool {
         let (customer, units, plan) = (a.customer, a.units, a.plan.0);
         match heard {
@@ -452,6 +444,7 @@
         }
     }
 
+    /// A request takes its place among the customer's attempts out.
     pub(crate) fn take_place(&mut self, customer: CustomerId) {
         self.customers.get_mut(&customer).into_iter().for_each(|c| c.out += 1.0);
     }
@@ -462,7 +455,7 @@
         self.sync_places(cx, customer);
     }
 
-    /// Puts the shared count of attempts out right: a place let go.
+    /// Puts the shared count of attempts out right where it says more than is out: a place let go.
     pub(crate) fn sync_places(&mut self, cx: &mut Context, customer: CustomerId) {
         self.roll(cx, customer);
         let Some(c) = self.customers.get_mut(&customer) else { return };
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,7 +2,7 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `borne`, `throttle`, `asking`, `breaker`, `context`, `fleet`,
+//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `borne`, `throttle`, `asking`, `breaker`, `context`, `fleet`,
 //! `guards`, `health`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
 
 pub mod api;
@@ -22,6 +22,7 @@
 mod health;
 mod learned;
 mod lifecycle;
+mod repeats;
 mod scattered;
 mod sharing;
 mod tally;
