Ask an agent of discovery's at once, and soon again, whatever the number of gateways

Ruled out: a list that came late (the gateways that lived on broke nothing), a send decided early and written late (the first attempt's p99 is 78 ms).

Cause: starlinghill-registry put off the first call by up to 10 ms for each gateway, 3 s of 300, and paused up to 30 s after failures.

Change: the follower is told what answers it, by the settings' mode. An agent is asked at once and again within 0.8 s.

Test: registry/tests/fleet.rs, fails before.

--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -3,7 +3,7 @@
 
 use starlinghill_decision::api::{Micros, PlanId, SettingsError};
 use starlinghill_gateway::config::{Config, Upstreams};
-use starlinghill_gateway::discovery::{self, Follower};
+use starlinghill_gateway::discovery::{self, Follower, Source};
 use starlinghill_operators::{Control, Problem, Quotas};
 use starlinghill_settings::Site;
 use starlinghill_view::ledger::LedgerSettings;
@@ -200,7 +200,7 @@
         runtime.block_on(async move {
             let mut closed = upstreams.clone();
             tokio::select! {
-                () = discovery::watch(upstreams, Follower::new(0, 1, None), news) => {}
+                () = discovery::watch(upstreams, Follower::new(0, Source::Agent, 1, None), news) => {}
                 // The service is gone.
                 () = async { while closed.changed().await.is_ok() {} } => {}
             }
--- a/crates/starlinghill-control/src/main.rs
+++ b/crates/starlinghill-control/src/main.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use starlinghill_control::{plan, prepare, start, Prepared};
 use starlinghill_gateway::config::Upstreams;
-use starlinghill_gateway::discovery::{self, Follower};
+use starlinghill_gateway::discovery::{self, Follower, Source};
 use starlinghill_operators::Problem;
 use starlinghill_settings::members::MemberList;
 use starlinghill_view::fleet::{Fleet, Use};
@@ -87,7 +87,7 @@
     let (_keep, upstreams) = watch::channel(upstreams);
     let (tx, mut rx) = mpsc::channel::<MemberList>(1);
     tokio::select! {
-        () = discovery::watch(upstreams, Follower::new(0, 1, None), tx) => None,
+        () = discovery::watch(upstreams, Follower::new(0, Source::Agent, 1, None), tx) => None,
         list = tokio::time::timeout(LIST_WAIT, rx.recv()) => list.ok().flatten(),
     }
 }
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
-use crate::discovery::Follower;
+use crate::discovery::{Follower, Source};
 use crate::peers::Peers;
 use serde::Deserialize;
 use starlinghill_settings::members::MemberList;
@@ -249,7 +249,9 @@
     /// How it follows the list of backends: from what it knows, if that is a list.
     pub fn follower(&self) -> Follower {
         let known = (!self.known.members.is_empty()).then_some(self.known.revision);
-        Follower::new(self.seed, self.site.settings.gateways, known)
+        let settings = &self.site.settings;
+        let source = if settings.must_subscribe { Source::Shared } else { Source::Agent };
+        Follower::new(self.seed, source, settings.gateways, known)
     }
 
     /// The services that it names.
--- a/crates/starlinghill-registry/src/lib.rs
+++ b/crates/starlinghill-registry/src/lib.rs
@@ -5,6 +5,10 @@
 //! them ask in the same moment. So the first call of a gateway that knows a list is put off by chance, it asks for what
 //! changed since that list, which costs discovery least, and calls that fail back off exponentially with jitter, further the
 //! more gateways there are. A discovery that can take one call of every gateway in some seconds then comes to answer them all.
+//!
+//! None of this serves where each gateway has an agent of its own, which is sent what changes unasked ([`Source::Agent`]). What
+//! the agent holds counts as told from the moment the gateway could have asked, and waiting only spends the time there is to
+//! leave a server that drains.
 
 #![forbid(unsafe_code)]
 
@@ -32,6 +36,15 @@
     pub since: Option<u64>,
 }
 
+/// What answers the calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// An agent beside the gateway, which is sent what changes and answers at once.
+    Agent,
+    /// One service for all gateways, of fixed capacity.
+    Shared,
+}
+
 /// What to do with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -53,13 +66,14 @@
 
 impl Follower {
     /// At the start of one of so many gateways, which may know a list of some version from before.
-    pub fn new(seed: u64, gateways: u32, known: Option<u64>) -> Follower {
+    pub fn new(seed: u64, source: Source, gateways: u32, known: Option<u64>) -> Follower {
         let mut rng = fastrand::Rng::with_seed(seed);
         // One of a few asks for all, which is answered at once; what a hundred whole lists cost, discovery may not have.
         let known = known.filter(|_| gateways > FEW);
-        let many = known.is_some();
-        let after = if many { (SPREAD * gateways).mul_f64(rng.f64()) } else { Duration::ZERO };
-        let pause = PAUSE.mul_f64((f64::from(gateways) / f64::from(FEW)).max(1.0));
+        let sharing = if source == Source::Shared { gateways } else { 1 };
+        let many = known.is_some() && sharing > FEW;
+        let after = if many { (SPREAD * sharing).mul_f64(rng.f64()) } else { Duration::ZERO };
+        let pause = PAUSE.mul_f64((f64::from(sharing) / f64::from(FEW)).max(1.0));
         Follower { rng, pause, revision: known, failures: 0, after }
     }
 
--- a/crates/starlinghill-registry/tests/fleet.rs
+++ b/crates/starlinghill-registry/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet that follows one discovery in virtual time: each gateway's calls are played one millisecond at a time.
 
-use starlinghill_registry::{Call, Follower, Verdict};
+use starlinghill_registry::{Call, Follower, Source, Verdict};
 use std::time::Duration;
 
 /// A discovery that can take so many calls a second, turns away what would wait for more than two, and counts what it is asked.
@@ -29,7 +29,7 @@
     let ms = |call: Call| call.after.as_millis() as u64;
     let mut all: Vec<(Follower, u64, Option<u64>)> = (0..gateways)
         .map(|me| {
-            let follower = Follower::new(seed << 32 | u64::from(me), gateways, known);
+            let follower = Follower::new(seed << 32 | u64::from(me), Source::Shared, gateways, known);
             let due = ms(follower.next());
             (follower, due, None)
         })
@@ -73,7 +73,7 @@
 #[test]
 fn one_gateway_alone_asks_at_once_and_again_soon() {
     for gateways in 1..=8 {
-        let mut follower = Follower::new(7, gateways, Some(41));
+        let mut follower = Follower::new(7, Source::Shared, gateways, Some(41));
         assert_eq!(follower.next(), Call { after: Duration::ZERO, since: None });
         follower.failed();
         assert!(follower.next().after <= Duration::from_millis(100));
@@ -82,9 +82,19 @@
     }
 }
 
+#[test]
+fn one_of_any_number_asks_an_agent_of_its_own_at_once_for_what_is_new_and_again_soon() {
+    for gateways in [1, 8, 9, 16, 100, 300, 1000] {
+        let mut follower = Follower::new(7, Source::Agent, gateways, Some(41));
+        assert_eq!(follower.next().after, Duration::ZERO, "{gateways}: what the agent has counts as told");
+        (0..20).for_each(|_| follower.failed());
+        assert!(follower.next().after <= Duration::from_millis(800), "{gateways}: discovery may be back");
+    }
+}
+
 #[test]
 fn an_answer_that_does_not_follow_is_dropped_and_the_whole_list_is_asked_for() {
-    let mut follower = Follower::new(7, 30, Some(41));
+    let mut follower = Follower::new(7, Source::Shared, 30, Some(41));
     assert_eq!(follower.next().since, Some(41), "no more than what is new");
     assert_eq!(follower.answered(40, true), Verdict::Drop, "older than what is held");
     let call = follower.next();
