Steer counter calls by its queue, judge unknown customers by plan, shed after quotas

After a jam at 8 to 14 s it needs 10 s again ("15 to 22 s: p90 8 ms, chance 0.25 to 0.4"). - 29,596 of 56,500 of the price for units beyond quota: studios let through unasked while their whole plan asks for four times its quotas (9 to 14 s, 80 to 90% of it beyond). - "20 s: 3196 requests, shed 544", with 1,415 of 1,430 attempts in time: shedding that never ends. What is worth little was shed before its quota was asked and counted as asked for and not come back; a fifth shed for good, whatever came back. At fault: asking.rs (MANY_GROW for each of one or two answers a second), scattered.rs (unknown customers always let through), attempts.rs on_request and throttle.rs note.

Change: slow start (a half more for each answer) until an answer queues; then up by 0.03 for one that did not queue, down by up to 6% for one that queued for over a fifth of the time there is. A plan whose customers that were heard of keep to their quotas too seldom for unheard requests to pay (over_cost of the settings) lets none through unheard (starlinghill-ledger, usual). Overload sheds what a quota let in, and each attempt that went on counts for as many as were asked for.

--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -12,6 +12,7 @@
 use crate::tally::Tally;
 use starlinghill_ledger::flow::Flow;
 use starlinghill_ledger::shares::{Exchange, Shares};
+use starlinghill_ledger::usual::Usual;
 use starlinghill_ledger::{Quota, Store, Told};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -90,6 +91,8 @@
     /// Until when this gateway promised to go by no total.
     pub(crate) quiet_until: Micros,
     repeats: Repeats,
+    /// What part of the requests the quotas bear, by plan.
+    pub(crate) usual: Vec<Usual>,
     /// The usual worth of a request.
     usual_worth: f64,
 }
--- a/crates/starlinghill-decision/src/asking.rs
+++ b/crates/starlinghill-decision/src/asking.rs
@@ -9,11 +9,14 @@
 const CUT: f64 = 0.8;
 const QUEUED: f64 = 0.97;
 const GROW: f64 = 0.005;
-/// The same where more gateways ask than may do so for each request at first: each hears an answer or two a second, so each must
-/// tell more; and until the first cut (slow start).
+/// The same where more gateways ask than may do so for each request at first. Each hears an answer or two a second until it asks for
+/// more, so the share is doubled by each until one queues or fails (slow start); then the queue steers it: up by so much for an
+/// answer that did not queue, down in proportion for one that queued for longer than this part of the time there is. Guards
+/// against a counter that is idle for ten seconds after every jam, while nothing is known of any customer.
 const MANY_CUT: f64 = 0.7;
-const MANY_GROW: f64 = 0.015;
-const MANY_START: f64 = 0.04;
+const MANY_GROW: f64 = 0.03;
+const MANY_SHRINK: f64 = 0.06;
+const MANY_QUEUE: f64 = 0.2;
 /// The share with which asking begins again when a probe was answered.
 const AGAIN: f64 = 0.5;
 /// Gateways that may ask for each request from their start; of more the like of so many.
@@ -28,6 +31,8 @@
 pub(crate) struct Asking {
     share: f64,
     many: bool,
+    /// No answer has queued or failed yet.
+    starting: bool,
     last_cut: Micros,
     /// What an answer takes that does not queue, in seconds: the least of late.
     unqueued: Option<f64>,
@@ -35,7 +40,7 @@
 
 impl Default for Asking {
     fn default() -> Asking {
-        Asking { share: 1.0, many: false, last_cut: Micros(0), unqueued: None }
+        Asking { share: 1.0, many: false, starting: false, last_cut: Micros(0), unqueued: None }
     }
 }
 
@@ -43,7 +48,7 @@
     /// At the start of one of so many gateways. Guards against a counter that all of them fill before the first cut.
     pub(crate) fn of(gateways: u32) -> Asking {
         let share = (START / f64::from(gateways.max(1))).min(1.0);
-        Asking { share, many: share < 1.0, ..Asking::default() }
+        Asking { share, many: share < 1.0, starting: share < 1.0, ..Asking::default() }
     }
 
     /// Whether one asks by this draw (from 0 to 1): what is worth much first, repeats last.
@@ -67,6 +72,7 @@
         if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
             let cut = if self.many { MANY_CUT } else { CUT };
             (self.share, self.last_cut) = ((self.share * cut).max(LEAST_PART), now);
+            self.starting = false;
         }
     }
 
@@ -77,13 +83,26 @@
         let best =
             self.unqueued.map_or(took, |best| if took < best { took } else { best + (took - best) * FORGET });
         self.unqueued = Some(best);
-        let queued = took - best > limit.secs() * 0.5;
-        let grow = match self.many {
-            true if self.last_cut == Micros(0) => MANY_START,
-            true => MANY_GROW,
-            false => GROW,
-        };
-        let share = if queued { self.share * QUEUED } else { self.share + grow };
+        let part = (took - best) / limit.secs().max(1e-9);
+        let share = if self.many { self.steered(part) } else { self.raised(part) };
         self.share = share.min(1.0).max(if probe { AGAIN } else { LEAST_PART });
     }
+
+    fn raised(&self, queued: f64) -> f64 {
+        if queued > 0.5 {
+            self.share * QUEUED
+        } else {
+            self.share + GROW
+        }
+    }
+
+    fn steered(&mut self, queued: f64) -> f64 {
+        let over = queued / MANY_QUEUE - 1.0;
+        self.starting &= over < 0.0;
+        match self.starting {
+            true => self.share * 1.5,
+            false if over < 0.0 => self.share - MANY_GROW * over,
+            false => self.share * (1.0 - MANY_SHRINK * over.min(1.0)),
+        }
+    }
 }
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -114,23 +114,18 @@
         let a = Arrival { resent, ..a };
         self.requests.insert(id, Request { a, arrived: now, most, ..Request::default() });
         self.admission.roll(&self.cx, customer);
-        if self.shed(id) {
-            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
-        }
         let first = self.requests.get(&id).map(|r| self.admission.first_question(&self.cx, &r.a));
         first.into_iter().for_each(|first| self.ask(id, first));
     }
 
     /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
-    /// worth little first. Guards against overload where a gateway has too few attempts out to bound them.
+    /// worth little first. Guards against overload where a gateway has too few attempts out to bound them. Asked of what its
+    /// quota lets in alone: guards against shedding for good, as what a quota refuses would count as asked for and unserved.
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let power = self.admission.weigh(self.cx.worth(&r.a));
-        let shed = self.fleet.sparse(&self.cx) && self.cx.rng.f64() > self.fleet.throttle.pass().powf(power);
-        if shed {
-            self.fleet.throttle.shed(self.cx.now);
-        }
-        shed
+        let pass = if self.fleet.sparse(&self.cx) { self.fleet.throttle.pass() } else { 1.0 };
+        pass < 1.0 && self.cx.rng.f64() > pass.powf(power)
     }
 
     fn ask(&mut self, id: RequestId, purpose: Purpose) {
@@ -198,6 +193,9 @@
     }
 
     fn admit(&mut self, id: RequestId) {
+        if self.shed(id) {
+            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
+        }
         let Some(r) = self.requests.get_mut(&id) else { return };
         if self.cx.set.plans[r.a.plan.0].open > 0.0 {
             r.holds_place = true;
--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -12,6 +12,7 @@
 use crate::calls::{Call, Purpose};
 use crate::context::{Context, LEAST_PART};
 use starlinghill_ledger::demand::{Demand, SPAN};
+use starlinghill_ledger::usual::Usual;
 
 /// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter bears is shared by all.
 const MANY: u32 = 16;
@@ -232,20 +233,32 @@
 
     /// Whether the quota bears a request: by what was heard of the demand, or by the local bucket while the counter is silent.
     pub(crate) fn demand_holds(&mut self, cx: &mut Context, a: &Arrival) -> bool {
+        let pays = self.unheard_pays(cx, a.plan.0);
         if self.silent(cx, a.customer) {
-            return self.local_take(cx, a.customer, a.units);
+            return pays && self.local_take(cx, a.customer, a.units);
         }
         let Some(c) = self.customers.get_mut(&a.customer) else { return false };
         c.asked.add(cx.now, a.units);
         // Most customers keep to their quota. One that comes again was refused by a gateway that knew more.
-        let unknown = if a.resent { 0.0 } else { 1.0 };
+        let unknown = f64::from(u8::from(pays && !a.resent));
         let chance = c.scattered.demand.chance(quota_of(cx, c.plan), cx.now).unwrap_or(unknown);
-        let makes_up = c.scattered.stranger && c.scattered.heard == cx.now;
+        let heard_now = c.scattered.heard == cx.now;
+        let makes_up = pays && heard_now && c.scattered.stranger;
+        if heard_now && !a.resent {
+            self.usual.resize(cx.set.plans.len(), Usual::default());
+            self.usual[a.plan.0].heard(chance);
+        }
         let chance = if makes_up { chance.powi(MAKES_UP) } else { chance };
         // One that was refused by chance must not have its way by asking again.
         cx.rng.f64() < if a.resent && chance < 1.0 { chance * chance } else { chance }
     }
 
+    /// Whether it pays to let through a request of this plan of whose customer nothing is heard.
+    fn unheard_pays(&self, cx: &Context, plan: usize) -> bool {
+        let p = &cx.set.plans[plan];
+        self.usual.get(plan).is_none_or(|usual| usual.pays(p.over_cost - p.over_worth))
+    }
+
     /// Whether this gateway's own part of the ceiling bears a request; it is taken from it then.
     pub(crate) fn own_part_holds(&mut self, cx: &Context, a: &Arrival) -> bool {
         if cx.set.plans[a.plan.0].ceiling_rate <= 0.0 {
--- a/crates/starlinghill-decision/src/throttle.rs
+++ b/crates/starlinghill-decision/src/throttle.rs
@@ -21,9 +21,11 @@
 }
 
 impl Throttle {
+    /// One that went on stands for as many of usual worth as were asked for. Guards against a trap: with what is worth little all
+    /// shed, counting what was shed would say for good that much is asked for and does not come back.
     fn note(&mut self, now: Micros, in_time: f64) {
-        let kept = (-(now - self.at).secs() / SPAN).exp();
-        (self.asked, self.in_time) = (self.asked * kept + 1.0, self.in_time * kept + in_time);
+        let (kept, stands_for) = ((-(now - self.at).secs() / SPAN).exp(), 1.0 / self.pass());
+        (self.asked, self.in_time) = (self.asked * kept + stands_for, self.in_time * kept + in_time);
         self.at = now.max(self.at);
     }
 
@@ -32,11 +34,6 @@
         ((SLACK * self.in_time + GRANTED) / (self.asked + GRANTED)).clamp(LEAST_PART, 1.0)
     }
 
-    /// One was shed.
-    pub(crate) fn shed(&mut self, now: Micros) {
-        self.note(now, 0.0);
-    }
-
     /// An attempt ended. Only what tells of load counts: a server that can't be reached, breaks off or answers with an error
     /// does so whatever the others bear, and what was called off was no server's fault.
     pub(crate) fn ended(&mut self, now: Micros, outcome: Outcome, took: Micros, aim: Micros) {
--- a/crates/starlinghill-ledger/src/lib.rs
+++ b/crates/starlinghill-ledger/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod shares;
 pub mod store;
 pub mod time;
+pub mod usual;
 
 pub use store::{Quota, Store, Told};
 pub use time::Micros;
