In a silence a customer of many gateways has what the others usually leave of its quota

Publishers come through 28 gateways: the local bucket holds 1.6 units of a quota of 45, less than one request of two. Ruled out: the ceiling's own part (1.07 units a second and 3.2 at once, against 0.71 and 1.6 of the bucket), slow servers (late answers 7%). At fault: sharing.rs local: the flows by which a small fleet leaves to a gateway what the others do not need come from the store, which large fleets do not follow.

Change: they come from the demand that was heard of then, averaged over 5 s; what a gateway was asked for itself is counted without repeats, as the demand is. The ceiling stands as before: own parts are taken besides.

--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -59,6 +59,13 @@
     turn_spent: u64,
 }
 
+impl Scattered {
+    /// What is asked for here and at the other gateways, in units a second, by what was last heard of its demand.
+    pub(crate) fn flows(&self, own: f64) -> Option<(f64, f64)> {
+        self.demand.usual().map(|all| (own.max(0.0), (all - own).max(0.0)))
+    }
+}
+
 /// How a plan's ceiling is kept over the gateways of a customer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Split {
@@ -234,11 +241,13 @@
     /// Whether the quota bears a request: by what was heard of the demand, or by the local bucket while the counter is silent.
     pub(crate) fn demand_holds(&mut self, cx: &mut Context, a: &Arrival) -> bool {
         let pays = self.unheard_pays(cx, a.plan.0);
+        let Some(c) = self.customers.get_mut(&a.customer) else { return false };
+        // As the demand is counted: without repeats.
+        c.asked.add(cx.now, if a.resent { 0.0 } else { a.units });
         if self.silent(cx, a.customer) {
             return pays && self.local_take(cx, a.customer, a.units);
         }
         let Some(c) = self.customers.get_mut(&a.customer) else { return false };
-        c.asked.add(cx.now, a.units);
         // Most customers keep to their quota. One that comes again was refused by a gateway that knew more.
         let unknown = f64::from(u8::from(pays && !a.resent));
         let chance = c.scattered.demand.chance(quota_of(cx, c.plan), cx.now).unwrap_or(unknown);
--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -59,7 +59,9 @@
         let p = &cx.set.plans[c.plan];
         let left = left.unwrap_or(p.burst).max(0.0);
         let unknown = if silent { 1.0 } else { USE_UNKNOWN };
-        let base = by_flows(c.store.flows(), p.rate, c.spread, unknown, NEED_SPARE);
+        // Of one that comes through many gateways no store is followed, but its demand was heard of.
+        let flows = c.store.flows().or_else(|| c.scattered.flows(c.asked.now(now)));
+        let base = by_flows(flows, p.rate, c.spread, unknown, NEED_SPARE);
         let share = (base + c.shares.moved(c.spread as u32)).clamp(0.0, 1.0);
         // Guards against shares of less than one request, which would refuse everything: at least that much,
         // as far as it is left.
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -12,6 +12,8 @@
     rigs: Vec<Rig>,
     totals: BTreeMap<CountName, f64>,
     calls: u32,
+    /// The counter says nothing.
+    silent: bool,
     now: u64,
     rng: fastrand::Rng,
 }
@@ -25,8 +27,8 @@
         println!("seed {seed}");
         let settings = |me| Settings { gateways, me, most_units: 1.0, ..settings() };
         let rigs = (0..gateways).map(|me| Rig::seeded(seed << 16 | u64::from(me), settings(me), servers));
-        let (totals, calls, now) = (BTreeMap::new(), 0, 1_000 * S);
-        Fleet { rigs: rigs.collect(), totals, calls, now, rng: fastrand::Rng::with_seed(seed) }
+        let (totals, calls, silent, now) = (BTreeMap::new(), 0, false, 1_000 * S);
+        Fleet { rigs: rigs.collect(), totals, calls, silent, now, rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// One request of a customer that comes through `spread` gateways from the first on, at one of them; whether it was sent on,
@@ -58,7 +60,8 @@
                 let total = self.totals.entry(name).or_default();
                 *total += amount;
                 self.calls += 1;
-                waiting.extend(rig.tell(Event::Counted(name, 0, Outcome::Ok, *total)));
+                let outcome = if self.silent { Outcome::Timeout } else { Outcome::Ok };
+                waiting.extend(rig.tell(Event::Counted(name, 0, outcome, *total)));
             }
             out.extend(waiting.iter().cloned());
         }
@@ -281,6 +284,27 @@
     }
 }
 
+#[test]
+fn in_a_silence_one_that_uses_little_is_served_and_one_that_asks_for_much_gets_its_quota() {
+    for seed in 0..4 {
+        let mut sent = [0, 0];
+        for (n, rate) in [3, 60].into_iter().enumerate() {
+            let mut fleet = Fleet::new(seed, 60);
+            // Through twenty gateways, each of which has less than one request of the quota at once.
+            fleet.play(rate, 30, 0, 20, |rng| rng.u32(0..20));
+            fleet.silent = true;
+            // Others ask, until the breakers are open.
+            for n in 0..200 {
+                fleet.now += 10 * MS;
+                fleet.ask(n % 20, 0, 1_000 + u64::from(n), 20);
+            }
+            sent[n] = fleet.play(rate, 20, 0, 20, |rng| rng.u32(0..20)).iter().sum();
+        }
+        assert!(sent[0] >= 57, "seed {seed}: {} of 60 of one that uses a third of its quota", sent[0]);
+        assert!(sent[1] <= 280, "seed {seed}: {} in 20 s, where 200 are allowed", sent[1]);
+    }
+}
+
 #[test]
 fn a_busy_customer_of_six_gateways_takes_few_calls_and_is_held_to_its_quota() {
     for seed in 0..4 {
--- a/crates/starlinghill-ledger/src/demand.rs
+++ b/crates/starlinghill-ledger/src/demand.rs
@@ -17,6 +17,8 @@
 
 /// The pace of the demand is averaged over this time, in seconds, where totals follow one another. Longer sees spikes too late.
 const PACE: f64 = 0.7;
+/// What is usual is averaged over this time: one burst of a second says nothing of what the others need for long.
+const USUAL: f64 = 5.0;
 /// Two totals further apart than this say nothing of the time between them.
 const FOLLOWS: Micros = Micros(9_000_000);
 
@@ -26,8 +28,9 @@
     at: Micros,
     span: u64,
     total: f64,
-    /// Units a second that are asked for.
+    /// Units a second that are asked for, just now and usually.
     rate: f64,
+    usual: f64,
     /// What a store would hold that lets through whatever it has room for.
     level: f64,
 }
@@ -49,10 +52,10 @@
         }
         let total = total.max(0.0);
         let before = self.heard.filter(|last| now < last.at + FOLLOWS);
-        let (rate, level) = match before {
+        let (rate, usual, level) = match before {
             None => {
                 let held = HELD * quota.burst + quota.rate * elapsed.secs();
-                (total / elapsed.secs().max(LEAST), held - total)
+                (total / elapsed.secs().max(LEAST), total / elapsed.secs().max(USUAL / 2.0), held - total)
             }
             Some(last) => {
                 let passed = (now - last.at).secs();
@@ -65,11 +68,18 @@
                 };
                 let newest = 1.0 - (-passed / PACE).exp();
                 let rate = last.rate + (asked / passed.max(LEAST) - last.rate) * newest;
-                (rate, (last.level + quota.rate * passed).min(quota.burst) - asked)
+                let usual =
+                    last.usual + (asked / passed.max(LEAST) - last.usual) * (1.0 - (-passed / USUAL).exp());
+                (rate, usual, (last.level + quota.rate * passed).min(quota.burst) - asked)
             }
         };
         self.heard =
-            Some(Heard { at: now, span, total, rate, level: level.clamp(0.0, quota.burst.max(0.0)) });
+            Some(Heard { at: now, span, total, rate, usual, level: level.clamp(0.0, quota.burst.max(0.0)) });
+    }
+
+    /// Units a second that all gateways together are usually asked for, when it was heard of last.
+    pub fn usual(&self) -> Option<f64> {
+        self.heard.map(|heard| heard.usual)
     }
 
     /// The part of the requests that may go on now; `None` while nothing was heard.
