Test a ceiling over 300 gateways through silence, an emptied counter and restarts

A hard case of the full fleet that had no test: counter away for 6 s, back, away, back empty, ten gateways started anew in the middle.

--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -424,6 +424,41 @@
     }
 }
 
+#[test]
+fn a_ceiling_holds_over_three_hundred_gateways_while_the_counter_is_away_and_when_it_is_back_empty() {
+    for (seed, spread) in [(1, 6), (2, 20), (3, 20)] {
+        let mut fleet = Fleet::of(seed, 300, 60);
+        // All the time far more than the ceiling of 20 a second and 40 at once, a third of it through one gateway.
+        let pick = move |rng: &mut fastrand::Rng| if rng.u32(0..3) == 0 { 0 } else { rng.u32(0..spread) };
+        let mut sent = fleet.play(100, 5, 1, spread, pick);
+        for empty in [false, true] {
+            fleet.silent = true;
+            sent.extend(fleet.play(100, 6, 1, spread, pick));
+            fleet.silent = false;
+            if empty {
+                fleet.totals.clear();
+            }
+            sent.extend(fleet.play(100, 6, 1, spread, pick));
+        }
+        // Some gateways start again, in the middle of turns that they had used.
+        for me in 0..spread / 2 {
+            let set = Settings { gateways: 300, me, most_units: 1.0, ..settings() };
+            let mut rig = Rig::seeded(seed << 32 | u64::from(me), set, 60);
+            rig.pass(fleet.now - rig.now);
+            fleet.rigs[me as usize] = rig;
+        }
+        sent.extend(fleet.play(100, 6, 1, spread, pick));
+        let (mut level, mut lowest) = (40.0f64, 40.0f64);
+        for n in &sent {
+            level = (level + 2.0).min(40.0) - f64::from(*n);
+            lowest = lowest.min(level);
+        }
+        assert!(lowest >= -4.0, "seed {seed}, spread {spread}: {lowest}, by tenths {sent:?}");
+        let back: u32 = sent[sent.len() - 40..].iter().sum();
+        assert!(back >= 25, "seed {seed}, spread {spread}: {back} in the last 4 s");
+    }
+}
+
 #[test]
 fn a_cold_server_has_its_part_from_its_first_moment_and_no_more() {
     for seed in 0..4 {
