--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -120,7 +120,7 @@
 
     /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
     /// worth little first. Guards against overload where a gateway has too few attempts out to bound them.
-    /// Asked of what its quota lets in alone: what a quota refuses is no load that the servers failed to bear.
+    /// Asked of what its quota lets in alone: what a quota refuses is no load that servers failed to bear.
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let power = self.admission.weigh(self.cx.worth(&r.a));
