Rereading: slow start ends at half of the requests, a test's bound is 140 calls again

Cause: a bound in a_busy_customer_of_six_gateways had been loosened from 140 to 154 calls for the steering of counter calls; 141 were made. Slow start went on to all requests in one step from two thirds, which can ask for twice what a counter bears.

Change: slow start ends at half of the requests (asking.rs, MANY_SURE), from there the queue steers; the bound stands at 140 as before, and all 15 tests of thin.rs pass.

--- a/crates/starlinghill-decision/src/asking.rs
+++ b/crates/starlinghill-decision/src/asking.rs
@@ -14,6 +14,8 @@
 /// answer that did not queue, down in proportion for one that queued for longer than this part of the time there is. Guards
 /// against a counter that is idle for ten seconds after every jam, while nothing is known of any customer.
 const MANY_CUT: f64 = 0.7;
+/// Slow start ends here at the latest: from a half on one step more could ask for twice what the counter bears.
+const MANY_SURE: f64 = 0.5;
 const MANY_GROW: f64 = 0.03;
 const MANY_SHRINK: f64 = 0.06;
 const MANY_QUEUE: f64 = 0.2;
@@ -98,7 +100,7 @@
 
     fn steered(&mut self, queued: f64) -> f64 {
         let over = queued / MANY_QUEUE - 1.0;
-        self.starting &= over < 0.0;
+        self.starting &= over < 0.0 && self.share < MANY_SURE;
         match self.starting {
             true => self.share * 1.5,
             false if over < 0.0 => self.share - MANY_GROW * over,
--- a/crates/starlinghill-decision/tests/thin.rs
+++ b/crates/starlinghill-decision/tests/thin.rs
@@ -318,8 +318,7 @@
         let before = fleet.calls;
         let sent: u32 = fleet.play(60, 18, 0, 6, |rng| rng.u32(0..6))[60..].iter().sum();
         assert!((100..=160).contains(&sent), "seed {seed}: {sent} in 12 s, where 120 are allowed");
-        // Six gateways, each once in 0.7 s at most, however much the counter would bear.
-        assert!(fleet.calls - before <= 154, "seed {seed}: {} calls in 18 s", fleet.calls - before);
+        assert!(fleet.calls - before <= 140, "seed {seed}: {} calls in 18 s", fleet.calls - before);
     }
 }
 
