Decisions in common, pure: orders on zones, their state, directives and their age

Need: issue Failover decided in common, part one. Every gateway decides alone; a drain of a zone can't be ordered and nothing says that two gateways see the same.

Failed first: enums tagged from inside let unknown fields pass beside a variant without fields (serde), found by the test of later versions; tagged from outside now.

--- /dev/null
+++ b/crates/starlinghill-accord/src/map.rs
@@ -0,0 +1,145 @@
+//! Regions and zones. The operators' file holds them; the group adopts them by an order, so that a member or a
+//! gateway whose file differs is told so instead of acting on zones that others don't have.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// The most zones of a map. Guards the size of what gateways are told.
+pub const MOST_ZONES: usize = 256;
+/// The most bytes of a name.
+pub const LONGEST_NAME: usize = 64;
+/// The largest capacity of a zone; sums of [`MOST_ZONES`] of them stay far below 64 bits.
+pub const LARGEST_CAPACITY: u32 = 1_000_000;
+
+/// One zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// The region it belongs to.
+    pub region: String,
+    /// What it can bear against the other zones.
+    pub capacity: u32,
+}
+
+/// The map.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Map {
+    /// The regions, the most preferred first.
+    pub regions: Vec<String>,
+    /// The zones by name.
+    pub zones: BTreeMap<String, Zone>,
+    /// The least part of all capacity that has to stay in service, in thousandths.
+    pub floor: u16,
+}
+
+/// What is wrong with a map.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MapProblem {
+    /// It has no zone.
+    Empty,
+    /// It has too many zones.
+    TooMany(usize),
+    /// A name can't be used.
+    Name(String),
+    /// A region is named twice.
+    Twice(String),
+    /// A zone's region is not among the regions.
+    NoRegion {
+        /// The zone.
+        zone: String,
+        /// What it names.
+        region: String,
+    },
+    /// A region has no zone.
+    EmptyRegion(String),
+    /// A zone's capacity is out of bounds.
+    Capacity {
+        /// The zone.
+        zone: String,
+        /// What was found.
+        found: u32,
+    },
+    /// The floor is above the whole.
+    Floor(u16),
+}
+
+impl fmt::Display for MapProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MapProblem::Empty => f.write_str("expected a zone at least, found none"),
+            MapProblem::TooMany(n) => write!(f, "expected {MOST_ZONES} zones at most, found {n}"),
+            MapProblem::Name(name) => write!(
+                f,
+                "expected a name of 1 to {LONGEST_NAME} letters, digits, '-', '_' or '.', found '{}'",
+                name.chars().take(LONGEST_NAME).collect::<String>().escape_debug()
+            ),
+            MapProblem::Twice(name) => write!(f, "expected each region once, found '{name}' again"),
+            MapProblem::NoRegion { zone, region } => {
+                write!(f, "zone '{zone}': expected one of the regions, found '{region}'")
+            }
+            MapProblem::EmptyRegion(name) => {
+                write!(f, "region '{name}': expected a zone at least, found none")
+            }
+            MapProblem::Capacity { zone, found } => {
+                write!(f, "zone '{zone}': expected a capacity from 1 to {LARGEST_CAPACITY}, found {found}")
+            }
+            MapProblem::Floor(found) => {
+                write!(f, "expected a floor of 1000 thousandths at most, found {found}")
+            }
+        }
+    }
+}
+impl std::error::Error for MapProblem {}
+
+/// Whether a name can be used: for zones, regions, gateways and members.
+pub fn is_name(name: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !name.is_empty() && name.len() <= LONGEST_NAME && name.bytes().all(fits)
+}
+
+impl Map {
+    /// All that is wrong with it.
+    pub fn problems(&self) -> Vec<MapProblem> {
+        let mut found = Vec::new();
+        if self.zones.is_empty() {
+            found.push(MapProblem::Empty);
+        }
+        if self.zones.len() > MOST_ZONES {
+            found.push(MapProblem::TooMany(self.zones.len()));
+        }
+        let mut regions = BTreeSet::new();
+        for region in &self.regions {
+            if !is_name(region) {
+                found.push(MapProblem::Name(region.clone()));
+            }
+            if !regions.insert(region) {
+                found.push(MapProblem::Twice(region.clone()));
+            }
+            if !self.zones.values().any(|z| z.region == *region) {
+                found.push(MapProblem::EmptyRegion(region.clone()));
+            }
+        }
+        for (name, zone) in &self.zones {
+            if !is_name(name) {
+                found.push(MapProblem::Name(name.clone()));
+            }
+            if !regions.contains(&zone.region) {
+                found.push(MapProblem::NoRegion { zone: name.clone(), region: zone.region.clone() });
+            }
+            if zone.capacity == 0 || zone.capacity > LARGEST_CAPACITY {
+                found.push(MapProblem::Capacity { zone: name.clone(), found: zone.capacity });
+            }
+        }
+        if self.floor > crate::WHOLE {
+            found.push(MapProblem::Floor(self.floor));
+        }
+        found
+    }
+
+    /// The sum of all capacities.
+    pub fn capacity(&self) -> u64 {
+        self.zones.values().map(|z| u64::from(z.capacity)).sum()
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-accord/src/refusal.rs
@@ -0,0 +1,157 @@
+//! Why an order is refused. A refusal names every cause, so that an order is not mended one cause at a time.
+
+use crate::map::MapProblem;
+use crate::order::{LONGEST_ID, LONGEST_PACE, LONGEST_WORDS, SHORTEST_PACE};
+use crate::state::Phase;
+use crate::Permille;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// One cause.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Cause {
+    /// The id is empty or too long.
+    BadId,
+    /// An order of that id was another one.
+    IdReused,
+    /// The author is empty or too long.
+    BadAuthor,
+    /// The reason is empty or too long.
+    BadReason,
+    /// The map can't be used.
+    BadMap {
+        /// What is wrong.
+        problems: Vec<MapProblem>,
+    },
+    /// No map was adopted yet.
+    NoMap,
+    /// The group's state has changed since the author saw it.
+    GroupChanged {
+        /// The epoch that the author saw.
+        seen: Option<u64>,
+        /// The epoch now.
+        now: u64,
+    },
+    /// A zone that is still in service would be dropped from the map.
+    ZoneInService {
+        /// The zone.
+        zone: String,
+    },
+    /// The zone is not on the map.
+    NoZone {
+        /// What was named.
+        zone: String,
+        /// The zones that there are.
+        known: Vec<String>,
+    },
+    /// The zone has changed since the author saw it.
+    ZoneChanged {
+        /// The epoch that the author saw.
+        seen: u64,
+        /// The zone's epoch now.
+        now: u64,
+        /// Who changed it.
+        by: String,
+        /// What it is now.
+        phase: Phase,
+    },
+    /// It is so already.
+    AlreadySo {
+        /// What the zone is.
+        phase: Phase,
+    },
+    /// The weight to drain to is not below the present one.
+    NotLess {
+        /// The weight wanted.
+        to: Permille,
+        /// The weight now.
+        now: Permille,
+    },
+    /// The ramp's step or pace is out of bounds.
+    BadRamp,
+    /// Other zones are not in full service.
+    NotAlone {
+        /// These.
+        zones: Vec<String>,
+    },
+    /// It would be the last zone of its region, and no region is named that takes over.
+    LastOfRegion {
+        /// The region.
+        region: String,
+    },
+    /// The region named to take over is not there, is the same, or has nothing in service.
+    BadNext {
+        /// What was named.
+        next: String,
+    },
+    /// No zone at all would be left.
+    LastOfAll,
+    /// Too little would stay in service.
+    BelowFloor {
+        /// What would stay, in thousandths of all capacity.
+        left: Permille,
+        /// What has to.
+        floor: Permille,
+    },
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::BadId => write!(f, "the order's id must have 1 to {LONGEST_ID} bytes"),
+            Cause::IdReused => f.write_str("another order had this id"),
+            Cause::BadAuthor => write!(f, "the author must have 1 to {LONGEST_WORDS} bytes"),
+            Cause::BadReason => write!(f, "the reason must have 1 to {LONGEST_WORDS} bytes"),
+            Cause::BadMap { problems } => {
+                let lines: Vec<String> = problems.iter().map(MapProblem::to_string).collect();
+                write!(f, "the map can't be used: {}", lines.join("; "))
+            }
+            Cause::NoMap => f.write_str("the group has no map of zones yet"),
+            Cause::GroupChanged { seen, now } => {
+                let seen = seen.map_or("none".into(), |e| e.to_string());
+                write!(f, "the group has changed since you looked: epoch {now} now, {seen} then")
+            }
+            Cause::ZoneInService { zone } => {
+                write!(f, "zone '{zone}' would leave the map while it is in service; take it out first")
+            }
+            Cause::NoZone { zone, known } => {
+                let zone: String = zone.chars().take(80).collect();
+                write!(f, "expected one of the zones {}, found '{}'", known.join(", "), zone.escape_debug())
+            }
+            Cause::ZoneChanged { seen, now, by, phase } => write!(
+                f,
+                "the zone has changed since you looked: {phase} by {by} at epoch {now}, you saw epoch {seen}"
+            ),
+            Cause::AlreadySo { phase } => write!(f, "the zone is {phase} already"),
+            Cause::NotLess { to, now } => {
+                write!(f, "expected a weight below the present {now} thousandths to drain to, found {to}")
+            }
+            Cause::BadRamp => write!(
+                f,
+                "expected steps of 1 to 1000 thousandths, {SHORTEST_PACE} to {LONGEST_PACE} ms apart"
+            ),
+            Cause::NotAlone { zones } => {
+                write!(f, "not in full service already: {}; --force goes on all the same", zones.join(", "))
+            }
+            Cause::LastOfRegion { region } => {
+                write!(
+                    f,
+                    "it is the last zone of region '{region}'; name the region that takes over (--next)"
+                )
+            }
+            Cause::BadNext { next } => {
+                let next: String = next.chars().take(80).collect();
+                write!(
+                    f,
+                    "region '{}' can't take over: expected another region in service",
+                    next.escape_debug()
+                )
+            }
+            Cause::LastOfAll => f.write_str("no zone at all would be left in service"),
+            Cause::BelowFloor { left, floor } => {
+                write!(f, "{left} thousandths of all capacity would stay in service, {floor} have to")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-accord/src/state.rs
@@ -0,0 +1,422 @@
+//! The state machine: the map, a state for each zone, and what became of recent orders. Every check is made here,
+//! on the whole state, where the order is applied, not where it is given: two orders that were each right alone
+//! may not be so one after the other.
+
+use crate::map::{Map, Zone};
+use crate::order::{
+    Change, Order, Ramp, What, ZoneOrder, LONGEST_ID, LONGEST_PACE, LONGEST_WORDS, SHORTEST_PACE,
+};
+use crate::refusal::Cause;
+use crate::{Permille, Position, WHOLE};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+/// Orders whose outcomes are kept, so that one sent again counts once. An order sent again after so many others
+/// is taken for a new one; the epoch that its author saw then refuses it.
+pub const REMEMBERED: usize = 1_024;
+/// The most problems of a map that a refusal keeps.
+const MOST_PROBLEMS: usize = 16;
+
+/// What a zone is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// It takes its whole part.
+    Serving,
+    /// It takes less, and may go on doing so in steps.
+    Draining,
+    /// It takes nothing.
+    Out,
+    /// It takes more with each step.
+    Returning,
+    /// It stays at its weight until somebody orders otherwise.
+    Held,
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Phase::Serving => "serving",
+            Phase::Draining => "draining",
+            Phase::Out => "out",
+            Phase::Returning => "returning",
+            Phase::Held => "held",
+        })
+    }
+}
+
+/// One zone's state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneState {
+    /// What it is.
+    pub phase: Phase,
+    /// The part of its work that it takes now.
+    pub weight: Permille,
+    /// The part that it takes when all steps are made.
+    pub to: Permille,
+    /// The steps, where it is on its way.
+    pub ramp: Option<Ramp>,
+    /// The group's epoch at its last change.
+    pub epoch: u64,
+    /// Who changed it last.
+    pub by: String,
+    /// Why.
+    pub reason: String,
+    /// When, by the author's clock, in Unix milliseconds. For people.
+    pub at_ms: u64,
+}
+
+impl ZoneState {
+    /// Whether a step is still to be made.
+    pub fn moves(&self) -> bool {
+        self.ramp.is_some() && self.weight != self.to
+    }
+
+    /// What it takes at the least while what was ordered so far is carried out.
+    fn sure(&self) -> Permille {
+        self.weight.min(self.to)
+    }
+
+    fn is_whole(&self) -> bool {
+        self.weight == WHOLE && matches!(self.phase, Phase::Serving | Phase::Held)
+    }
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Outcome {
+    /// It counts, from this position on.
+    Accepted {
+        /// Where the state stands with it.
+        position: Position,
+    },
+    /// It changed nothing.
+    Refused {
+        /// Where the state stood.
+        position: Position,
+        /// Every cause.
+        causes: Vec<Cause>,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Done {
+    id: String,
+    digest: u64,
+    outcome: Outcome,
+}
+
+/// The state of the group.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    /// Where it stands.
+    pub position: Position,
+    /// The map, once one was adopted.
+    pub map: Option<Map>,
+    /// The states of the map's zones.
+    pub zones: BTreeMap<String, ZoneState>,
+    /// The region that takes over, for each that has nothing in service.
+    pub next: BTreeMap<String, String>,
+    done: VecDeque<Done>,
+}
+
+impl State {
+    /// The state of a new group.
+    pub fn new(generation: u64) -> State {
+        State { position: Position { generation, epoch: 0 }, ..State::default() }
+    }
+
+    /// The state as a restored group takes it on: the next generation, all else as it was. Steps wait for the new
+    /// group's leader.
+    pub fn restored(mut self) -> State {
+        self.position.generation += 1;
+        self
+    }
+
+    /// Takes an order in. The same order again gets the same outcome and changes nothing.
+    pub fn apply(&mut self, order: &Order) -> Outcome {
+        let digest = crate::wire::digest(order);
+        if let Some(done) = self.done.iter().find(|d| !order.id.is_empty() && d.id == order.id) {
+            if done.digest == digest {
+                return done.outcome.clone();
+            }
+            return Outcome::Refused { position: self.position, causes: vec![Cause::IdReused] };
+        }
+        let outcome = match self.judge(order) {
+            Ok(()) => Outcome::Accepted { position: self.position },
+            Err(causes) => Outcome::Refused { position: self.position, causes },
+        };
+        // Steps are told apart by their epoch, and would push operators' orders out. An id too long is not kept.
+        if !order.id.is_empty() && order.id.len() <= LONGEST_ID {
+            if self.done.len() >= REMEMBERED {
+                self.done.pop_front();
+            }
+            self.done.push_back(Done { id: order.id.clone(), digest, outcome: outcome.clone() });
+        }
+        outcome
+    }
+
+    fn judge(&mut self, order: &Order) -> Result<(), Vec<Cause>> {
+        let mut causes = Vec::new();
+        let step = matches!(order.what, What::Step { .. });
+        if order.id.len() > LONGEST_ID || order.id.is_empty() != step {
+            causes.push(Cause::BadId);
+        }
+        let words = |s: &str| !s.trim().is_empty() && s.len() <= LONGEST_WORDS;
+        if !words(&order.author) {
+            causes.push(Cause::BadAuthor);
+        }
+        if !words(&order.reason) {
+            causes.push(Cause::BadReason);
+        }
+        match &order.what {
+            What::Adopt { map, expect } => self.adopt(order, map, *expect, causes),
+            What::Zone(zone) => self.change(order, zone, causes),
+            What::Step { zone, of } => self.step(order, zone, *of, causes),
+        }
+    }
+
+    fn adopt(
+        &mut self,
+        order: &Order,
+        map: &Map,
+        expect: Option<u64>,
+        mut causes: Vec<Cause>,
+    ) -> Result<(), Vec<Cause>> {
+        let mut problems = map.problems();
+        problems.truncate(MOST_PROBLEMS);
+        if !problems.is_empty() {
+            causes.push(Cause::BadMap { problems });
+        }
+        let now = self.position.epoch;
+        if self.map.is_some() && expect != Some(now) {
+            causes.push(Cause::GroupChanged { seen: expect, now });
+        }
+        let leaving = self.zones.iter().filter(|(name, _)| !map.zones.contains_key(*name));
+        for (zone, _) in leaving.filter(|(_, z)| z.weight > 0) {
+            causes.push(Cause::ZoneInService { zone: zone.clone() });
+        }
+        // Zones that were out stay out: under the new map they may have to be in service first.
+        if causes.is_empty() {
+            let sure = |name: &String| self.zones.get(name).map_or(WHOLE, ZoneState::sure);
+            let left = left(map, |name| sure(name));
+            if left == 0 {
+                causes.push(Cause::LastOfAll);
+            } else if left < map.floor {
+                causes.push(Cause::BelowFloor { left, floor: map.floor });
+            }
+        }
+        if !causes.is_empty() {
+            return Err(causes);
+        }
+        self.position.epoch += 1;
+        self.zones.retain(|name, _| map.zones.contains_key(name));
+        for name in map.zones.keys() {
+            self.zones.entry(name.clone()).or_insert_with(|| ZoneState {
+                phase: Phase::Serving,
+                weight: WHOLE,
+                to: WHOLE,
+                ramp: None,
+                epoch: now + 1,
+                by: order.author.clone(),
+                reason: order.reason.clone(),
+                at_ms: order.at_ms,
+            });
+        }
+        self.map = Some(map.clone());
+        self.forget_next();
+        Ok(())
+    }
+
+    fn change(
+        &mut self,
+        order: &Order,
+        wanted: &ZoneOrder,
+        mut causes: Vec<Cause>,
+    ) -> Result<(), Vec<Cause>> {
+        let Some(map) = &self.map else {
+            causes.push(Cause::NoMap);
+            return Err(causes);
+        };
+        let (Some(place), Some(old)) = (map.zones.get(&wanted.zone), self.zones.get(&wanted.zone)) else {
+            let known = self.zones.keys().cloned().collect();
+            causes.push(Cause::NoZone { zone: wanted.zone.clone(), known });
+            return Err(causes);
+        };
+        if let Some(seen) = wanted.expect.filter(|seen| *seen != old.epoch) {
+            let (by, phase) = (old.by.clone(), old.phase);
+            causes.push(Cause::ZoneChanged { seen, now: old.epoch, by, phase });
+        }
+        let (phase, weight, to, ramp) = target(old, wanted.change, &mut causes);
+        let takes_away = to < old.sure();
+        if takes_away {
+            self.check_rest(map, place, wanted, to, &mut causes);
+        }
+        let beside = self.zones.iter().filter(|(name, _)| **name != wanted.zone);
+        let others: Vec<String> = match wanted.change {
+            Change::Drain { .. } | Change::Out => {
+                beside.filter(|(_, z)| !z.is_whole()).map(|(name, _)| name.clone()).collect()
+            }
+            Change::Return { .. } => {
+                beside.filter(|(_, z)| z.phase == Phase::Returning).map(|(name, _)| name.clone()).collect()
+            }
+            Change::Hold => Vec::new(),
+        };
+        if !others.is_empty() && !wanted.force {
+            causes.push(Cause::NotAlone { zones: others });
+        }
+        if !causes.is_empty() {
+            return Err(causes);
+        }
+        // Named without need, it was not checked either.
+        if let (Some(next), true) = (&wanted.next, takes_away) {
+            self.next.insert(place.region.clone(), next.clone());
+        }
+        self.position.epoch += 1;
+        let state = ZoneState {
+            phase,
+            weight,
+            to,
+            ramp,
+            epoch: self.position.epoch,
+            by: order.author.clone(),
+            reason: order.reason.clone(),
+            at_ms: order.at_ms,
+        };
+        self.zones.insert(wanted.zone.clone(), state);
+        self.forget_next();
+        Ok(())
+    }
+
+    /// What has to stay in service beside a zone that goes down to a weight.
+    fn check_rest(&self, map: &Map, place: &Zone, wanted: &ZoneOrder, to: Permille, causes: &mut Vec<Cause>) {
+        let sure = |name: &String| match *name == wanted.zone {
+            true => to,
+            false => self.zones.get(name).map_or(0, ZoneState::sure),
+        };
+        let in_service = |region: &str| map.zones.iter().any(|(n, z)| z.region == region && sure(n) > 0);
+        if let Some(next) = &wanted.next {
+            if *next == place.region || !map.regions.contains(next) || !in_service(next) {
+                causes.push(Cause::BadNext { next: next.clone() });
+            }
+        } else if !in_service(&place.region) {
+            causes.push(Cause::LastOfRegion { region: place.region.clone() });
+        }
+        let left = left(map, sure);
+        if left == 0 {
+            causes.push(Cause::LastOfAll);
+        } else if left < map.floor {
+            causes.push(Cause::BelowFloor { left, floor: map.floor });
+        }
+    }
+
+    fn step(&mut self, order: &Order, zone: &str, of: u64, mut causes: Vec<Cause>) -> Result<(), Vec<Cause>> {
+        let known = || self.zones.keys().cloned().collect();
+        let Some(old) = self.zones.get(zone) else {
+            causes.push(Cause::NoZone { zone: zone.into(), known: known() });
+            return Err(causes);
+        };
+        if old.epoch != of {
+            let (by, phase) = (old.by.clone(), old.phase);
+            causes.push(Cause::ZoneChanged { seen: of, now: old.epoch, by, phase });
+        }
+        let Some(ramp) = old.ramp.filter(|_| old.moves()) else {
+            causes.push(Cause::AlreadySo { phase: old.phase });
+            return Err(causes);
+        };
+        if !causes.is_empty() {
+            return Err(causes);
+        }
+        self.position.epoch += 1;
+        let mut new = old.clone();
+        new.weight = stepped(old.weight, old.to, ramp.step);
+        new.phase = arrived(old.phase, new.weight);
+        new.epoch = self.position.epoch;
+        new.at_ms = order.at_ms;
+        self.zones.insert(zone.into(), new);
+        self.forget_next();
+        Ok(())
+    }
+
+    /// A region that has something in service again needs nobody to take over.
+    fn forget_next(&mut self) {
+        let Some(map) = &self.map else { return };
+        let zones = &self.zones;
+        let served = |region: &String| {
+            map.zones.iter().any(|(n, z)| z.region == *region && zones.get(n).is_some_and(|s| s.sure() > 0))
+        };
+        self.next.retain(|region, _| map.regions.contains(region) && !served(region));
+    }
+}
+
+/// The thousandths of all capacity that stay in service, rounded down.
+fn left(map: &Map, sure: impl Fn(&String) -> Permille) -> Permille {
+    let sum: u64 = map.zones.iter().map(|(n, z)| u64::from(z.capacity) * u64::from(sure(n))).sum();
+    (sum / map.capacity().max(1)) as Permille
+}
+
+fn stepped(weight: Permille, to: Permille, step: Permille) -> Permille {
+    match weight > to {
+        true => weight.saturating_sub(step).max(to),
+        false => weight.saturating_add(step).min(to),
+    }
+}
+
+fn arrived(phase: Phase, weight: Permille) -> Phase {
+    match (phase, weight) {
+        (Phase::Draining, 0) => Phase::Out,
+        (Phase::Returning, WHOLE) => Phase::Serving,
+        _ => phase,
+    }
+}
+
+/// What a change makes of a zone: phase, weight, the weight at the end, steps. The first step is made at once.
+fn target(
+    old: &ZoneState,
+    change: Change,
+    causes: &mut Vec<Cause>,
+) -> (Phase, Permille, Permille, Option<Ramp>) {
+    let mut check = |ramp: Ramp| {
+        let paced = (SHORTEST_PACE..=LONGEST_PACE).contains(&ramp.every_ms);
+        if !paced || ramp.step == 0 || ramp.step > WHOLE {
+            causes.push(Cause::BadRamp);
+        }
+    };
+    match change {
+        Change::Drain { to, ramp } => {
+            check(ramp);
+            if to >= old.weight {
+                causes.push(Cause::NotLess { to, now: old.weight });
+            }
+            let weight = stepped(old.weight, to.min(old.weight), ramp.step);
+            (arrived(Phase::Draining, weight), weight, to, Some(ramp))
+        }
+        Change::Out => {
+            if old.phase == Phase::Out {
+                causes.push(Cause::AlreadySo { phase: old.phase });
+            }
+            (Phase::Out, 0, 0, None)
+        }
+        Change::Return { ramp } => {
+            check(ramp);
+            if old.weight == WHOLE && old.phase == Phase::Serving
+                || old.phase == Phase::Returning && old.ramp == Some(ramp)
+            {
+                causes.push(Cause::AlreadySo { phase: old.phase });
+            }
+            let weight = stepped(old.weight, WHOLE, ramp.step);
+            (arrived(Phase::Returning, weight), weight, WHOLE, Some(ramp))
+        }
+        Change::Hold => {
+            if old.phase == Phase::Held {
+                causes.push(Cause::AlreadySo { phase: old.phase });
+            }
+            (Phase::Held, old.weight, old.weight, None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-follow/src/client.rs
@@ -0,0 +1,161 @@
+//! Orders and questions to a group of which some members may be away. Any member takes an order. One whose answer
+//! got lost is sent again, to another member, with the same id: it counts once.
+
+use crate::proto::group_client::GroupClient;
+use crate::proto::{LookRequest, Sealed};
+use crate::report::{Manage, Managed, Report};
+use starlinghill_accord::order::Order;
+use starlinghill_accord::state::Outcome;
+use starlinghill_accord::wire::{decode, encode, Message, LONGEST};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+use tonic::transport::{Channel, Endpoint};
+use tonic::Code;
+
+/// How long one member may take to connect.
+const CONNECT: Duration = Duration::from_millis(500);
+/// How long one member may take over an order before another is asked.
+const ONE_TRY: Duration = Duration::from_secs(2);
+/// The pause before all members are asked again.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Why an order has no outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NotDone {
+    /// No member took it, and it certainly does not count.
+    NotReached(String),
+    /// A member took it and did not answer. It may count or not; sent again with its id, it counts once.
+    Unknown(String),
+}
+
+impl fmt::Display for NotDone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NotDone::NotReached(why) => write!(f, "no member took it: {why}"),
+            NotDone::Unknown(why) => {
+                write!(f, "it may count or not: {why}; sent again with the same id, it counts once")
+            }
+        }
+    }
+}
+impl std::error::Error for NotDone {}
+
+/// A channel to a member, made when it is first used.
+pub fn channel(member: SocketAddr, connect: Duration) -> Result<Channel, tonic::transport::Error> {
+    Ok(Endpoint::from_shared(format!("http://{member}"))?
+        .connect_timeout(connect)
+        .tcp_nodelay(true)
+        .connect_lazy())
+}
+
+fn group(member: SocketAddr) -> Result<GroupClient<Channel>, tonic::transport::Error> {
+    let channel = channel(member, CONNECT)?;
+    Ok(GroupClient::new(channel).max_decoding_message_size(2 * LONGEST))
+}
+
+/// Whether a call may have had an effect though it failed so.
+fn may_count(code: Code) -> bool {
+    // What a member refuses by these it has not proposed; all else may have happened after it did.
+    !matches!(
+        code,
+        Code::FailedPrecondition | Code::ResourceExhausted | Code::InvalidArgument | Code::Unimplemented
+    )
+}
+
+enum Kind {
+    Give,
+    Manage,
+}
+
+async fn ask<I: Message, O: Message>(
+    members: &[SocketAddr],
+    kind: Kind,
+    message: &I,
+    patience: Duration,
+) -> Result<O, NotDone> {
+    let until = Instant::now() + patience;
+    let (mut counts, mut why) = (false, String::from("there is no member"));
+    loop {
+        for member in members {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let mut client = match group(*member) {
+                Ok(client) => client,
+                Err(e) => {
+                    why = format!("{member}: {e}");
+                    continue;
+                }
+            };
+            let sealed = Sealed { bytes: encode(message) };
+            let call = async {
+                match kind {
+                    Kind::Give => client.give(sealed).await,
+                    Kind::Manage => client.manage(sealed).await,
+                }
+            };
+            match tokio::time::timeout(left.min(ONE_TRY), call).await {
+                Ok(Ok(reply)) => match decode(&reply.into_inner().bytes) {
+                    Ok(outcome) => return Ok(outcome),
+                    Err(e) => (counts, why) = (true, format!("{member}: {e}")),
+                },
+                Ok(Err(status)) => {
+                    let refused = status.code() == Code::Unavailable && never_sent(&status);
+                    counts |= may_count(status.code()) && !refused;
+                    why = format!("{member}: {}", status.message());
+                }
+                Err(_) => (counts, why) = (true, format!("{member}: no answer in time")),
+            }
+        }
+        if Instant::now() + PAUSE >= until {
+            return Err(if counts { NotDone::Unknown(why) } else { NotDone::NotReached(why) });
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Whether no connection was made at all. What broke later may have arrived.
+fn never_sent(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(io) = error.downcast_ref::<std::io::Error>() {
+            return io.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        source = error.source();
+    }
+    false
+}
+
+/// Gives an order, to one member after the other, until one tells its outcome.
+pub async fn give(members: &[SocketAddr], order: &Order, patience: Duration) -> Result<Outcome, NotDone> {
+    ask(members, Kind::Give, order, patience).await
+}
+
+/// Changes the group itself.
+pub async fn manage(members: &[SocketAddr], change: &Manage, patience: Duration) -> Result<Managed, NotDone> {
+    ask(members, Kind::Manage, change, patience).await
+}
+
+/// What one member knows.
+pub async fn look(member: SocketAddr, patience: Duration) -> Result<Report, String> {
+    let told = |e: &dyn fmt::Display| format!("{member}: {e}");
+    let mut client = group(member).map_err(|e| told(&e))?;
+    match tokio::time::timeout(patience, client.look(LookRequest {})).await {
+        Ok(Ok(reply)) => decode(&reply.into_inner().bytes).map_err(|e| told(&e)),
+        Ok(Err(status)) => Err(told(&status.message())),
+        Err(_) => Err(told(&"no answer in time")),
+    }
+}
+
+/// What every member knows that answers, all asked at once.
+pub async fn look_at_all(members: &[SocketAddr], patience: Duration) -> Vec<Result<Report, String>> {
+    let asked: Vec<_> = members.iter().map(|m| tokio::spawn(look(*m, patience))).collect();
+    let mut all = Vec::new();
+    for one in asked {
+        all.push(one.await.unwrap_or_else(|e| Err(e.to_string())));
+    }
+    all
+}
