A group of members with a replicated log, orders to it, and links between processes

Change: starlinghill-group runs members over openraft, with one redb file each whose records have checksums, and tonic between them. A blank disk has no vote until it is made a member's. How old a member's knowledge is comes from questions to the leader. starlinghill-control group, zones and zone on the command line, with exit codes of their own. The rig has links between processes (cut, delay, trickle, loss, resets, doubled datagrams, one for each directed pair of zones) and processes that are killed, stopped and started again.

Not measured yet: commit latency. The gateway is unchanged.

--- a/crates/starlinghill-accord/src/map.rs
+++ b/crates/starlinghill-accord/src/map.rs
@@ -34,6 +34,11 @@
     pub floor: u16,
 }
 
+/// What somebody wrote, short enough to be kept and shown.
+pub(crate) fn clipped(name: &str) -> String {
+    name.chars().take(LONGEST_NAME).collect()
+}
+
 /// What is wrong with a map.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MapProblem {
@@ -73,7 +78,7 @@
             MapProblem::Name(name) => write!(
                 f,
                 "expected a name of 1 to {LONGEST_NAME} letters, digits, '-', '_' or '.', found '{}'",
-                name.chars().take(LONGEST_NAME).collect::<String>().escape_debug()
+                name.escape_debug()
             ),
             MapProblem::Twice(name) => write!(f, "expected each region once, found '{name}' again"),
             MapProblem::NoRegion { zone, region } => {
@@ -112,24 +117,24 @@
         let mut regions = BTreeSet::new();
         for region in &self.regions {
             if !is_name(region) {
-                found.push(MapProblem::Name(region.clone()));
+                found.push(MapProblem::Name(clipped(region)));
             }
             if !regions.insert(region) {
-                found.push(MapProblem::Twice(region.clone()));
+                found.push(MapProblem::Twice(clipped(region)));
             }
             if !self.zones.values().any(|z| z.region == *region) {
-                found.push(MapProblem::EmptyRegion(region.clone()));
+                found.push(MapProblem::EmptyRegion(clipped(region)));
             }
         }
         for (name, zone) in &self.zones {
             if !is_name(name) {
-                found.push(MapProblem::Name(name.clone()));
+                found.push(MapProblem::Name(clipped(name)));
             }
             if !regions.contains(&zone.region) {
-                found.push(MapProblem::NoRegion { zone: name.clone(), region: zone.region.clone() });
+                found.push(MapProblem::NoRegion { zone: clipped(name), region: clipped(&zone.region) });
             }
             if zone.capacity == 0 || zone.capacity > LARGEST_CAPACITY {
-                found.push(MapProblem::Capacity { zone: name.clone(), found: zone.capacity });
+                found.push(MapProblem::Capacity { zone: clipped(name), found: zone.capacity });
             }
         }
         if self.floor > crate::WHOLE {
--- a/crates/starlinghill-accord/src/refusal.rs
+++ b/crates/starlinghill-accord/src/refusal.rs
@@ -116,7 +116,6 @@
                 write!(f, "zone '{zone}' would leave the map while it is in service; take it out first")
             }
             Cause::NoZone { zone, known } => {
-                let zone: String = zone.chars().take(80).collect();
                 write!(f, "expected one of the zones {}, found '{}'", known.join(", "), zone.escape_debug())
             }
             Cause::ZoneChanged { seen, now, by, phase } => write!(
@@ -141,7 +140,6 @@
                 )
             }
             Cause::BadNext { next } => {
-                let next: String = next.chars().take(80).collect();
                 write!(
                     f,
                     "region '{}' can't take over: expected another region in service",
--- a/crates/starlinghill-accord/src/state.rs
+++ b/crates/starlinghill-accord/src/state.rs
@@ -2,7 +2,7 @@
 //! on the whole state, where the order is applied, not where it is given: two orders that were each right alone
 //! may not be so one after the other.
 
-use crate::map::{Map, Zone};
+use crate::map::{clipped, Map, Zone};
 use crate::order::{
     Change, Order, Ramp, What, ZoneOrder, LONGEST_ID, LONGEST_PACE, LONGEST_WORDS, SHORTEST_PACE,
 };
@@ -14,9 +14,9 @@
 
 /// Orders whose outcomes are kept, so that one sent again counts once. An order sent again after so many others
 /// is taken for a new one; the epoch that its author saw then refuses it.
-pub const REMEMBERED: usize = 1_024;
-/// The most problems of a map that a refusal keeps.
-const MOST_PROBLEMS: usize = 16;
+pub const REMEMBERED: usize = 512;
+/// The most problems of a map, or names of zones, that a refusal keeps.
+const MOST_NAMED: usize = 16;
 
 /// What a zone is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -140,7 +140,7 @@
 
     /// Takes an order in. The same order again gets the same outcome and changes nothing.
     pub fn apply(&mut self, order: &Order) -> Outcome {
-        let digest = crate::wire::digest(order);
+        let digest = meant(order);
         if let Some(done) = self.done.iter().find(|d| !order.id.is_empty() && d.id == order.id) {
             if done.digest == digest {
                 return done.outcome.clone();
@@ -189,7 +189,7 @@
         mut causes: Vec<Cause>,
     ) -> Result<(), Vec<Cause>> {
         let mut problems = map.problems();
-        problems.truncate(MOST_PROBLEMS);
+        problems.truncate(MOST_NAMED);
         if !problems.is_empty() {
             causes.push(Cause::BadMap { problems });
         }
@@ -244,8 +244,7 @@
             return Err(causes);
         };
         let (Some(place), Some(old)) = (map.zones.get(&wanted.zone), self.zones.get(&wanted.zone)) else {
-            let known = self.zones.keys().cloned().collect();
-            causes.push(Cause::NoZone { zone: wanted.zone.clone(), known });
+            causes.push(self.no_zone(&wanted.zone));
             return Err(causes);
         };
         if let Some(seen) = wanted.expect.filter(|seen| *seen != old.epoch) {
@@ -268,7 +267,7 @@
             Change::Hold => Vec::new(),
         };
         if !others.is_empty() && !wanted.force {
-            causes.push(Cause::NotAlone { zones: others });
+            causes.push(Cause::NotAlone { zones: others.into_iter().take(MOST_NAMED).collect() });
         }
         if !causes.is_empty() {
             return Err(causes);
@@ -302,7 +301,7 @@
         let in_service = |region: &str| map.zones.iter().any(|(n, z)| z.region == region && sure(n) > 0);
         if let Some(next) = &wanted.next {
             if *next == place.region || !map.regions.contains(next) || !in_service(next) {
-                causes.push(Cause::BadNext { next: next.clone() });
+                causes.push(Cause::BadNext { next: clipped(next) });
             }
         } else if !in_service(&place.region) {
             causes.push(Cause::LastOfRegion { region: place.region.clone() });
@@ -316,9 +315,8 @@
     }
 
     fn step(&mut self, order: &Order, zone: &str, of: u64, mut causes: Vec<Cause>) -> Result<(), Vec<Cause>> {
-        let known = || self.zones.keys().cloned().collect();
         let Some(old) = self.zones.get(zone) else {
-            causes.push(Cause::NoZone { zone: zone.into(), known: known() });
+            causes.push(self.no_zone(zone));
             return Err(causes);
         };
         if old.epoch != of {
@@ -343,6 +341,11 @@
         Ok(())
     }
 
+    fn no_zone(&self, zone: &str) -> Cause {
+        let known = self.zones.keys().take(MOST_NAMED).cloned().collect();
+        Cause::NoZone { zone: clipped(zone), known }
+    }
+
     /// A region that has something in service again needs nobody to take over.
     fn forget_next(&mut self) {
         let Some(map) = &self.map else { return };
@@ -354,6 +357,17 @@
     }
 }
 
+/// What tells one order of an id from another: not when it was sent, nor what its author saw then, which differ where
+/// somebody sends it again by hand.
+fn meant(order: &Order) -> u64 {
+    let mut order = Order { at_ms: 0, ..order.clone() };
+    match &mut order.what {
+        What::Adopt { expect, .. } | What::Zone(ZoneOrder { expect, .. }) => *expect = None,
+        What::Step { .. } => {}
+    }
+    crate::wire::digest(&order)
+}
+
 /// The thousandths of all capacity that stay in service, rounded down.
 fn left(map: &Map, sure: impl Fn(&String) -> Permille) -> Permille {
     let sum: u64 = map.zones.iter().map(|(n, z)| u64::from(z.capacity) * u64::from(sure(n))).sum();
--- a/crates/starlinghill-accord/src/wire.rs
+++ b/crates/starlinghill-accord/src/wire.rs
@@ -9,8 +9,10 @@
 
 /// The version that this program writes, and the only one that it reads.
 pub const VERSION: u32 = 1;
-/// The most bytes of one message: a map of the most zones with the longest names, and as many states.
-pub const LONGEST: usize = 1 << 20;
+/// The most bytes of one message: a state with all outcomes that it keeps, each a refusal of many words.
+pub const LONGEST: usize = 4 << 20;
+/// The most bytes of an order: a map of the most zones with the longest names takes half.
+pub const LONGEST_ORDER: usize = 128 << 10;
 
 /// What may stand in an envelope.
 pub trait Message: Serialize + DeserializeOwned {
@@ -21,6 +23,9 @@
 impl Message for crate::order::Order {
     const KIND: &'static str = "order";
 }
+impl Message for crate::state::State {
+    const KIND: &'static str = "state";
+}
 impl Message for crate::state::Outcome {
     const KIND: &'static str = "outcome";
 }
@@ -82,15 +87,40 @@
     if bytes.len() > LONGEST {
         return Err(WireError::TooLong(bytes.len()));
     }
-    let malformed = |e: serde_json::Error| WireError::Malformed(e.to_string());
-    let head: Head = serde_json::from_slice(bytes).map_err(malformed)?;
-    if head.v != VERSION {
-        return Err(WireError::Version(head.v));
+    serde_json::from_slice::<Head>(bytes).map_err(malformed)?.open()
+}
+
+/// An envelope as a value, for what is kept inside something else: an entry of a log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sealed(serde_json::Value);
+
+impl Sealed {
+    /// A message in its envelope.
+    pub fn of<T: Message>(message: &T) -> Sealed {
+        let envelope = Envelope { v: VERSION, kind: T::KIND, body: message };
+        Sealed(serde_json::to_value(envelope).unwrap_or_default())
+    }
+
+    /// The message in it.
+    pub fn open<T: Message>(self) -> Result<T, WireError> {
+        serde_json::from_value::<Head>(self.0).map_err(malformed)?.open()
     }
-    if head.kind != T::KIND {
-        return Err(WireError::Kind(head.kind));
+}
+
+fn malformed(e: serde_json::Error) -> WireError {
+    WireError::Malformed(e.to_string())
+}
+
+impl Head {
+    fn open<T: Message>(self) -> Result<T, WireError> {
+        if self.v != VERSION {
+            return Err(WireError::Version(self.v));
+        }
+        if self.kind != T::KIND {
+            return Err(WireError::Kind(self.kind));
+        }
+        serde_json::from_value(self.body).map_err(malformed)
     }
-    serde_json::from_value(head.body).map_err(malformed)
 }
 
 /// A number that differs where messages differ, the same in every process and version of the library.
--- a/crates/starlinghill-accord/tests/state.rs
+++ b/crates/starlinghill-accord/tests/state.rs
@@ -54,6 +54,12 @@
     let after = state.clone();
     assert_eq!(state.apply(&out), first);
     assert_eq!(state, after);
+    // Also by hand, later, by one who has looked meanwhile.
+    let again = Order {
+        at_ms: 99,
+        ..order("o1", What::Zone(ZoneOrder { expect: Some(9), ..about("a1", Change::Out) }))
+    };
+    assert_eq!(state.apply(&again), first);
     let other = order("o1", What::Zone(about("a2", Change::Hold)));
     assert!(matches!(state.apply(&other), Outcome::Refused { causes, .. } if causes == [Cause::IdReused]));
     // A refusal is an outcome too: that the state has changed since does not make it good.
--- a/crates/starlinghill-control/src/main.rs
+++ b/crates/starlinghill-control/src/main.rs
@@ -1,4 +1,8 @@
-//! The control service for proxies that others build. SIGTERM ends it, SIGHUP makes it read its file again.
+//! The operators' program: the control service for proxies that others build, members of the group that decides in
+//! common, and orders to it. SIGTERM ends a service, SIGHUP makes it read its file again.
+
+mod group;
+mod zones;
 
 use clap::{Parser, Subcommand};
 use serde_json::json;
@@ -24,7 +28,7 @@
 /// How long `dump` waits for the list of servers.
 const LIST_WAIT: Duration = Duration::from_secs(5);
 
-/// Tells other proxies, over xDS, what the gateways decide.
+/// Runs what a fleet of gateways has in common, and gives orders to it.
 #[derive(Parser)]
 #[command(version)]
 struct Cli {
@@ -34,7 +38,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM.
+    /// Tell other proxies, over xDS, what the gateways decide, until SIGTERM.
     Run {
         /// The operators' file.
         file: PathBuf,
@@ -52,6 +56,13 @@
         #[arg(long)]
         node: String,
     },
+    /// Be a member of the group that decides in common, until SIGTERM; or change the group.
+    Group(group::Args),
+    /// Show the zones: state, epoch, who, why, and which gateways follow.
+    Zones(zones::ListArgs),
+    /// Order something about a zone.
+    #[command(subcommand)]
+    Zone(zones::ZoneCommand),
 }
 
 fn told(problems: Vec<Problem>) -> Box<dyn Error> {
@@ -134,12 +145,32 @@
     Ok(())
 }
 
+/// Checks each section that there is, and prints the bounds that follow from the group's times.
+fn check(file: &Path) -> Result<(), Box<dyn Error>> {
+    let operators = starlinghill_operators::read(file).map_err(told)?;
+    if operators.control.is_some() || operators.group.is_none() {
+        prepare(file).map_err(told)?;
+    }
+    println!("{}: good", file.display());
+    if let Some(group) = operators.group {
+        let ms = |m: starlinghill_accord::Micros| m.0.div_ceil(1_000);
+        let t = group.timing;
+        println!("a change reaches every connected gateway within {} ms", ms(t.reaches_within()));
+        println!("the same where a member dies meanwhile: {} ms", ms(t.reaches_within_after_a_death()));
+        println!("no gateway acts on what is older than {} ms without saying so", ms(t.never_older_than()));
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
     let done = match Cli::parse().command {
         Command::Run { file } => run(&file),
-        Command::Check { file } => prepare(&file).map(|_| println!("{}: good", file.display())).map_err(told),
+        Command::Check { file } => check(&file),
         Command::Dump { file, node } => dump(&file, &node),
+        Command::Group(args) => return group::main(args),
+        Command::Zones(args) => return zones::list(&args),
+        Command::Zone(command) => return zones::order(command),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/starlinghill-control/tests/group.rs
@@ -0,0 +1,291 @@
+//! Groups of real member processes: they are killed, stopped, cut from each other and lose their disks.
+
+use starlinghill_rig::group::{Group, LIMIT};
+use std::path::Path;
+use std::process::Output;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_starlinghill-control");
+
+async fn group(zones: &[&str]) -> Group {
+    let mut group = Group::new(Path::new(PROGRAM), zones, 1).await;
+    tokio::task::block_in_place(|| group.begin());
+    group
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[track_caller]
+fn ends(output: &Output, code: i32, text: &str) {
+    assert_eq!(output.status.code(), Some(code), "{}", said(output));
+    assert!(said(output).contains(text), "{text}: {}", said(output));
+}
+
+fn epoch(zones: &serde_json::Value) -> u64 {
+    zones["position"]["epoch"].as_u64().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_order_counts_once_whatever_leader_dies_and_a_refusal_says_why() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        let drain = ["a", "--reason", "a drill", "--id", "o1", "--by", "eve", "--step", "100"];
+        ends(&group.command(&["zone", "drain"], &drain), 0, "accepted at 1.2");
+        let leader = group.wait_for_leader();
+        group.members[leader].kill();
+        // Sent again after the leader's death, as by one who never heard.
+        ends(&group.command(&["zone", "drain"], &drain), 0, "accepted at 1.2");
+        let zones = group.wait_until("it is out", |z| z["zones"]["a"]["phase"] == "out");
+        assert_eq!((epoch(&zones), zones["zones"]["a"]["by"].as_str()), (2, Some("eve")));
+        // Another order of the same id, and one that would leave too little.
+        let other = ["b", "--reason", "a drill", "--id", "o1"];
+        ends(&group.command(&["zone", "out"], &other), 3, "another order had this id");
+        let second = group.command(&["zone", "out"], &["b", "--reason", "a drill"]);
+        ends(&second, 3, "refused: not in full service already: a");
+        ends(&second, 3, "refused: it is the last zone of region 'east'");
+        group.members[leader].start();
+        group.wait_until("the one that was killed knows it too", |_| {
+            let all = group.show();
+            all.iter().all(|m| m["report"]["state"]["position"]["epoch"] == 2)
+        });
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_minority_takes_no_order_and_says_why_and_what_it_took_in_never_counts() {
+    let group = group(&["a", "a", "b", "b", "b"]).await;
+    tokio::task::block_in_place(|| {
+        group.wait_for_leader();
+        group.net.cut("a", "b");
+        group.net.cut("b", "a");
+        // The operators' own file would reach both sides; this one knows the minority alone.
+        let minority = group.folder().join("minority.toml");
+        let text = group.text(1, &group.listen[..1]);
+        std::fs::write(&minority, text).expect("a file");
+        let order = ["c", "--reason", "a drill", "--next", "east"];
+        let refused = group.command_by(&minority, &["zone", "out"], &order);
+        ends(&refused, 4, "not reached");
+        assert!(
+            said(&refused).contains("knows no leader") || said(&refused).contains("no majority"),
+            "{}",
+            said(&refused)
+        );
+        ends(&group.command(&["zone", "out"], &order), 0, "accepted at 1.2");
+        group.net.heal();
+        group.wait_until("all agree", |_| {
+            group.show().iter().all(|m| m["report"]["state"]["position"]["epoch"] == 2)
+        });
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_that_wakes_after_its_term_knows_that_it_is_old_and_catches_up() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        let leader = group.wait_for_leader();
+        group.members[leader].stop();
+        ends(&group.command(&["zone", "out"], &["a", "--reason", "a drill"]), 0, "accepted at 1.2");
+        group.members[leader].go_on();
+        group.wait_until("it caught up", |_| {
+            let all = group.show();
+            all[leader]["report"]["state"]["position"]["epoch"] == 2
+                && all[leader]["report"]["age_ms"].as_u64().is_some_and(|ms| ms < 1_000)
+        });
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_disk_that_is_not_as_it_was_written_keeps_its_member_out_and_names_the_file() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        ends(&group.command(&["zone", "out"], &["a", "--reason", "a drill"]), 0, "accepted at 1.2");
+        ends(&group.command(&["group", "snapshot"], &[]), 0, "kept");
+        group.members[0].wait_for_log("snapshot kept", LIMIT);
+        for member in &mut group.members {
+            member.kill();
+        }
+        // A bit of the state in the newest snapshot, wherever the store has put it.
+        let disk = group.disk(0);
+        let mut bytes = std::fs::read(&disk).expect("a disk");
+        let places: Vec<usize> =
+            bytes.windows(8).enumerate().filter(|(_, w)| w == b"\"a drill").map(|(i, _)| i).collect();
+        assert!(!places.is_empty(), "the reason stands in the file");
+        for at in places {
+            bytes[at + 3] ^= 4;
+        }
+        std::fs::write(&disk, bytes).expect("a disk");
+        // Another one is cut off.
+        let torn = std::fs::read(group.disk(1)).expect("a disk");
+        let (torn, disk_of_other) = (torn[..torn.len() / 2].to_vec(), group.disk(1));
+        let whole = std::fs::read(&disk_of_other).expect("a disk");
+        std::fs::write(&disk_of_other, torn).expect("a disk");
+        for i in [0, 1] {
+            group.members[i].start();
+            assert_eq!(group.members[i].ended(LIMIT), Some(7), "{}", group.members[i].log().join("\n"));
+            let log = group.members[i].log().join("\n");
+            let file = group.disk(i).display().to_string();
+            assert!(log.contains(&file) && log.contains("stays out"), "{log}");
+        }
+        // The group goes on without the first; nothing that was committed is lost.
+        std::fs::write(&disk_of_other, whole).expect("a disk");
+        group.members[1].start();
+        group.members[2].start();
+        let zones =
+            group.wait_until("two of three serve", |z| z["age_ms"].as_u64().is_some_and(|ms| ms < 1_000));
+        assert_eq!((epoch(&zones), zones["zones"]["a"]["phase"].as_str()), (2, Some("out")));
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_whose_disk_was_replaced_has_no_vote_until_it_is_taken_in_again() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        ends(&group.command(&["zone", "out"], &["a", "--reason", "a drill"]), 0, "accepted at 1.2");
+        let away = (group.wait_for_leader() + 1) % 3;
+        group.members[away].kill();
+        std::fs::remove_file(group.disk(away)).expect("removed");
+        group.members[away].start();
+        group.members[away].wait_for_log("blank", LIMIT);
+        let id = (away + 1).to_string();
+        ends(&group.command(&["group", "add"], &[&id]), 3, "is a member already");
+        ends(&group.command(&["group", "remove"], &[&id]), 0, "");
+        ends(&group.command(&["group", "add"], &[&id]), 0, "");
+        group.wait_until("it has all again", |_| {
+            let all = group.show();
+            all[away]["report"]["state"]["position"]["epoch"] == 2
+                && all[away]["report"]["members"][&id][1] == true
+        });
+        // With it there is a majority again without another.
+        let other = (away + 1) % 3;
+        group.members[other].kill();
+        ends(
+            &group.command(&["zone", "return"], &["a", "--reason", "over", "--step", "100"]),
+            0,
+            "accepted at 1.3",
+        );
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_majority_is_restored_in_the_next_generation_and_the_old_one_stays_out() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        ends(
+            &group.command(&["zone", "out"], &["a", "--reason", "a drill", "--id", "o1"]),
+            0,
+            "accepted at 1.2",
+        );
+        for member in &mut group.members {
+            member.kill();
+        }
+        // One disk is left; the others come back later, from a machine that was taken for dead.
+        let left = group.folder().join("left.redb");
+        std::fs::copy(group.disk(0), &left).expect("copied");
+        let old: Vec<Vec<u8>> = (0..3).map(|i| std::fs::read(group.disk(i)).expect("a disk")).collect();
+        for i in 0..3 {
+            std::fs::remove_file(group.disk(i)).expect("removed");
+        }
+        for member in &mut group.members {
+            member.start();
+        }
+        let from = ["--from", left.to_str().expect("text")];
+        ends(&group.command(&["group", "restore"], &from), 1, "group.generation: expected 2");
+        for member in &mut group.members {
+            member.kill();
+        }
+        tokio::runtime::Handle::current().block_on(group.raise(2));
+        for member in &mut group.members {
+            member.start();
+        }
+        group.members[0].wait_for_log("blank", LIMIT);
+        let until = std::time::Instant::now() + LIMIT;
+        while !group.command(&["group", "restore"], &from).status.success() {
+            assert!(std::time::Instant::now() < until, "{:?}", group.command(&["group", "restore"], &from));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let zones = group.wait_until("it is there again", |z| z["zones"]["a"]["phase"] == "out");
+        assert_eq!(zones["position"]["generation"], 2);
+        // What counted before counts still.
+        ends(
+            &group.command(&["zone", "out"], &["a", "--reason", "a drill", "--id", "o1"]),
+            0,
+            "accepted at 1.2",
+        );
+        // A member of the old life is refused by the file, and by the others.
+        group.members[2].kill();
+        std::fs::write(group.disk(2), &old[2]).expect("a disk");
+        group.members[2].start();
+        assert_eq!(group.members[2].ended(LIMIT), Some(7));
+        assert!(group.members[2].log().join("\n").contains("generation 1"), "{:?}", group.members[2].log());
+        ends(
+            &group.command(&["zone", "return"], &["a", "--reason", "over", "--step", "100"]),
+            0,
+            "accepted at 2.3",
+        );
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_was_accepted_outlives_sigkill_of_all_members_at_once_in_any_order() {
+    let mut group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        let (mut last, mut ordered) = (1, 0);
+        for seed in 0..50u64 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            // One is killed while an order is on its way, the others at once after its answer, or before.
+            let id = format!("o{seed}");
+            let zone = ["a", "b"][rng.usize(..2)];
+            let word = ["out", "return", "hold"][rng.usize(..3)];
+            let before = rng.bool();
+            let order = std::thread::scope(|scope| {
+                let group = &mut group;
+                let (program, file) = (Path::new(PROGRAM), group.operators());
+                let given = scope.spawn(move || {
+                    let words = ["zone", word];
+                    let more = [zone, "--reason", "a drill", "--force", "--id", &id];
+                    std::process::Command::new(program)
+                        .args(words)
+                        .arg(file)
+                        .args(more)
+                        .output()
+                        .expect("it runs")
+                });
+                if before {
+                    std::thread::sleep(Duration::from_millis(rng.u64(..60)));
+                } else {
+                    while !given.is_finished() {
+                        std::thread::sleep(Duration::from_millis(1));
+                    }
+                }
+                let mut order: Vec<usize> = (0..3).collect();
+                rng.shuffle(&mut order);
+                for i in &order {
+                    group.members[*i].kill();
+                }
+                rng.shuffle(&mut order);
+                for i in &order {
+                    group.members[*i].start();
+                }
+                given.join().expect("no panic")
+            });
+            ordered += usize::from(order.status.success());
+            let said = said(&order);
+            let accepted =
+                said.strip_prefix("accepted at 1.").and_then(|s| s.split(' ').next()?.parse::<u64>().ok());
+            let zones =
+                group.wait_until("they lead again", |z| z["age_ms"].as_u64().is_some_and(|ms| ms < 1_000));
+            let now = epoch(&zones);
+            assert!(
+                now >= accepted.unwrap_or(0).max(last),
+                "seed {seed}: {accepted:?}, {last} before, {now} now"
+            );
+            // Refused or accepted, it counted once at the most.
+            assert!(now <= last + 1, "seed {seed}: from {last} to {now}, {said}");
+            last = now;
+        }
+        println!("{ordered} of 50 orders accepted at once, epoch {last}");
+        assert!(last > 5, "orders counted");
+    });
+}
--- a/crates/starlinghill-follow/src/report.rs
+++ b/crates/starlinghill-follow/src/report.rs
@@ -57,6 +57,8 @@
     Init {
         /// Their numbers and addresses.
         members: BTreeMap<u64, SocketAddr>,
+        /// What the group begins with, where it takes the place of one that has lost its majority.
+        restored: Option<Box<State>>,
     },
     /// Take a member in. It has to run, with an empty disk.
     Add {
--- a/crates/starlinghill-operators/src/control.rs
+++ b/crates/starlinghill-operators/src/control.rs
@@ -1,10 +1,10 @@
 //! `[control]`: the control service that other proxies run on.
 
+use crate::check::Check;
 use crate::problem::{Problem, Source};
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
@@ -142,74 +142,6 @@
     buckets: Option<Spanned<i64>>,
 }
 
-/// Collects what is wrong while values are read.
-struct Check<'a, 'b> {
-    source: &'a Source<'a>,
-    problems: &'b mut Vec<Problem>,
-}
-
-impl Check<'_, '_> {
-    fn fail(&mut self, span: std::ops::Range<usize>, key: &str, what: String) {
-        self.problems.push(self.source.at(span, key, what));
-    }
-
-    fn number(
-        &mut self,
-        key: &str,
-        raw: Option<Spanned<i64>>,
-        default: i64,
-        allowed: RangeInclusive<i64>,
-    ) -> i64 {
-        let Some(raw) = raw else { return default };
-        let found = *raw.get_ref();
-        if !allowed.contains(&found) {
-            let (least, most) = (allowed.start(), allowed.end());
-            self.fail(
-                raw.span(),
-                key,
-                format!("expected a whole number from {least} to {most}, found {found}"),
-            );
-            return default;
-        }
-        found
-    }
-
-    fn millis(
-        &mut self,
-        key: &str,
-        raw: Option<Spanned<i64>>,
-        default: i64,
-        allowed: RangeInclusive<i64>,
-    ) -> Duration {
-        Duration::from_millis(self.number(key, raw, default, allowed) as u64)
-    }
-
-    fn address(&mut self, key: &str, raw: &Spanned<String>) -> Option<SocketAddr> {
-        let parsed = raw.get_ref().parse();
-        if parsed.is_err() {
-            let what =
-                format!("expected an address and a port such as 127.0.0.1:18000, found '{}'", raw.get_ref());
-            self.fail(raw.span(), key, what);
-        }
-        parsed.ok()
-    }
-
-    fn header(&mut self, key: &str, raw: Option<Spanned<String>>, default: &str) -> String {
-        let Some(raw) = raw else { return default.into() };
-        let name = raw.get_ref();
-        let fits = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
-        if name.is_empty() || name.len() > 64 || !name.bytes().all(fits) {
-            let what = format!("expected a header's name in lower case, found '{name}'");
-            self.fail(raw.span(), key, what);
-        }
-        raw.into_inner()
-    }
-
-    fn missing(&mut self, section: &std::ops::Range<usize>, key: &str, wanted: &str) {
-        self.fail(section.clone(), key, format!("expected {wanted}, found nothing"));
-    }
-}
-
 /// Checks the section; `None` where something it can't do without is wrong.
 pub(crate) fn check(
     raw: Spanned<Raw>,
--- a/crates/starlinghill-operators/src/lib.rs
+++ b/crates/starlinghill-operators/src/lib.rs
@@ -3,10 +3,13 @@
 //! Errors are one line each and name the file, the line, the key, what was found and what is allowed. All that
 //! can be found wrong at once is told at once.
 
+mod check;
 mod control;
+mod group;
 mod problem;
 
 pub use control::{Control, Limits, Proxy, Quotas, Tls};
+pub use group::{Group, GroupMember};
 pub use problem::Problem;
 
 use serde::Deserialize;
@@ -17,12 +20,15 @@
 pub struct Operators {
     /// The control service, where there is one.
     pub control: Option<Control>,
+    /// The group that decides in common, where there is one.
+    pub group: Option<Group>,
 }
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Document {
     control: Option<toml::Spanned<control::Raw>>,
+    group: Option<toml::Spanned<group::Raw>>,
 }
 
 /// Reads the file.
@@ -40,8 +46,9 @@
     let document: Document = toml::from_str(text).map_err(|e| vec![source.syntax(&e)])?;
     let mut problems = Vec::new();
     let control = document.control.and_then(|raw| control::check(raw, &source, folder, &mut problems));
+    let group = document.group.and_then(|raw| group::check(raw, &source, folder, &mut problems));
     match problems.is_empty() {
-        true => Ok(Operators { control }),
+        true => Ok(Operators { control, group }),
         false => Err(problems),
     }
 }
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -3,14 +3,20 @@
 //!
 //! - [`world`]: stubs of backends, the counter and discovery, a client, and a gateway as a process.
 //! - [`counter`]: the shared counter with a capacity, its failures, and what it really counted.
+//! - [`group`]: a group of real member processes, with links between them.
+//! - [`links`]: links between real processes, one a directed pair of zones, that are cut, slow, lossy or reset.
 //! - [`nodes`]: save nodes that many proxies send to at once, and what they saw.
 //! - [`outage`]: a fleet of real gateways round a counter in trouble, by scenarios.
+//! - [`processes`]: real processes that are killed, stopped, continued and started again.
 //! - [`proxy`]: a proxy that takes its routing over xDS and forwards to save nodes.
 //! - [`quota`]: that proxy's buckets, filled by quota assignments.
 
 pub mod counter;
+pub mod group;
+pub mod links;
 pub mod nodes;
 pub mod outage;
+pub mod processes;
 pub mod proxy;
 pub mod quota;
 pub mod world;
--- /dev/null
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -0,0 +1,136 @@
+//! Real processes that are killed, stopped, continued and started again.
+
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Lines of a log that are kept; older ones go.
+const LINES: usize = 20_000;
+
+/// A process, by the command that starts it again and again.
+pub struct Process {
+    /// Its name.
+    pub name: String,
+    command: Box<dyn Fn() -> Command + Send>,
+    child: Option<Child>,
+    log: Arc<(Mutex<Vec<String>>, Condvar)>,
+    stopped: bool,
+}
+
+impl Process {
+    /// A process that does not run yet.
+    pub fn new(name: &str, command: impl Fn() -> Command + Send + 'static) -> Process {
+        let (name, command) = (name.into(), Box::new(command));
+        Process { name, command, child: None, log: Arc::default(), stopped: false }
+    }
+
+    /// Starts it, unless it runs.
+    pub fn start(&mut self) {
+        if self.runs() {
+            return;
+        }
+        let mut child = (self.command)()
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{} does not start: {e}", self.name));
+        if let Some(out) = child.stdout.take() {
+            self.keep(out);
+        }
+        if let Some(err) = child.stderr.take() {
+            self.keep(err);
+        }
+        (self.child, self.stopped) = (Some(child), false);
+    }
+
+    fn keep(&self, from: impl Read + Send + 'static) {
+        let log = self.log.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(from).lines().map_while(Result::ok) {
+                let mut lines = log.0.lock().unwrap_or_else(PoisonError::into_inner);
+                if lines.len() >= LINES {
+                    lines.drain(..LINES / 2);
+                }
+                lines.push(line);
+                log.1.notify_all();
+            }
+        });
+    }
+
+    /// Whether it runs, stopped or not.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Whether it is stopped by [`Process::stop`].
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    fn signal(&mut self, name: &str) {
+        let Some(child) = &self.child else { return };
+        let sent = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "{}: {name}", self.name);
+    }
+
+    /// SIGKILL, and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.stopped = false;
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&mut self) {
+        self.signal("TERM");
+    }
+
+    /// SIGSTOP.
+    pub fn stop(&mut self) {
+        self.signal("STOP");
+        self.stopped = true;
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&mut self) {
+        if self.stopped {
+            self.signal("CONT");
+            self.stopped = false;
+        }
+    }
+
+    /// Waits for its end and tells its code.
+    pub fn ended(&mut self, patience: Duration) -> Option<i32> {
+        let until = Instant::now() + patience;
+        while self.runs() {
+            assert!(Instant::now() < until, "{} did not end", self.name);
+            thread::sleep(Duration::from_millis(5));
+        }
+        self.child.take().and_then(|mut child| child.wait().ok()).and_then(|status| status.code())
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits for a line with this text.
+    pub fn wait_for_log(&self, text: &str, patience: Duration) -> String {
+        let held = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let none = |log: &mut Vec<String>| !log.iter().any(|line| line.contains(text));
+        let (log, late) =
+            self.log.1.wait_timeout_while(held, patience, none).unwrap_or_else(PoisonError::into_inner);
+        assert!(!late.timed_out(), "{}: waited in vain for '{text}' in\n{}", self.name, log.join("\n"));
+        log.iter().find(|line| line.contains(text)).cloned().unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
