Zones get the part of their work that was ordered, as one more factor of the choice

Change: Event::Zones tells the module each zone's part. zones.rs (on the policy list) draws by chance for each request which zones it is kept from; repeats are kept from what is out alone, so a keyed one finds its group; a part that yields opens where no other zone can serve.

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -269,6 +269,15 @@
     pub report: Report,
 }
 
+/// The part of its work that a zone gets, by an order that holds for all gateways.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZonePart {
+    /// From 0 (nothing new) to 1 (its whole part).
+    pub weight: f64,
+    /// It gets more all the same where no other zone can serve: the order can't be called off for this gateway.
+    pub yields: bool,
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -297,6 +306,8 @@
     Broke(ServerId),
     /// New rules for what comes from now on.
     Rules(Rules),
+    /// The parts that zones get from now on, by order; those not named have their whole part.
+    Zones(Vec<(ZoneId, ZonePart)>),
     /// What an earlier process of this gateway knew.
     Learned(Learned),
     /// This gateway is to end: all that is open must have its answer by then.
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -4,8 +4,8 @@
 use crate::api::*;
 use crate::calls::Purpose;
 use crate::context::{Context, Timer};
-use crate::fleet::Fleet;
 use crate::guards::{Attempt, Request};
+use crate::roster::Fleet;
 use std::collections::BTreeMap;
 
 /// Retry budget: further attempts earned by each request, and the most saved up.
@@ -72,6 +72,10 @@
             Event::Whole(id) => self.came_whole(id),
             Event::Broke(server) => self.fleet.broke(&self.cx, server),
             Event::Rules(rules) => self.on_rules(rules),
+            Event::Zones(parts) => {
+                self.fleet.zones.follow(parts);
+                self.serve_held();
+            }
             Event::Learned(learned) => self.on_learned(learned),
             Event::Closing(by) => self.on_closing(by),
         }
--- a/crates/starlinghill-decision/src/borne.rs
+++ b/crates/starlinghill-decision/src/borne.rs
@@ -1,7 +1,7 @@
 //! What servers were seen to bear from this gateway, which is the measure for cold ones.
 
 use crate::api::Micros;
-use crate::fleet::Server;
+use crate::server::Server;
 
 /// Time over which what warm servers bear is averaged.
 const SPAN: f64 = 10.0;
--- a/crates/starlinghill-decision/src/choice.rs
+++ b/crates/starlinghill-decision/src/choice.rs
@@ -3,12 +3,13 @@
 use crate::api::*;
 use crate::bucket::mix;
 use crate::context::Context;
-use crate::fleet::Fleet;
 use crate::guards::Request;
+use crate::roster::Fleet;
 
 impl Fleet {
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
     pub(crate) fn pick(&mut self, cx: &mut Context, r: &Request) -> Option<ServerId> {
+        self.draw_zones(cx, r);
         if self.sparse(cx) {
             return self.pick_thin(cx, r);
         }
@@ -16,13 +17,10 @@
         let salt = cx.rng.u64(..);
         let (reach, scale) = (self.reach(cx), self.scale(cx));
         // Bounds may fall below one (many gateways): what is out in all stays within their sum.
-        let fit = self
-            .own_part_first(cx)
-            .take(reach)
-            .map(|sid| &self.servers[&sid])
-            .filter(|s| self.healthy(cx, s));
+        let fit =
+            self.own_part_first(cx).take(reach).map(|sid| &self.servers[&sid]).filter(|s| self.takes(cx, s));
         let most: f64 = fit.map(|s| s.limit * scale).sum();
-        let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(cx, s));
+        let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.takes(cx, s));
         if most > 0.0 && self.out_now >= most.max(1.0) {
             return None;
         }
@@ -37,6 +35,7 @@
             if s.out >= most
                 || any_healthy && !self.healthy(cx, s)
                 || s.pushed()
+                || self.zones.is_shut(s.zone)
                 || !r.may_go(cx, &self.servers, s)
             {
                 continue;
@@ -58,6 +57,8 @@
     /// Whether trying this request again is worth a thought: some server may have it now.
     pub(crate) fn may_repeat(&self, cx: &Context, r: &Request) -> bool {
         let chance = self.sparse(cx); // Of a cold server, too.
-        self.servers.values().any(|s| (chance || !s.pushed()) && r.may_go(cx, &self.servers, s))
+        self.servers
+            .values()
+            .any(|s| (chance || !s.pushed()) && !self.is_out(s.zone) && r.may_go(cx, &self.servers, s))
     }
 }
--- a/crates/starlinghill-decision/src/fleet_view.rs
+++ b/crates/starlinghill-decision/src/fleet_view.rs
@@ -4,8 +4,9 @@
 use crate::api::*;
 use crate::attempts::{RETRY_SHARE, SPARE_PART};
 use crate::context::Context;
-use crate::fleet::{Fleet, FLEET_START};
+use crate::fleet::FLEET_START;
 use crate::health::{warm_part, EJECT_DOUBLINGS, EJECT_FIRST, EJECT_SHARE};
+use crate::roster::Fleet;
 
 /// The module's own bounds, for who must write them into another program's configuration.
 #[derive(Debug, Clone, Copy)]
--- a/crates/starlinghill-decision/src/guards.rs
+++ b/crates/starlinghill-decision/src/guards.rs
@@ -3,7 +3,7 @@
 
 use crate::api::*;
 use crate::context::Context;
-use crate::fleet::Server;
+use crate::server::Server;
 use std::collections::BTreeMap;
 
 /// One attempt of a request.
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -3,7 +3,8 @@
 use crate::api::*;
 use crate::bucket::TokenBucket;
 use crate::context::{Context, SMOOTH};
-use crate::fleet::{Fleet, Server};
+use crate::roster::Fleet;
+use crate::server::Server;
 
 /// Bounds on attempts out at one server: the least, what a late answer leaves of it, what an early one adds.
 /// All but the cut are scaled to the gateway's part (`scale`).
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,8 +2,8 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `borne`, `throttle`, `asking`, `breaker`, `context`, `fleet`,
-//! `guards`, `health`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
+//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `server`, `borne`, `throttle`, `asking`, `breaker`, `context`, `roster`, `fleet`,
+//! `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
 
 pub mod api;
 
@@ -23,11 +23,14 @@
 mod learned;
 mod lifecycle;
 mod repeats;
+mod roster;
 mod scattered;
+mod server;
 mod sharing;
 mod tally;
 mod thin;
 mod throttle;
+mod zones;
 
 pub use attempts::Gateway;
 pub use fleet_view::{Bounds, FleetView, Health, ServerFacts, BOUNDS};
--- a/crates/starlinghill-decision/src/lifecycle.rs
+++ b/crates/starlinghill-decision/src/lifecycle.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::attempts::Gateway;
 use crate::context::{Context, Timer};
-use crate::fleet::Fleet;
+use crate::roster::Fleet;
 
 impl Context {
     /// A request as it stands under the rules of the moment: none waits beyond the gateway's end.
--- /dev/null
+++ b/crates/starlinghill-decision/src/server.rs
@@ -0,0 +1,23 @@
+//! One server as a gateway knows it.
+
+use crate::api::*;
+use crate::bucket::TokenBucket;
+
+/// One server, with all that is held for and against it.
+#[derive(Debug, Default)]
+pub(crate) struct Server {
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) weight: f64,
+    pub(crate) listed: bool,
+    pub(crate) out: f64,
+    pub(crate) latency: f64,
+    pub(crate) limit: f64,
+    pub(crate) fail_share: f64,
+    pub(crate) ejected_until: Micros,
+    pub(crate) ejections: u32,
+    pub(crate) trial: bool,
+    pub(crate) unreached_since: Option<Micros>,
+    pub(crate) cold_since: Option<Micros>,
+    pub(crate) cold_room: TokenBucket,
+}
--- a/crates/starlinghill-decision/src/thin.rs
+++ b/crates/starlinghill-decision/src/thin.rs
@@ -7,9 +7,9 @@
 
 use crate::api::*;
 use crate::context::Context;
-use crate::fleet::Fleet;
 use crate::guards::Request;
 use crate::health::present_part;
+use crate::roster::Fleet;
 
 /// Attempts that a gateway may have out in all, and at one server. More are held for a moment.
 const MOST_OUT: f64 = 16.0;
@@ -24,7 +24,7 @@
             return None;
         }
         let (cold, usual) = self.cold_share(cx);
-        let any_healthy = self.servers.values().any(|s| s.listed && self.healthy(cx, s));
+        let any_healthy = self.servers.values().any(|s| s.listed && self.takes(cx, s));
         // The part is counted by what its servers can do now. Guards against cold ones whose neighbours in the ring are cold too,
         // and which would be all that some gateways have.
         let (reach, mut able) = (self.reach(cx) as f64 * usual, 0.0);
@@ -34,6 +34,9 @@
                 break;
             }
             let s = &self.servers[&id];
+            if self.zones.is_shut(s.zone) {
+                continue;
+            }
             able += s.weight * present_part(&cx.set, cx.now, s);
             let most = if any_healthy { MOST_AT_ONE } else { 1.0 };
             if s.out >= most || any_healthy && !self.healthy(cx, s) || !r.may_go(cx, &self.servers, s) {
