--- a/crates/starlinghill-accord/src/follower.rs
+++ b/crates/starlinghill-accord/src/follower.rs
@@ -80,6 +80,13 @@
     pub zones: BTreeMap<String, ZoneView>,
 }
 
+impl View {
+    /// What a gateway does that was never told anything.
+    pub fn of_own_sight() -> View {
+        View { mode: Mode::OwnSight, position: Position::default(), zones: BTreeMap::new() }
+    }
+}
+
 /// Why another member is to be asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Why {
@@ -142,7 +149,6 @@
 impl Follower {
     /// A follower that was never told anything, and believes no generation below this.
     pub fn new(timing: Timing, generation: u64) -> Follower {
-        let view = View { mode: Mode::OwnSight, position: Position::default(), zones: BTreeMap::new() };
         Follower {
             timing,
             held: None,
@@ -151,7 +157,7 @@
             sure: Micros(0),
             behind: None,
             generation,
-            view,
+            view: View::of_own_sight(),
         }
     }
 
@@ -287,7 +293,7 @@
             self.followed.clone_from(&self.held);
         }
         let view = match &self.followed {
-            None => View { mode: Mode::OwnSight, position: Position::default(), zones: BTreeMap::new() },
+            None => View::of_own_sight(),
             Some(d) => {
                 let yields = mode == Mode::OwnSight;
                 let zone = |(name, z): (&String, &crate::directive::ZoneDirective)| {
--- a/crates/starlinghill-control/src/main.rs
+++ b/crates/starlinghill-control/src/main.rs
@@ -2,6 +2,7 @@
 //! common, and orders to it. SIGTERM ends a service, SIGHUP makes it read its file again.
 
 mod group;
+mod node;
 mod zones;
 
 use clap::{Parser, Subcommand};
@@ -56,6 +57,11 @@
         #[arg(long)]
         node: String,
     },
+    /// Run a gateway that follows the group of the operators' file; the rest is told by its environment.
+    Gateway {
+        /// The operators' file.
+        file: PathBuf,
+    },
     /// Be a member of the group that decides in common, until SIGTERM; or change the group.
     Group(group::Args),
     /// Show the zones: state, epoch, who, why, and which gateways follow.
@@ -168,6 +174,7 @@
         Command::Run { file } => run(&file),
         Command::Check { file } => check(&file),
         Command::Dump { file, node } => dump(&file, &node),
+        Command::Gateway { file } => return node::run(&file),
         Command::Group(args) => return group::main(args),
         Command::Zones(args) => return zones::list(&args),
         Command::Zone(command) => return zones::order(command),
--- /dev/null
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -0,0 +1,157 @@
+//! Real gateways that follow a group of real members, under load, while links are cut and processes killed, stopped and
+//! started again.
+
+use starlinghill_accord::bounds::Timing;
+use starlinghill_accord::Micros;
+use starlinghill_rig::failover::{Fault, Fleet};
+use starlinghill_rig::group::LIMIT;
+use starlinghill_rig::history::{wrongs, Ordered};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_starlinghill-control");
+/// The times in the files of the rig's groups.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// What a process may need to write a line of its log, and this one to read it, on a machine that is busy with tests.
+const SLACK: Duration = Duration::from_millis(1_500);
+
+fn order(fleet: &Fleet, words: &[&str], more: &[&str]) -> Ordered {
+    let given = Instant::now();
+    let output = fleet.group.command(words, more);
+    let answered = Instant::now();
+    let said = String::from_utf8_lossy(&output.stdout).to_string();
+    let at = said.split("accepted at ").nth(1).and_then(|s| s.split(' ').next()?.split_once('.'));
+    let at = at.and_then(|(g, e)| Some((g.parse().ok()?, e.parse().ok()?)));
+    assert!(output.status.success() && at.is_some(), "{output:?}");
+    Ordered { given, answered, at }
+}
+
+fn pause(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+#[track_caller]
+fn audit(fleet: &Fleet, orders: &[Ordered]) {
+    let zones = fleet.wait_until_all_follow();
+    let number = |key: &str| zones["position"][key].as_u64().unwrap_or(0);
+    let last = (number("generation"), number("epoch"));
+    let found = wrongs(orders, &fleet.followed(), last, FRESH, SLACK);
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_zone_is_drained_and_returned_while_gateways_restart_join_and_are_cut_off_and_nothing_is_lost() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 6, 1, true).await;
+    fleet.load(20);
+    let (orders, out_at, back_at) = tokio::task::block_in_place(|| {
+        pause(500);
+        let drain = ["b", "--reason", "a drill", "--step", "25", "--every-ms", "600"];
+        let mut orders = vec![order(&fleet, &["zone", "drain"], &drain)];
+        let suffer = |fleet: &mut Fleet, fault: Fault| fleet.suffer(&fault);
+        suffer(&mut fleet, Fault::RestartGateway(0));
+        pause(300);
+        suffer(&mut fleet, Fault::KillGateway(2));
+        suffer(&mut fleet, Fault::Cut("c".into(), "a".into()));
+        suffer(&mut fleet, Fault::Cut("a".into(), "c".into()));
+        pause(600);
+        suffer(&mut fleet, Fault::KillGateway(5));
+        pause(1_000);
+        suffer(&mut fleet, Fault::Heal);
+        fleet.group.wait_until("it is out", |z| z["zones"]["b"]["phase"] == "out");
+        fleet.wait_until_all_follow();
+        let out_at = Instant::now();
+        pause(1_500);
+        let back_at = Instant::now();
+        let back = ["b", "--reason", "over", "--step", "50", "--every-ms", "600", "--wait", "20"];
+        orders.push(order(&fleet, &["zone", "return"], &back));
+        pause(500);
+        (orders, out_at, back_at)
+    });
+    let sent = fleet.rest().await;
+    let found = fleet.wrongs(&sent);
+    assert!((found.lost, found.doubled) == (0, 0), "{found:?}");
+    assert!(found.served * 10 > found.sent * 8, "{found:?}");
+    let came = fleet.came_to("b");
+    let grace = Duration::from_secs(1);
+    let late = came.iter().filter(|at| **at > out_at + grace && **at < back_at).count();
+    assert_eq!(late, 0, "new requests to a zone that every gateway was told is out");
+    assert!(came.iter().any(|at| *at > back_at), "it is used again");
+    tokio::task::block_in_place(|| audit(&fleet, &orders));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn gateways_serve_and_restart_while_the_whole_group_is_away_and_say_when_they_go_by_their_own_sight() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 3, 2, true).await;
+    fleet.load(20);
+    let orders = tokio::task::block_in_place(|| {
+        let out = ["b", "--reason", "a drill", "--wait", "20"];
+        let orders = vec![order(&fleet, &["zone", "out"], &out)];
+        fleet.suffer(&Fault::KillGroup);
+        let away = Instant::now();
+        fleet.gateways[0].wait_for_log("mode=keeping", LIMIT);
+        let own = fleet.gateways[0].wait_for_log("mode=own sight position=1.2", LIMIT);
+        let timing = Timing { stale: Micros(3_000_000), fresh: Micros(1_000_000), ..Timing::default() };
+        let bound = Duration::from_micros(timing.never_older_than().0) + SLACK;
+        assert!(own.at - away < bound, "{:?} of {bound:?}", own.at - away);
+        fleet.suffer(&Fault::RestartGateway(1));
+        fleet.gateways[1].wait_for_log("ready", LIMIT);
+        pause(1_000);
+        fleet.suffer(&Fault::MembersAgain);
+        orders
+    });
+    tokio::task::block_in_place(|| audit(&fleet, &orders));
+    let sent = fleet.rest().await;
+    let found = fleet.wrongs(&sent);
+    assert!((found.lost, found.doubled) == (0, 0), "{found:?}");
+    let whole = found.sent - found.ended_with_their_gateway;
+    assert!(found.served * 100 >= whole * 99, "{found:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leader_that_dies_after_telling_some_and_one_that_wakes_up_lead_no_gateway_back() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 6, 3, true).await;
+    tokio::task::block_in_place(|| {
+        let mut orders = Vec::new();
+        for (round, word) in ["out", "return", "out", "return"].into_iter().enumerate() {
+            let leader = fleet.group.wait_for_leader();
+            orders.push(order(&fleet, &["zone", word], &["b", "--reason", "a drill"]));
+            // Told to some by now: it is killed in one round, stopped and woken after its term in the next.
+            match round % 2 {
+                0 => fleet.suffer(&Fault::KillMember(leader)),
+                _ => fleet.suffer(&Fault::StopMember(leader)),
+            }
+            let told = Instant::now();
+            fleet.group.wait_for_leader();
+            let position = orders.last().and_then(|o| o.at);
+            let all = |fleet: &Fleet| {
+                fleet.followed().iter().all(|f| f.last().is_some_and(|f| Some(f.at) >= position))
+            };
+            while !all(&fleet) {
+                assert!(told.elapsed() < LIMIT, "{:?}", fleet.followed());
+                pause(20);
+            }
+            fleet.suffer(&Fault::MembersAgain);
+            pause(300);
+        }
+        audit(&fleet, &orders);
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_gateway_whose_zones_differ_is_told_so_and_serves_by_its_own_sight() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a"], 3, 4, true).await;
+    tokio::task::block_in_place(|| {
+        let file = fleet.group.folder().join("gateway-1.toml");
+        let text = std::fs::read_to_string(&file).expect("a file");
+        std::fs::write(&file, text.replace("name = \"b\"", "name = \"bb\"")).expect("a file");
+        fleet.suffer(&Fault::RestartGateway(1));
+        let told =
+            fleet.gateways[1].wait_for_log("gateway 'n1' has zones a, bb, c; the group has a, b, c", LIMIT);
+        assert!(told.text.contains("goes to another member"), "{}", told.text);
+    });
+    fleet.load(10);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let sent = fleet.rest().await;
+    let served = sent.iter().filter(|s| s.gateway == 1 && matches!(s.answer, Some((200, _)))).count();
+    assert!(served > 0, "{sent:?}");
+}
--- a/crates/starlinghill-gateway/src/answer.rs
+++ b/crates/starlinghill-gateway/src/answer.rs
@@ -1,7 +1,8 @@
 //! What goes back to a client: held whole, or passed on as it comes.
 
-use crate::passing::{BodyError, Download};
-use crate::server::Line;
+use crate::download::Download;
+use crate::lines::Line;
+use crate::upload::BodyError;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, SizeHint};
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -1,12 +1,13 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
-use crate::http::{CallError, Connection, Outgoing, MAX_BODY};
-use crate::passing::{Download, Upload, Whole, MAX_PASSING};
+use crate::download::{Download, GiveBack};
+use crate::forward::{Ended, Forward, Payload, Served};
+use crate::http::{CallError, Connection};
+use crate::upload::{MAX_BODY, MAX_PASSING};
 use bytes::{Bytes, BytesMut};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::StatusCode;
 use starlinghill_decision::api::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -15,85 +16,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
-/// How long the client waits; to a backend: how long this gateway does.
-pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
 
-/// A client's body as it goes on to backends.
-pub enum Payload {
-    /// Held whole, so that it can go out again.
-    Whole(Bytes),
-    /// Passed on as it comes, which it can be once. Its time is `budget` from its last byte on.
-    Passing {
-        /// Taken by the attempt that sends it.
-        upload: RefCell<Option<Upload>>,
-        /// When its last byte came.
-        whole: Rc<Whole>,
-        /// How long the client waits from then on.
-        budget: Duration,
-    },
-}
-
-/// A client's request as it goes on to backends.
-pub struct Forward {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Its headers, without those that hold for the client's connection alone.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Payload,
-}
-
-impl Forward {
-    /// Where its body is passed on: when that is whole.
-    pub fn whole(&self) -> Option<&Whole> {
-        match &self.body {
-            Payload::Whole(_) => None,
-            Payload::Passing { whole, .. } => Some(whole),
-        }
-    }
-
-    /// When its time began, where that was after the attempt went out.
-    pub fn whole_at(&self) -> Option<Instant> {
-        self.whole().and_then(Whole::at)
-    }
-
-    /// Waits until the attempt's time is over.
-    async fn over(&self, until: Instant) {
-        match &self.body {
-            Payload::Whole(_) => sleep_until(until).await,
-            Payload::Passing { whole, budget, .. } => {
-                tokio::select! {
-                    at = whole.wait() => sleep_until(until.min(at + *budget)).await,
-                    () = sleep_until(until) => {}
-                }
-            }
-        }
-    }
-
-    /// `None` where its body went out before.
-    fn request(&self, until: Instant) -> Option<Request<Outgoing>> {
-        let body = match &self.body {
-            Payload::Whole(body) => Outgoing::Left(Full::new(body.clone())),
-            Payload::Passing { upload, .. } => Outgoing::Right(upload.take()?),
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let left = match &self.body {
-            Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
-            Payload::Passing { budget, .. } => *budget,
-        };
-        request.headers_mut().insert(BUDGET, HeaderValue::from(left.as_millis() as u64));
-        Some(request)
-    }
-}
-
 /// Removes what holds for one connection alone; framing is the next connection's own.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     const NAMES: [HeaderName; 7] = [
@@ -131,28 +57,6 @@
     pub open: Cell<bool>,
 }
 
-/// A 200's body.
-pub enum Served {
-    /// Whole.
-    Whole(Bytes),
-    /// It is too large to hold, or comes slowly: the attempt ends with it.
-    Passing(Box<Download>),
-}
-
-/// How an attempt ended, with the body where it was served.
-pub struct Ended {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// A 200's body.
-    pub body: Option<Served>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None }
-    }
-}
-
 /// The connections to all backends.
 pub struct Pool {
     idle: RefCell<HashMap<u64, Vec<Connection>>>,
@@ -306,8 +210,9 @@
             let passing =
                 size > MAX_BODY || size > 0 && length.is_some_and(|length| length > MAX_BODY as u64);
             if outcome == Outcome::Ok && (passing || soon.is_elapsed() && size > 0) {
-                let around = (self.clone(), backend.clone(), place);
-                let download = Download::new(held, body, connection, length, around);
+                let (pool, own) = (self.clone(), backend.clone());
+                let give_back: GiveBack = Box::new(move |connection| pool.give_back(&own, connection));
+                let download = Download::new(held, body, connection, length, give_back, place);
                 return Ended { outcome, body: Some(Served::Passing(Box::new(download))) };
             }
             let frame = tokio::select! {
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -1,8 +1,8 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
-use crate::discovery::{Follower, Source};
 use crate::peers::Peers;
 use serde::Deserialize;
+use starlinghill_registry::{Follower, Source};
 use starlinghill_settings::members::MemberList;
 use starlinghill_settings::{flatten, Fields, Site};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -1,6 +1,7 @@
 //! The shared counter: calls over a few connections, each made once, their answers told as they come.
 
 use crate::http::{CallError, Connection};
+use crate::inbox::Counted;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
@@ -16,21 +17,6 @@
 /// An idle connection is closed after this; the counter closes it after 10 s or less.
 const LONGEST_IDLE: Duration = Duration::from_secs(4);
 
-/// How one call ended, and the total where it was answered.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Counted {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The total after this call.
-    pub total: f64,
-}
-
-impl From<Outcome> for Counted {
-    fn from(outcome: Outcome) -> Counted {
-        Counted { outcome, total: 0.0 }
-    }
-}
-
 /// The way to the counter.
 pub struct Counter {
     address: SocketAddr,
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -1,14 +1,13 @@
 //! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
 //! its request table sees to it that every request gets exactly one final answer.
 
-use crate::backend::{Backend, Ended, Forward, Pool, Served};
+use crate::backend::{Backend, Pool};
 use crate::config::{Config, ConfigError, Upstreams};
-use crate::counter::{Calls, Counted, Counter};
+use crate::counter::{Calls, Counter};
+use crate::forward::{Ended, Forward, Served};
 use crate::handover::Handover;
-use crate::ops::Ordered;
+use crate::inbox::{Answer, Clock, Inbox, Input, Ordered, Post, Taken};
 use crate::orders::Orders;
-use crate::passing::Download;
-use crate::peers::Post;
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
 use starlinghill_maintenance::{Book, Roster};
@@ -18,7 +17,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
 use tracing::{debug, info, warn};
@@ -34,100 +33,6 @@
 /// How often what was learned is left to the process that may take over.
 const LEAVE_EVERY: Duration = Duration::from_secs(1);
 
-/// The way to the driver.
-pub type Inbox = mpsc::Sender<Input>;
-
-/// The final answer to a client.
-pub enum Answer {
-    /// A backend's 200.
-    Served(Served),
-    /// Refused: trying again is harmless, best after this time.
-    Refused(Option<Micros>),
-    /// Failed, with no promise.
-    Failed,
-}
-
-/// A request that a client has sent whole.
-pub struct Taken {
-    /// What the module is told of it. Its id is new, whatever the client called it.
-    pub arrival: Arrival,
-    /// What goes on to backends.
-    pub forward: Forward,
-    /// Where the answer goes.
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// What the driver hears.
-pub enum Input {
-    /// A request.
-    Taken(Box<Taken>),
-    /// The client of a request closed its connection.
-    Gone(RequestId),
-    /// News of the backends.
-    Members(MemberList),
-    /// The counter is somewhere else.
-    Counter(Option<SocketAddr>),
-    /// A message from another gateway, by its number.
-    Peer(u32, Vec<u8>),
-    /// Other gateways can be reached from now on.
-    Post(Rc<Post>),
-    /// New rules for what comes from now on.
-    Rules(Rules),
-    /// All that is open must have its answer by then.
-    Closing(Micros),
-    /// Staff take a backend out, or call it back.
-    Order {
-        /// Its id.
-        id: String,
-        /// Out, or back.
-        out: bool,
-        /// What came of it.
-        reply: oneshot::Sender<Ordered>,
-    },
-    /// A call to the counter ended.
-    Counted(CountName, u64, Counted),
-    /// An attempt's answer has begun and goes on: its request, number and backend, and how long it took to begin.
-    Began(RequestId, usize, ServerId, Box<Download>, Micros),
-    /// The last byte came of a request whose body is passed on.
-    Whole(RequestId),
-    /// An answer that had begun broke off at this backend.
-    Broke(ServerId),
-    /// An attempt ended: its request, number and backend, how, and how long it was out.
-    Ended(RequestId, usize, ServerId, Ended, Micros),
-}
-
-impl From<MemberList> for Input {
-    fn from(list: MemberList) -> Input {
-        Input::Members(list)
-    }
-}
-
-/// The clock of the module: Unix time, which all gateways share, but never going back.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    base: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    /// Reads the system's clock once; from then on the monotonic one counts.
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
-    }
-    /// Now.
-    pub fn now(&self) -> Micros {
-        self.at(Instant::now())
-    }
-    /// The time on this clock.
-    pub fn at(&self, instant: Instant) -> Micros {
-        self.base + Micros(instant.saturating_duration_since(self.start).as_micros() as u64)
-    }
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros((at - self.base).0)
-    }
-}
-
 /// A request in the table: until it has its answer and nothing of it is out.
 struct Open {
     reply: Option<oneshot::Sender<Answer>>,
@@ -171,7 +76,7 @@
     counter_at: Box<dyn Fn(SocketAddr) -> Rc<Counter>>,
     calls: Calls,
     /// The way to the other gateways.
-    post: Option<Rc<Post>>,
+    post: Option<Rc<dyn Post>>,
     backends: HashMap<ServerId, Rc<Backend>>,
     /// The list as discovery told it, and the orders under which it stands.
     roster: Roster,
@@ -345,6 +250,10 @@
             }
             Input::Post(post) => self.post = Some(post),
             Input::Rules(rules) => self.batch.push(Event::Rules(rules)),
+            Input::Zones(parts) => {
+                let parts = parts.into_iter().map(|(zone, part)| (self.site.zone(&zone), part)).collect();
+                self.batch.push(Event::Zones(parts));
+            }
             Input::Closing(by) => {
                 self.closing = true;
                 self.batch.push(Event::Closing(by));
--- a/crates/starlinghill-gateway/src/http.rs
+++ b/crates/starlinghill-gateway/src/http.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
-use crate::passing::{BodyError, Upload};
+use crate::upload::{BodyError, Upload, MAX_BODY};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -19,9 +19,6 @@
 use tokio::time::Instant;
 use tokio_util::io::InspectWriter;
 
-/// The longest body of any message.
-pub const MAX_BODY: usize = 64 * 1024;
-
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
--- /dev/null
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -0,0 +1,142 @@
+//! What passes to and from the driver: inputs, answers, the clock they are told by. It knows none of those who speak
+//! through it, so that each of them can stand beside the others.
+
+use crate::download::Download;
+use crate::forward::{Ended, Forward, Served};
+use starlinghill_decision::api::*;
+use starlinghill_settings::members::MemberList;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// The way to the driver.
+pub type Inbox = mpsc::Sender<Input>;
+
+/// The final answer to a client.
+pub enum Answer {
+    /// A backend's 200.
+    Served(Served),
+    /// Refused: trying again is harmless, best after this time.
+    Refused(Option<Micros>),
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// A request that a client has sent whole.
+pub struct Taken {
+    /// What the module is told of it. Its id is new, whatever the client called it.
+    pub arrival: Arrival,
+    /// What goes on to backends.
+    pub forward: Forward,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What the driver hears.
+pub enum Input {
+    /// A request.
+    Taken(Box<Taken>),
+    /// The client of a request closed its connection.
+    Gone(RequestId),
+    /// News of the backends.
+    Members(MemberList),
+    /// The counter is somewhere else.
+    Counter(Option<SocketAddr>),
+    /// A message from another gateway, by its number.
+    Peer(u32, Vec<u8>),
+    /// Other gateways can be reached from now on.
+    Post(Rc<dyn Post>),
+    /// New rules for what comes from now on.
+    Rules(Rules),
+    /// The parts that zones get from now on, by name.
+    Zones(Vec<(String, ZonePart)>),
+    /// All that is open must have its answer by then.
+    Closing(Micros),
+    /// Staff take a backend out, or call it back.
+    Order {
+        /// Its id.
+        id: String,
+        /// Out, or back.
+        out: bool,
+        /// What came of it.
+        reply: oneshot::Sender<Ordered>,
+    },
+    /// A call to the counter ended.
+    Counted(CountName, u64, Counted),
+    /// An attempt's answer has begun and goes on: its request, number and backend, and how long it took to begin.
+    Began(RequestId, usize, ServerId, Box<Download>, Micros),
+    /// The last byte came of a request whose body is passed on.
+    Whole(RequestId),
+    /// An answer that had begun broke off at this backend.
+    Broke(ServerId),
+    /// An attempt ended: its request, number and backend, how, and how long it was out.
+    Ended(RequestId, usize, ServerId, Ended, Micros),
+}
+
+impl From<MemberList> for Input {
+    fn from(list: MemberList) -> Input {
+        Input::Members(list)
+    }
+}
+
+/// The clock of the module: Unix time, which all gateways share, but never going back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the system's clock once; from then on the monotonic one counts.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
+    }
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.at(Instant::now())
+    }
+    /// The time on this clock.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.base + Micros(instant.saturating_duration_since(self.start).as_micros() as u64)
+    }
+    pub(crate) fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at - self.base).0)
+    }
+}
+
+/// A way to the other gateways.
+pub trait Post {
+    /// Sends a message, if it can go now: it may be lost anyway.
+    fn send(&self, to: u32, message: &[u8]);
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ordered {
+    /// It is in force, and kept where processes share a folder.
+    Done,
+    /// Nobody has a backend of that id.
+    Unknown,
+    /// There is no list yet by which to tell.
+    NotReady,
+    /// It could not be kept, and is not in force.
+    NotKept(String),
+}
+
+/// How one call ended, and the total where it was answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Counted {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The total after this call.
+    pub total: f64,
+}
+
+impl From<Outcome> for Counted {
+    fn from(outcome: Outcome) -> Counted {
+        Counted { outcome, total: 0.0 }
+    }
+}
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -5,26 +5,32 @@
 pub mod config;
 pub mod counter;
 pub mod discovery;
+pub mod download;
 pub mod driver;
+pub mod forward;
 pub mod handover;
 pub mod head;
 pub mod http;
+pub mod inbox;
 pub mod inherit;
+pub mod lines;
 pub mod listen;
 pub mod names;
 pub mod ops;
 pub mod orders;
-pub mod passing;
 pub mod peers;
+pub mod process;
 pub mod server;
+pub mod upload;
 
 use config::{Config, ConfigError, Upstreams};
-use driver::{Clock, Driver, Inbox, Input};
+use driver::Driver;
+use inbox::{Clock, Inbox, Input};
 use names::Names;
 use ops::Door;
-use peers::{Peers, Post};
+use peers::{Peers, Socket};
 use server::Front;
-use starlinghill_decision::api::{Micros, PlanId};
+use starlinghill_decision::api::{Micros, PlanId, ZonePart};
 use starlinghill_settings::classes::Classes;
 use starlinghill_settings::Site;
 use std::cell::RefCell;
@@ -77,13 +83,18 @@
     pub upstreams: watch::Receiver<Upstreams>,
     /// The settings, when they change.
     pub site: watch::Receiver<Option<Rc<Site>>>,
+    /// The parts of their work that zones get by order, where there is a group that orders.
+    pub zones: Option<watch::Receiver<Parts>>,
     /// It is to end.
     pub stopping: watch::Receiver<bool>,
 }
 
+/// The parts of zones, by name.
+pub type Parts = Vec<(String, ZonePart)>;
+
 /// Runs a gateway until it is to end and all that it took is answered.
 pub async fn run(config: Config, control: Control) -> Result<(), RunError> {
-    let Control { upstreams, site, stopping } = control;
+    let Control { upstreams, site, zones, stopping } = control;
     let clock = Clock::start();
     let (ready, is_ready) = watch::channel(false);
     let (listen, ops, sockets, shared) =
@@ -109,7 +120,7 @@
         // The process that this one takes over from may have the socket.
         Some(peers) if shared => drop(spawn_local(post_later(peers, inbox.clone()))),
         Some(peers) => {
-            let post = Post::open(&peers).await.map_err(|e| RunError::Peers(peers.listen, e))?;
+            let post = Socket::open(&peers).await.map_err(|e| RunError::Peers(peers.listen, e))?;
             post_over(post, &inbox).await;
         }
         None => {}
@@ -125,6 +136,9 @@
     info!(name, %address, "listening");
     spawn_local(discovery::watch(upstreams.clone(), follower, inbox.clone()));
     spawn_local(driver::follow(upstreams, inbox.clone()));
+    if let Some(zones) = zones {
+        spawn_local(follow_zones(zones, inbox.clone()));
+    }
     let driving = spawn_local(driver.run());
     let front = Rc::new(Front {
         inbox: inbox.clone(),
@@ -165,12 +179,12 @@
 }
 
 async fn post_later(peers: Peers, inbox: Inbox) {
-    let post = Post::open_later(&peers).await;
+    let post = Socket::open_later(&peers).await;
     post_over(post, &inbox).await;
 }
 
 /// Lets the driver send messages, and tells it what comes.
-async fn post_over(post: Post, inbox: &Inbox) {
+async fn post_over(post: Socket, inbox: &Inbox) {
     let post = Rc::new(post);
     spawn_local(post.clone().receive(inbox.clone()));
     // Without a driver nobody sends anything.
@@ -197,6 +211,16 @@
     }
 }
 
+/// Hands on the parts that zones get.
+async fn follow_zones(mut zones: watch::Receiver<Parts>, inbox: Inbox) {
+    loop {
+        let parts = zones.borrow_and_update().clone();
+        if inbox.send(Input::Zones(parts)).await.is_err() || zones.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Tells the module by when all must be answered, once the gateway is to end.
 async fn tell_end(mut stopping: watch::Receiver<bool>, front: Rc<Front>) {
     if stopping.wait_for(|stop| *stop).await.is_ok() {
--- a/crates/starlinghill-gateway/src/main.rs
+++ b/crates/starlinghill-gateway/src/main.rs
@@ -1,55 +1,12 @@
-//! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
-//! ends at SIGTERM.
+//! One real gateway, as the platform runs it.
 
-use starlinghill_gateway::config::{Config, Reloaded};
-use starlinghill_gateway::{self as gateway, Control};
-use std::error::Error;
+use starlinghill_gateway::process;
 use std::process::ExitCode;
-use std::rc::Rc;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
-use tokio::task::LocalSet;
-use tracing::{info, warn};
-
-fn run() -> Result<(), Box<dyn Error>> {
-    let config = Config::from_environment()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        // From the first moment on: by itself it would end the process.
-        let mut hang_up = signal(SignalKind::hangup())?;
-        let (stop, stopping) = watch::channel(false);
-        let (reload, upstreams) = watch::channel(config.upstreams());
-        let (retune, site) = watch::channel(None);
-        let shape = config.shape().clone();
-        tokio::task::spawn_local(async move {
-            if terminate.recv().await.is_some() {
-                info!("stopping");
-                // The gateway may have ended by itself.
-                let _ = stop.send(true);
-                std::future::pending::<()>().await;
-            }
-        });
-        tokio::task::spawn_local(async move {
-            while hang_up.recv().await.is_some() {
-                match Reloaded::from_file(&shape) {
-                    Ok(Reloaded { upstreams, site }) => {
-                        info!(%upstreams, "configuration read again");
-                        reload.send_replace(upstreams);
-                        retune.send_replace(Some(Rc::new(site)));
-                    }
-                    Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
-                }
-            }
-        });
-        Ok(gateway::run(config, Control { upstreams, site, stopping }).await?)
-    })
-}
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
-    match run() {
+    // The platform has no group that orders.
+    match process::run(|_| Ok(None)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("starlinghill: {e}");
--- a/crates/starlinghill-gateway/src/ops.rs
+++ b/crates/starlinghill-gateway/src/ops.rs
@@ -1,6 +1,6 @@
 //! The operators' door: whether this process can serve, and backends taken out and called back.
 
-use crate::driver::{Inbox, Input};
+use crate::inbox::{Inbox, Input, Ordered};
 use crate::server::plain;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -29,19 +29,6 @@
 /// The pause after an accept that failed.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// What came of an order.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Ordered {
-    /// It is in force, and kept where processes share a folder.
-    Done,
-    /// Nobody has a backend of that id.
-    Unknown,
-    /// There is no list yet by which to tell.
-    NotReady,
-    /// It could not be kept, and is not in force.
-    NotKept(String),
-}
-
 /// What a call at the door needs.
 pub struct Door {
     /// The way to the driver.
--- a/crates/starlinghill-gateway/src/peers.rs
+++ b/crates/starlinghill-gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Messages between gateways: one datagram each, lost or late as it happens.
 
-use crate::driver::{Inbox, Input};
+use crate::inbox::{Inbox, Input, Post};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,26 +36,26 @@
 }
 
 /// The socket over which messages go.
-pub struct Post {
+pub struct Socket {
     socket: UdpSocket,
     peers: Peers,
 }
 
-impl Post {
+impl Socket {
     /// Opens it.
-    pub async fn open(peers: &Peers) -> std::io::Result<Post> {
+    pub async fn open(peers: &Peers) -> std::io::Result<Socket> {
         let (socket, peers) = (UdpSocket::bind(peers.listen).await?, peers.clone());
         // Until this was awaited once, `try_send_to` would not know that it may send.
         socket.writable().await?;
-        Ok(Post { socket, peers })
+        Ok(Socket { socket, peers })
     }
 
     /// Opens it once it is free: the process that this one takes over from has it until it ends. Until then this one says
     /// and hears nothing, as if all messages were lost.
-    pub async fn open_later(peers: &Peers) -> Post {
+    pub async fn open_later(peers: &Peers) -> Socket {
         loop {
-            match Post::open(peers).await {
-                Ok(post) => return post,
+            match Socket::open(peers).await {
+                Ok(socket) => return socket,
                 Err(_) => tokio::time::sleep(OPEN_AGAIN).await,
             }
         }
@@ -66,16 +66,8 @@
         self.socket.local_addr()
     }
 
-    /// Sends a message, if the socket takes it now: a datagram may be lost anyway.
-    pub fn send(&self, to: u32, message: &[u8]) {
-        let to = usize::try_from(to).ok().and_then(|to| self.peers.all.get(to));
-        if let (Some(to), true) = (to, message.len() <= LONGEST) {
-            let _ = self.socket.try_send_to(message, *to);
-        }
-    }
-
     /// Tells the driver of what comes, for ever.
-    pub async fn receive(self: Rc<Post>, inbox: Inbox) {
+    pub async fn receive(self: Rc<Socket>, inbox: Inbox) {
         let mut buffer = [0; LONGEST + 1];
         let mut taken: VecDeque<Instant> = VecDeque::new();
         loop {
@@ -106,3 +98,12 @@
         }
     }
 }
+
+impl Post for Socket {
+    fn send(&self, to: u32, message: &[u8]) {
+        let to = usize::try_from(to).ok().and_then(|to| self.peers.all.get(to));
+        if let (Some(to), true) = (to, message.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(message, *to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-gateway/src/process.rs
@@ -0,0 +1,52 @@
+//! A gateway as a process: it is told where and how by the environment, reads its configuration again at SIGHUP, and
+//! ends at SIGTERM.
+
+use crate::config::{Config, Reloaded};
+use crate::{Control, Parts};
+use std::error::Error;
+use std::rc::Rc;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tracing::{info, warn};
+
+/// Runs until SIGTERM and until all that was taken is answered. `beside` is called once the runtime runs, with the
+/// gateway's name; it may tell the parts that zones get.
+pub fn run(
+    beside: impl FnOnce(&str) -> Result<Option<watch::Receiver<Parts>>, Box<dyn Error>>,
+) -> Result<(), Box<dyn Error>> {
+    let config = Config::from_environment()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        // From the first moment on: by itself it would end the process.
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let (stop, stopping) = watch::channel(false);
+        let (reload, upstreams) = watch::channel(config.upstreams());
+        let (retune, site) = watch::channel(None);
+        let shape = config.shape().clone();
+        tokio::task::spawn_local(async move {
+            if terminate.recv().await.is_some() {
+                info!("stopping");
+                // The gateway may have ended by itself.
+                let _ = stop.send(true);
+                std::future::pending::<()>().await;
+            }
+        });
+        tokio::task::spawn_local(async move {
+            while hang_up.recv().await.is_some() {
+                match Reloaded::from_file(&shape) {
+                    Ok(Reloaded { upstreams, site }) => {
+                        info!(%upstreams, "configuration read again");
+                        reload.send_replace(upstreams);
+                        retune.send_replace(Some(Rc::new(site)));
+                    }
+                    Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
+                }
+            }
+        });
+        let zones = beside(&config.name)?;
+        Ok(crate::run(config, Control { upstreams, site, zones, stopping }).await?)
+    })
+}
--- a/crates/starlinghill-gateway/tests/backend.rs
+++ b/crates/starlinghill-gateway/tests/backend.rs
@@ -1,7 +1,8 @@
 //! Attempts at a backend and the pool of connections, on loopback sockets.
 
 use starlinghill_decision::api::Outcome;
-use starlinghill_gateway::backend::{Backend, Ended, Forward, Payload, Pool, Served};
+use starlinghill_gateway::backend::{Backend, Pool};
+use starlinghill_gateway::forward::{Ended, Forward, Payload, Served};
 use starlinghill_rig::world::{http, on_runtime, Reply, Stub};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/starlinghill-gateway/tests/peers.rs
+++ b/crates/starlinghill-gateway/tests/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between gateways, on loopback sockets.
 
-use starlinghill_gateway::driver::Input;
-use starlinghill_gateway::peers::{Peers, Post};
+use starlinghill_gateway::inbox::{Input, Post};
+use starlinghill_gateway::peers::{Peers, Socket};
 use starlinghill_rig::world::on_runtime;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -29,7 +29,7 @@
     let ([own, other], peer, stranger) = sockets();
     on_runtime(async {
         let peers = Peers { listen: own, all: vec![own, other], me: 0, per_s: 3.0 };
-        let post = Rc::new(Post::open(&peers).await.expect("it opens"));
+        let post = Rc::new(Socket::open(&peers).await.expect("it opens"));
         let (inbox, mut told) = mpsc::channel(64);
         let receive = post.clone().receive(inbox);
         let check = async {
@@ -68,7 +68,7 @@
     let ([own, other], peer, _) = sockets();
     peer.set_read_timeout(Some(Duration::from_secs(5))).expect("a socket");
     on_runtime(async {
-        let post = Post::open(&Peers { listen: own, all: vec![own, other], me: 0, per_s: 60.0 }).await;
+        let post = Socket::open(&Peers { listen: own, all: vec![own, other], me: 0, per_s: 60.0 }).await;
         let post = post.expect("it opens");
         post.send(1, &[1; 257]);
         post.send(9, b"nobody");
--- a/crates/starlinghill-rig/examples/fleet.rs
+++ b/crates/starlinghill-rig/examples/fleet.rs
@@ -37,7 +37,7 @@
             let (_stop, stopping) = watch::channel(false);
             let (_reload, upstreams) = watch::channel(config.upstreams());
             let (_settings, site) = watch::channel(None);
-            let control = starlinghill_gateway::Control { upstreams, site, stopping };
+            let control = starlinghill_gateway::Control { upstreams, site, zones: None, stopping };
             starlinghill_gateway::run(config, control).await.expect("it runs");
         });
     });
--- /dev/null
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -0,0 +1,422 @@
+//! A fleet of real gateway processes in zones, which follow a group of real members, before save nodes in every zone, with
+//! load through all of them; orders to the group; and faults by scripts, which are data and can be played again.
+
+use crate::group::{free_address, Group, LIMIT};
+use crate::nodes::SaveNode;
+use crate::processes::Process;
+use crate::world::{self, Discovery, Stub};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// The zones of the fleet, as in [`crate::group::MAP`].
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+/// How long a client waits for an answer before it counts as lost: the longest deadline of a class, and some.
+const WAITS: Duration = Duration::from_secs(9);
+/// The time of a request's class that is on time.
+const ON_TIME: Duration = Duration::from_secs(1);
+
+/// One fault.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// The member that leads is killed.
+    KillLeader,
+    /// A member is killed.
+    KillMember(usize),
+    /// A member is stopped (SIGSTOP).
+    StopMember(usize),
+    /// All members that don't run, or are stopped, run again.
+    MembersAgain,
+    /// All members are killed.
+    KillGroup,
+    /// A gateway is killed, and started again at once.
+    KillGateway(usize),
+    /// A gateway is told to end, and started again.
+    RestartGateway(usize),
+    /// A gateway is stopped.
+    StopGateway(usize),
+    /// It goes on.
+    ContinueGateway(usize),
+    /// Nothing goes from one zone to another any more.
+    Cut(String, String),
+    /// What goes from one zone to another is late by so many milliseconds.
+    Delay(String, String, u64),
+    /// No more than so many bytes a second of each connection go from one zone to another.
+    Trickle(String, String, u64),
+    /// Connections over a link are reset.
+    Reset(String, String),
+    /// All links are whole.
+    Heal,
+}
+
+/// A fault and when it comes, in milliseconds from the start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// When.
+    pub at_ms: u64,
+    /// What.
+    pub fault: Fault,
+}
+
+/// One request of a client's.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// Its id.
+    pub call: String,
+    /// Its class.
+    pub class: &'static str,
+    /// The gateway.
+    pub gateway: usize,
+    /// When it was sent.
+    pub at: Instant,
+    /// The answer's status, and when it came; `None`: the connection ended without one, or none came.
+    pub answer: Option<(u16, Instant)>,
+}
+
+/// What clients have seen.
+#[derive(Default)]
+struct Seen {
+    sent: Vec<Sent>,
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// The group.
+    pub group: Group,
+    /// The gateways; two in each zone, one after the other.
+    pub gateways: Vec<Process>,
+    /// Where each gateway listens.
+    pub listen: Vec<SocketAddr>,
+    /// The save nodes with their zones.
+    pub nodes: Vec<(&'static str, SaveNode)>,
+    /// When the load began.
+    pub begun: Instant,
+    /// When each gateway was killed or told to end: what it had open then ends with it.
+    pub ended: Vec<Vec<Instant>>,
+    seen: Arc<Mutex<Seen>>,
+    stop: Arc<AtomicBool>,
+    load: Vec<JoinHandle<()>>,
+    _discoveries: Vec<Discovery>,
+    _counter: Stub,
+}
+
+fn zone_of(gateway: usize, gateways: usize) -> &'static str {
+    ZONES[gateway * ZONES.len() / gateways]
+}
+
+fn config(
+    i: usize,
+    gateways: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: SocketAddr,
+) -> String {
+    let zone = zone_of(i, gateways);
+    let settings = world::SETTINGS
+        .replace("\"balancers\":2,\"my_number\":0", &format!("\"balancers\":{gateways},\"my_number\":{i}"))
+        .replace(
+            "\"zone\":\"a\",\"zones\":[\"a\",\"b\"]",
+            &format!("\"zone\":\"{zone}\",\"zones\":[\"a\",\"b\",\"c\"]"),
+        );
+    format!(
+        r#"{{"name":"n{i}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be96{i}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"counter":"{counter}","settings":{settings}}}"#
+    )
+}
+
+impl Fleet {
+    /// Starts the group in these zones, so many gateways (a multiple of the zones), and three save nodes in each zone.
+    /// `follows` says whether gateways are told of the group at all.
+    pub async fn start(program: &Path, members: &[&str], gateways: usize, seed: u64, follows: bool) -> Fleet {
+        let mut group = Group::new(program, members, seed).await;
+        tokio::task::block_in_place(|| group.begin());
+        let mut nodes = Vec::new();
+        for i in 0..3 * ZONES.len() {
+            nodes.push((ZONES[i / 3], SaveNode::start().await));
+        }
+        let mut discoveries = Vec::new();
+        for zone in ZONES {
+            let mut listed = Vec::new();
+            for (i, (there, node)) in nodes.iter().enumerate() {
+                let at = group.net.tcp(zone, there, node.address).await;
+                let member = world::member(&format!("s-{i}"), at, "ready");
+                listed.push(member.replace("\"locality\":\"a\"", &format!("\"locality\":\"{there}\"")));
+            }
+            discoveries.push(Discovery::start(&listed.join(",")));
+        }
+        let counter = world::counter();
+        let (mut processes, mut listen) = (Vec::new(), Vec::new());
+        for i in 0..gateways {
+            let zone = zone_of(i, gateways);
+            let at = free_address();
+            let place = ZONES.iter().position(|z| *z == zone).unwrap_or(0);
+            let config = config(i, gateways, at, discoveries[place].stub.address, counter.address);
+            let file = group.folder().join(format!("gateway-{i}.json"));
+            std::fs::write(&file, config).expect("a file");
+            let operators = group.folder().join(format!("gateway-{i}.toml"));
+            let text = match follows {
+                true => group.text(1, &group.seen_from(zone, None).await),
+                false => String::new(),
+            };
+            std::fs::write(&operators, text).expect("a file");
+            let (program, name) = (program.to_path_buf(), format!("n{i}"));
+            let mut process = Process::new(&name.clone(), move || {
+                let mut command = Command::new(&program);
+                command.arg("gateway").arg(&operators).env("NODE_CONFIG", &file).env("NODE_NAME", &name);
+                command.env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY").env_remove("NODE_OPS");
+                command
+            });
+            process.start();
+            processes.push(process);
+            listen.push(at);
+        }
+        let fleet = Fleet {
+            ended: vec![Vec::new(); gateways],
+            group,
+            gateways: processes,
+            listen,
+            nodes,
+            begun: Instant::now(),
+            seen: Arc::default(),
+            stop: Arc::default(),
+            load: Vec::new(),
+            _discoveries: discoveries,
+            _counter: counter,
+        };
+        tokio::task::block_in_place(|| {
+            for gateway in &fleet.gateways {
+                gateway.wait_for_log("ready", LIMIT);
+                if follows {
+                    gateway.wait_for_log("mode=following", LIMIT);
+                }
+            }
+        });
+        fleet
+    }
+
+    /// Load through every gateway: so many requests a second each, of all classes, from clients that keep a
+    /// connection each.
+    pub fn load(&mut self, per_s: u64) {
+        self.begun = Instant::now();
+        let calls = Arc::new(AtomicU64::new(0));
+        // So many clients that one slow answer does not hold the rate down.
+        let clients = (per_s / 4).max(1);
+        for gateway in 0..self.listen.len() {
+            for client in 0..clients {
+                let (at, seen, stop, calls) =
+                    (self.listen[gateway], self.seen.clone(), self.stop.clone(), calls.clone());
+                let every = Duration::from_millis(clients * 1_000 / per_s);
+                let first = every.mul_f64(client as f64 / clients as f64);
+                self.load.push(tokio::spawn(async move {
+                    tokio::time::sleep(first).await;
+                    ask_always(at, gateway, every, &seen, &stop, &calls).await;
+                }));
+            }
+        }
+    }
+
+    /// Ends the load, waits for what is open, and tells all that was sent.
+    pub async fn rest(&mut self) -> Vec<Sent> {
+        self.stop.store(true, Ordering::Relaxed);
+        for client in self.load.drain(..) {
+            let _ = client.await;
+        }
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).sent.clone()
+    }
+
+    /// Carries a fault out.
+    pub fn suffer(&mut self, fault: &Fault) {
+        match fault {
+            Fault::KillLeader => {
+                if let Some(leader) = self.group.leader() {
+                    self.group.members[leader].kill();
+                }
+            }
+            Fault::KillMember(i) => self.group.members[*i].kill(),
+            Fault::StopMember(i) => self.group.members[*i].stop(),
+            Fault::MembersAgain => {
+                for member in &mut self.group.members {
+                    member.go_on();
+                    member.start();
+                }
+            }
+            Fault::KillGroup => self.group.members.iter_mut().for_each(Process::kill),
+            Fault::KillGateway(i) => {
+                self.ended[*i].push(Instant::now());
+                self.gateways[*i].kill();
+                self.gateways[*i].start();
+            }
+            Fault::RestartGateway(i) => {
+                self.ended[*i].push(Instant::now());
+                self.gateways[*i].terminate();
+                self.gateways[*i].ended(LIMIT);
+                self.gateways[*i].start();
+            }
+            Fault::StopGateway(i) => {
+                self.ended[*i].push(Instant::now());
+                self.gateways[*i].stop();
+            }
+            Fault::ContinueGateway(i) => self.gateways[*i].go_on(),
+            Fault::Cut(from, to) => self.group.net.cut(from, to),
+            Fault::Delay(from, to, ms) => self.group.net.change(from, to, |c| c.delay_ms = *ms),
+            Fault::Trickle(from, to, rate) => {
+                self.group.net.change(from, to, |c| c.bytes_per_s = Some(*rate));
+            }
+            Fault::Reset(from, to) => self.group.net.reset(from, to),
+            Fault::Heal => self.group.net.heal(),
+        }
+    }
+
+    /// Requests that came to the nodes of a zone, by when.
+    pub fn came_to(&self, zone: &str) -> Vec<Instant> {
+        let nodes = self.nodes.iter().filter(|(z, _)| *z == zone);
+        nodes.flat_map(|(_, node)| node.came()).map(|came| came.at).collect()
+    }
+
+    /// What each gateway has followed, from its log: position (generation, epoch), mode, when; by life.
+    pub fn followed(&self) -> Vec<Vec<crate::history::Follows>> {
+        self.gateways.iter().map(|g| crate::history::follows(&g.lines())).collect()
+    }
+
+    /// Waits until every gateway follows the group's newest position.
+    pub fn wait_until_all_follow(&self) -> serde_json::Value {
+        let gateways = self.gateways.len();
+        self.group.wait_until("all gateways follow", |zones| {
+            let all = zones["gateways"].as_array();
+            all.is_some_and(|all| {
+                all.len() == gateways
+                    && all.iter().all(|g| g["followed"] == zones["position"] && g["mode"] == "following")
+            })
+        })
+    }
+
+    /// What is wrong with what clients and nodes saw: `lost`, a request that a gateway took and that has no answer
+    /// though the gateway went on; `doubled`, one that may not run twice and came to nodes twice.
+    pub fn wrongs(&self, sent: &[Sent]) -> Wrongs {
+        let mut came: BTreeMap<String, usize> = BTreeMap::new();
+        for call in self.nodes.iter().flat_map(|(_, node)| node.came()) {
+            *came.entry(call.call).or_default() += 1;
+        }
+        let mut wrongs = Wrongs::default();
+        for s in sent {
+            let until = s.answer.map_or(s.at + WAITS, |(_, at)| at);
+            let cut_short = self.ended[s.gateway].iter().any(|end| *end >= s.at - ON_TIME && *end <= until);
+            match s.answer {
+                None if cut_short => wrongs.ended_with_their_gateway += 1,
+                None => wrongs.lost += 1,
+                Some((200, at)) if at - s.at <= ON_TIME => wrongs.served += 1,
+                Some((200, _)) => wrongs.late += 1,
+                Some(_) => wrongs.refused += 1,
+            }
+            if s.class == "once" && came.get(&s.call).is_some_and(|n| *n > 1) {
+                wrongs.doubled += 1;
+            }
+        }
+        wrongs.sent = sent.len();
+        wrongs
+    }
+}
+
+/// What became of all requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Wrongs {
+    /// All.
+    pub sent: usize,
+    /// Served in time.
+    pub served: usize,
+    /// Served, and late.
+    pub late: usize,
+    /// Refused or failed, and told so.
+    pub refused: usize,
+    /// Without an answer, as their gateway was killed, told to end or stopped meanwhile.
+    pub ended_with_their_gateway: usize,
+    /// Without an answer though their gateway went on.
+    pub lost: usize,
+    /// Run twice though they may not.
+    pub doubled: usize,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for client in self.load.drain(..) {
+            client.abort();
+        }
+    }
+}
+
+async fn ask_always(
+    at: SocketAddr,
+    gateway: usize,
+    every: Duration,
+    seen: &Mutex<Seen>,
+    stop: &AtomicBool,
+    calls: &AtomicU64,
+) {
+    let mut sender: Option<http1::SendRequest<Full<Bytes>>> = None;
+    let mut next = tokio::time::Instant::now();
+    while !stop.load(Ordering::Relaxed) {
+        tokio::time::sleep_until(next).await;
+        next = (next + every).max(tokio::time::Instant::now());
+        if sender.as_ref().is_none_or(http1::SendRequest::is_closed) {
+            // A gateway that is being started again refuses; nothing was sent then.
+            let Ok(stream) = TcpStream::connect(at).await else { continue };
+            let _ = stream.set_nodelay(true);
+            let Ok((new, connection)) = http1::handshake(TokioIo::new(stream)).await else { continue };
+            tokio::spawn(connection);
+            sender = Some(new);
+        }
+        let Some(open) = &mut sender else { continue };
+        if open.ready().await.is_err() {
+            sender = None;
+            continue;
+        }
+        let number = calls.fetch_add(1, Ordering::Relaxed);
+        let class = ["look", "look", "buy", "once"][(number % 4) as usize];
+        let call = format!("{number:016x}");
+        let sent_at = Instant::now();
+        let asked = async {
+            let response = open.send_request(request(class, &call, number)).await.ok()?;
+            let status = response.status().as_u16();
+            response.into_body().collect().await.ok()?;
+            Some((status, Instant::now()))
+        };
+        let answer = tokio::time::timeout(WAITS, asked).await.ok().flatten();
+        if answer.is_none() {
+            sender = None;
+        }
+        let sent = Sent { call, class, gateway, at: sent_at, answer };
+        seen.lock().unwrap_or_else(PoisonError::into_inner).sent.push(sent);
+    }
+}
+
+fn request(class: &str, call: &str, number: u64) -> Request<Full<Bytes>> {
+    let method = if class == "look" { "GET" } else { "POST" };
+    let body = if class == "look" { Bytes::new() } else { Bytes::from_static(b"hello") };
+    let customer = number % 97;
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("/api?customer={customer:016x}&x=1"))
+        .header("host", "origin.svc")
+        .header("x-call-id", call)
+        .header("x-call-class", class)
+        .header("x-plan", "team")
+        .header("x-budget-ms", "4000")
+        .header("x-quota", "units=1,spread=2,first=0");
+    let request =
+        if class == "buy" { request.header("idempotency-key", format!("k-{number}")) } else { request };
+    request.body(Full::new(body)).expect("a sound request")
+}
--- /dev/null
+++ b/crates/starlinghill-rig/src/history.rs
@@ -0,0 +1,111 @@
+//! The audit of a run: what was ordered, what became of it, and what each gateway followed when, held against each
+//! other. It knows nothing of how the programs come to it.
+
+use crate::processes::Line;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// A position: generation and epoch.
+pub type At = (u64, u64);
+
+/// An order as whoever gave it saw it.
+#[derive(Debug, Clone)]
+pub struct Ordered {
+    /// When it was given.
+    pub given: Instant,
+    /// When its outcome was known.
+    pub answered: Instant,
+    /// The position from which it counts; `None`: refused.
+    pub at: Option<At>,
+}
+
+/// What a gateway followed from a moment on.
+#[derive(Debug, Clone)]
+pub struct Follows {
+    /// Which of its process's lives.
+    pub life: usize,
+    /// When.
+    pub since: Instant,
+    /// How: `following`, `keeping` or `own`.
+    pub mode: String,
+    /// The position.
+    pub at: At,
+}
+
+/// What a gateway's log says of it.
+pub fn follows(lines: &[Line]) -> Vec<Follows> {
+    let mut found = Vec::new();
+    let mut life = 0;
+    for line in lines {
+        if line.text.contains("follows the group") {
+            life += 1;
+        }
+        if !line.text.contains("zones by the group") {
+            continue;
+        }
+        let word = |key: &str| {
+            let rest = line.text.split(key).nth(1)?;
+            rest.split_whitespace().next().map(ToString::to_string)
+        };
+        let at = word("position=").and_then(|p| {
+            let (generation, epoch) = p.split_once('.')?;
+            Some((generation.parse().ok()?, epoch.parse().ok()?))
+        });
+        let (Some(mode), Some(at)) = (word("mode="), at) else { continue };
+        found.push(Follows { life, since: line.at, mode, at });
+    }
+    found
+}
+
+/// What is wrong with a run, one line each.
+pub fn wrongs(
+    orders: &[Ordered],
+    gateways: &[Vec<Follows>],
+    last: At,
+    fresh: Duration,
+    slack: Duration,
+) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let counted: Vec<&Ordered> = orders.iter().filter(|o| o.at.is_some()).collect();
+    let distinct: BTreeSet<At> = counted.iter().filter_map(|o| o.at).collect();
+    if distinct.len() != counted.len() {
+        wrong.push("two orders count from one position".into());
+    }
+    for a in &counted {
+        // An order that was answered before another was given came before it.
+        for b in counted.iter().filter(|b| a.answered < b.given && a.at > b.at) {
+            wrong.push(format!("{:?} was answered before {:?} was given, and counts after it", a.at, b.at));
+        }
+        if a.at > Some(last) {
+            wrong.push(format!("{:?} was accepted, and the group ended at {last:?}", a.at));
+        }
+    }
+    for (g, follows) in gateways.iter().enumerate() {
+        for pair in follows.windows(2) {
+            let (before, after) = (&pair[0], &pair[1]);
+            if before.life == after.life && after.at < before.at {
+                wrong.push(format!("gateway {g} went back from {:?} to {:?}", before.at, after.at));
+            }
+        }
+        for (i, f) in follows.iter().enumerate() {
+            if f.at > last {
+                wrong.push(format!("gateway {g} followed {:?}, which nobody decided", f.at));
+            }
+            if f.mode != "following" {
+                continue;
+            }
+            // Until it said something else, or its life ended, it followed this; no order that was answered so long
+            // before may be missing.
+            let Some(next) = follows.get(i + 1).filter(|n| n.life == f.life) else { continue };
+            let late = counted.iter().find(|o| o.at > Some(f.at) && o.answered + fresh + slack < next.since);
+            if let Some(order) = late {
+                let by = next.since - order.answered;
+                wrong.push(format!(
+                    "gateway {g} followed {:?} for {by:?} after {:?} was answered",
+                    f.at, order.at
+                ));
+            }
+        }
+    }
+    wrong
+}
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! - [`world`]: stubs of backends, the counter and discovery, a client, and a gateway as a process.
 //! - [`counter`]: the shared counter with a capacity, its failures, and what it really counted.
+//! - [`failover`]: gateways in zones that follow a group, load through them, and scripted faults.
 //! - [`group`]: a group of real member processes, with links between them.
+//! - [`history`]: the audit of what was ordered and what gateways followed.
 //! - [`links`]: links between real processes, one a directed pair of zones, that are cut, slow, lossy or reset.
 //! - [`nodes`]: save nodes that many proxies send to at once, and what they saw.
 //! - [`outage`]: a fleet of real gateways round a counter in trouble, by scenarios.
@@ -12,7 +14,9 @@
 //! - [`quota`]: that proxy's buckets, filled by quota assignments.
 
 pub mod counter;
+pub mod failover;
 pub mod group;
+pub mod history;
 pub mod links;
 pub mod nodes;
 pub mod outage;
--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -9,13 +9,22 @@
 /// Lines of a log that are kept; older ones go.
 const LINES: usize = 20_000;
 
+/// A line of a log, and when it came.
+#[derive(Debug, Clone)]
+pub struct Line {
+    /// When it was read.
+    pub at: Instant,
+    /// The line.
+    pub text: String,
+}
+
 /// A process, by the command that starts it again and again.
 pub struct Process {
     /// Its name.
     pub name: String,
     command: Box<dyn Fn() -> Command + Send>,
     child: Option<Child>,
-    log: Arc<(Mutex<Vec<String>>, Condvar)>,
+    log: Arc<(Mutex<Vec<Line>>, Condvar)>,
     stopped: bool,
 }
 
@@ -53,7 +62,7 @@
                 if lines.len() >= LINES {
                     lines.drain(..LINES / 2);
                 }
-                lines.push(line);
+                lines.push(Line { at: Instant::now(), text: line });
                 log.1.notify_all();
             }
         });
@@ -113,19 +122,26 @@
         self.child.take().and_then(|mut child| child.wait().ok()).and_then(|status| status.code())
     }
 
-    /// Its log so far.
-    pub fn log(&self) -> Vec<String> {
+    /// Its log so far, of all its lives.
+    pub fn lines(&self) -> Vec<Line> {
         self.log.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The same, without times.
+    pub fn log(&self) -> Vec<String> {
+        self.lines().into_iter().map(|line| line.text).collect()
+    }
+
     /// Waits for a line with this text.
-    pub fn wait_for_log(&self, text: &str, patience: Duration) -> String {
+    pub fn wait_for_log(&self, text: &str, patience: Duration) -> Line {
         let held = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let none = |log: &mut Vec<String>| !log.iter().any(|line| line.contains(text));
+        let none = |log: &mut Vec<Line>| !log.iter().any(|line| line.text.contains(text));
         let (log, late) =
             self.log.1.wait_timeout_while(held, patience, none).unwrap_or_else(PoisonError::into_inner);
-        assert!(!late.timed_out(), "{}: waited in vain for '{text}' in\n{}", self.name, log.join("\n"));
-        log.iter().find(|line| line.contains(text)).cloned().unwrap_or_default()
+        let found = log.iter().find(|line| line.text.contains(text)).cloned();
+        let all = || log.iter().map(|line| line.text.as_str()).collect::<Vec<_>>().join("\n");
+        assert!(!late.timed_out(), "{}: waited in vain for '{text}' in\n{}", self.name, all());
+        found.expect("it was waited for")
     }
 }
 
--- /dev/null
+++ b/crates/starlinghill-rig/tests/history.rs
@@ -0,0 +1,59 @@
+//! The audit finds what is planted.
+
+use starlinghill_rig::history::{wrongs, Follows, Ordered};
+use std::time::{Duration, Instant};
+
+const FRESH: Duration = Duration::from_secs(1);
+const SLACK: Duration = Duration::from_millis(100);
+
+fn run() -> (Vec<Ordered>, Vec<Vec<Follows>>, Instant) {
+    let begin = Instant::now();
+    let at = |ms| begin + Duration::from_millis(ms);
+    let order =
+        |given, answered, epoch| Ordered { given: at(given), answered: at(answered), at: Some((1, epoch)) };
+    let follows =
+        |since, mode: &str, epoch| Follows { life: 1, since: at(since), mode: mode.into(), at: (1, epoch) };
+    let orders = vec![order(0, 10, 2), order(20, 40, 3)];
+    let gateway = vec![follows(0, "following", 1), follows(15, "following", 2), follows(50, "following", 3)];
+    (orders, vec![gateway], begin)
+}
+
+fn found(orders: &[Ordered], gateways: &[Vec<Follows>]) -> Vec<String> {
+    wrongs(orders, gateways, (1, 3), FRESH, SLACK)
+}
+
+#[test]
+fn a_sound_run_has_nothing_wrong() {
+    let (orders, gateways, _) = run();
+    assert_eq!(found(&orders, &gateways), Vec::<String>::new());
+}
+
+#[test]
+fn each_planted_fault_is_found() {
+    let (mut orders, gateways, _) = run();
+    orders[1].at = Some((1, 2));
+    assert!(found(&orders, &gateways).iter().any(|w| w.contains("two orders count from one position")));
+    let (mut orders, gateways, _) = run();
+    (orders[0].at, orders[1].at) = (orders[1].at, orders[0].at);
+    assert!(found(&orders, &gateways).iter().any(|w| w.contains("counts after it")));
+    let (orders, mut gateways, _) = run();
+    gateways[0][2].at = (1, 1);
+    assert!(found(&orders, &gateways).iter().any(|w| w.contains("went back")));
+    let (orders, mut gateways, _) = run();
+    gateways[0][2].at = (1, 4);
+    assert!(found(&orders, &gateways).iter().any(|w| w.contains("nobody decided")));
+    let (orders, mut gateways, begin) = run();
+    gateways[0][2].since = begin + Duration::from_secs(3);
+    assert!(
+        found(&orders, &gateways).iter().any(|w| w.contains("for 2.96")),
+        "{:?}",
+        found(&orders, &gateways)
+    );
+    // The same by its own sight is no wrong: it said so.
+    gateways[0][1].mode = "own".into();
+    assert_eq!(found(&orders, &gateways), Vec::<String>::new());
+    // Nor after a restart, which knows nothing.
+    let (orders, mut gateways, _) = run();
+    (gateways[0][2].at, gateways[0][2].life) = ((1, 1), 2);
+    assert_eq!(found(&orders, &gateways), Vec::<String>::new());
+}
