Measure an ordered failover among faults, and a thousand followers; proxies follow too

The operators' program stands in a library, so that an example can start itself as a member, a gateway or an order.

--- a/crates/starlinghill-control/src/node.rs
+++ b/crates/starlinghill-control/src/following.rs
@@ -1,19 +1,18 @@
-//! `gateway`: a gateway that follows the group. It is told the rest by its environment, as the platform's own is.
+//! What follows the group inside this program: gateways, and the control service for other proxies. Both are told the
+//! parts of their work that zones get.
 
 use starlinghill_accord::follower::View;
 use starlinghill_accord::map::{is_name, MapProblem};
 use starlinghill_accord::WHOLE;
 use starlinghill_decision::api::ZonePart;
 use starlinghill_follow::link::{follow, Settings};
-use starlinghill_gateway::{process, Parts};
+use starlinghill_gateway::Parts;
 use starlinghill_operators::Group;
 use std::error::Error;
-use std::path::Path;
-use std::process::ExitCode;
 use tokio::sync::watch;
 use tracing::info;
 
-/// What the decision module is told of a view: zones with their whole part need no word.
+/// What is told of a view: zones with their whole part need no word.
 fn parts(view: &View) -> Parts {
     let less = view.zones.iter().filter(|(_, z)| z.weight < WHOLE);
     less.map(|(name, z)| {
@@ -22,10 +21,11 @@
     .collect()
 }
 
-/// Follows on the gateway's own runtime, beside its requests.
-fn beside(group: &Group, name: &str) -> Result<watch::Receiver<Parts>, Box<dyn Error>> {
+/// Begins to follow on the present runtime, under this name, until the receiver is dropped.
+pub fn begin(group: &Group, name: &str) -> Result<watch::Receiver<Parts>, Box<dyn Error>> {
     if !is_name(name) {
-        return Err(format!("NODE_NAME: {}", MapProblem::Name(name.chars().take(64).collect())).into());
+        let problem = MapProblem::Name(name.chars().take(64).collect());
+        return Err(format!("NODE_NAME: {problem}").into());
     }
     let settings = Settings {
         members: group.members.iter().map(|m| m.listen).collect(),
@@ -40,29 +40,14 @@
     let (tell, told) = watch::channel(Parts::new());
     tokio::spawn(follow(settings, views));
     tokio::spawn(async move {
-        while seen.changed().await.is_ok() {
+        loop {
+            tokio::select! {
+                changed = seen.changed() => if changed.is_err() { return },
+                () = tell.closed() => return,
+            }
             let new = parts(&seen.borrow_and_update());
             tell.send_if_modified(|old| std::mem::replace(old, new.clone()) != new);
         }
     });
     Ok(told)
 }
-
-/// Runs the gateway until SIGTERM.
-pub fn run(file: &Path) -> ExitCode {
-    let operators = match starlinghill_operators::read(file) {
-        Ok(operators) => operators,
-        Err(problems) => {
-            problems.iter().for_each(|problem| eprintln!("{problem}"));
-            return ExitCode::FAILURE;
-        }
-    };
-    let done = process::run(|name| operators.group.as_ref().map(|group| beside(group, name)).transpose());
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("starlinghill: {e}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -1,10 +1,13 @@
 //! The control service, to be run by its program or inside a test: it follows discovery, keeps the picture of the
 //! fleet, and tells proxies over xDS.
 
+pub mod following;
+pub mod program;
+
 use starlinghill_decision::api::{Micros, PlanId, SettingsError};
 use starlinghill_gateway::config::{Config, Upstreams};
 use starlinghill_gateway::discovery::{self, Follower, Source};
-use starlinghill_operators::{Control, Problem, Quotas};
+use starlinghill_operators::{Control, Group, Problem, Quotas};
 use starlinghill_settings::Site;
 use starlinghill_view::ledger::LedgerSettings;
 use starlinghill_xds::hub::{self, Hub, News};
@@ -30,6 +33,8 @@
     Settings(SettingsError),
     /// It could not listen.
     Listen(SocketAddr, std::io::Error),
+    /// The group can't be followed.
+    Group(String),
     /// Encryption could not be set up.
     Tls(tonic::transport::Error),
     /// A thread could not be started.
@@ -45,6 +50,7 @@
             }
             StartError::Settings(e) => write!(f, "settings: {e}"),
             StartError::Listen(at, e) => write!(f, "can't listen on {at}: {e}"),
+            StartError::Group(e) => write!(f, "the group can't be followed: {e}"),
             StartError::Tls(e) => write!(f, "encryption: {e}"),
             StartError::Thread(e) => write!(f, "can't start a thread: {e}"),
         }
@@ -63,6 +69,7 @@
     seed: u64,
     plans: BTreeSet<PlanId>,
     tls: Option<ServerTlsConfig>,
+    group: Option<Group>,
 }
 
 /// Reads and checks the operators' file and what it names.
@@ -97,7 +104,7 @@
     if !problems.is_empty() {
         return Err(problems);
     }
-    Ok(Prepared { control, site, upstreams, seed, plans, tls })
+    Ok(Prepared { control, site, upstreams, seed, plans, tls, group: operators.group })
 }
 
 fn platform(path: &Path) -> Result<(Site, Upstreams, u64), String> {
@@ -171,7 +178,7 @@
 
 /// Starts the service on the present runtime.
 pub async fn start(prepared: Prepared) -> Result<Running, StartError> {
-    let Prepared { control, site, upstreams, seed, plans, tls } = prepared;
+    let Prepared { control, site, upstreams, seed, plans, tls, group } = prepared;
     let at = control.listen;
     let listener = TcpListener::bind(at).await.map_err(|e| StartError::Listen(at, e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(at, e))?;
@@ -179,6 +186,11 @@
         hub::new(seed, site, plan(&control), lease(&control), plans).map_err(StartError::Settings)?;
     let (upstreams, followed) = watch::channel(upstreams);
     follow(followed, hub.news.clone()).map_err(StartError::Thread)?;
+    if let Some(group) = group {
+        let name = format!("control-{}", address.port());
+        let parts = following::begin(&group, &name).map_err(|e| StartError::Group(e.to_string()))?;
+        tokio::spawn(tell_zones(parts, hub.news.clone()));
+    }
     let running = tokio::spawn(runner.run());
     let (stop, stopping) = watch::channel(false);
     let l = control.limits;
@@ -190,6 +202,23 @@
     Ok(Running { address, hub, control, stop, upstreams, serving, running })
 }
 
+/// Tells the hub the parts of zones, as gateways are told them.
+async fn tell_zones(
+    mut parts: watch::Receiver<starlinghill_gateway::Parts>,
+    news: tokio::sync::mpsc::Sender<News>,
+) {
+    loop {
+        let now = parts.borrow_and_update().clone();
+        if news.send(News::Zones(now)).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            changed = parts.changed() => if changed.is_err() { return },
+            () = news.closed() => return,
+        }
+    }
+}
+
 /// Follows discovery on a thread of its own: the gateway's client of it is made for one thread.
 fn follow(
     upstreams: watch::Receiver<Upstreams>,
--- a/crates/starlinghill-control/src/group.rs
+++ b/crates/starlinghill-control/src/program/group.rs
@@ -1,6 +1,6 @@
 //! `group`: members of the group that decides in common, and changes of the group itself.
 
-use crate::zones::{newest, print_json, runtime, usage, Exit};
+use crate::program::zones::{newest, print_json, runtime, usage, Exit};
 use clap::Subcommand;
 use serde_json::json;
 use starlinghill_accord::order::{Order, What};
@@ -187,8 +187,8 @@
     runtime()?.block_on(async {
         let (report, _) = newest(&members).await?;
         let what = What::Adopt { map: group.map.clone(), expect: Some(report.state.position.epoch) };
-        let order = Order { what, ..crate::zones::signed(None, None, reason) };
-        match give(&members, &order, crate::zones::GIVE).await? {
+        let order = Order { what, ..crate::program::zones::signed(None, None, reason) };
+        match give(&members, &order, crate::program::zones::GIVE).await? {
             Outcome::Accepted { position } => {
                 println!("adopted at {position}");
                 Ok(())
@@ -253,7 +253,7 @@
 
 fn show(file: &Path, as_json: bool) -> Result<(), Exit> {
     let group = read(file).map_err(usage)?;
-    let found = runtime()?.block_on(look_at_all(&addresses(&group), crate::zones::LOOK));
+    let found = runtime()?.block_on(look_at_all(&addresses(&group), crate::program::zones::LOOK));
     if as_json {
         let all = group.members.iter().zip(&found).map(|(m, found)| match found {
             Ok(report) => json!({"id": m.id, "listen": m.listen, "report": report}),
--- a/crates/starlinghill-control/src/zones.rs
+++ b/crates/starlinghill-control/src/program/zones.rs
@@ -1,6 +1,6 @@
 //! `zones` and `zone`: what the group has decided of each zone, who follows it, and orders.
 
-use crate::group::{addresses, read};
+use crate::program::group::{addresses, read};
 use clap::Subcommand;
 use serde::Serialize;
 use serde_json::json;
--- a/crates/starlinghill-rig/examples/fleet.rs
+++ b/crates/starlinghill-rig/examples/fleet.rs
@@ -1,47 +1,79 @@
-//! A small fleet on loopback, to be looked at: save nodes, a counter, discovery, three gateways, and the control
+//! A small fleet on loopback, to be looked at: save nodes, a counter, discovery, three gateway processes, and the control
 //! service with two proxies. Prints the addresses, a `curl` line that works, and what each studio used, until
-//! Ctrl-C. `cargo run --release -p starlinghill-rig --example fleet`.
+//! Ctrl-C. `cargo run --profile demo -p starlinghill-rig --example fleet`; with `-- --zones` six gateways in three zones
+//! that follow a group, and the orders to try on them.
 
 mod common;
 
 use common::{nodes, service};
-use starlinghill_gateway::config::Config;
+use starlinghill_rig::failover::{Fleet, ZONES};
+use starlinghill_rig::group::free_address;
+use starlinghill_rig::processes::Process;
 use starlinghill_rig::proxy::{Flavour, Proxy, Settings};
 use starlinghill_rig::world::{self, config, counter, Stub};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::process::{Command, ExitCode};
 use std::time::Duration;
-use tokio::sync::watch;
 
 const GATEWAYS: usize = 3;
 /// Studios whose requests the fleet makes itself, by customer number: name and requests a second.
 const STUDIOS: [(u64, &str, u64); 3] =
     [(0xa1, "Nyota Games", 12), (0xb2, "Twiga Studio", 5), (0xc3, "Simba Labs", 1)];
 
-/// Runs a gateway on a thread of its own, as it runs in a process of its own; returns where it listens.
-fn gateway(number: usize, discovery: SocketAddr, counter: SocketAddr) -> SocketAddr {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = free.local_addr().expect("bound");
-    drop(free);
+/// A gateway as a process: this example again, which runs the operators' program when it is called like that.
+fn gateway(number: usize, discovery: SocketAddr, counter: SocketAddr) -> (Process, SocketAddr) {
+    let address = free_address();
     let text = config(discovery, counter)
         .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""))
         .replace(
             "\"balancers\":2,\"my_number\":0",
             &format!("\"balancers\":{GATEWAYS},\"my_number\":{number}"),
         );
-    std::thread::spawn(move || {
-        let config = Config::parse(&text, None, None).expect("a sound configuration");
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime, async {
-            let (_stop, stopping) = watch::channel(false);
-            let (_reload, upstreams) = watch::channel(config.upstreams());
-            let (_settings, site) = watch::channel(None);
-            let control = starlinghill_gateway::Control { upstreams, site, zones: None, stopping };
-            starlinghill_gateway::run(config, control).await.expect("it runs");
-        });
+    let (configuration, operators) = (world::file(&text), world::file(""));
+    let program = std::env::current_exe().expect("a program");
+    let mut process = Process::new(&format!("gateway {number}"), move || {
+        let mut command = Command::new(&program);
+        command.arg("gateway").arg(&operators).env("NODE_CONFIG", &configuration);
+        command.env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY").env_remove("NODE_OPS");
+        command
     });
-    address
+    process.start();
+    (process, address)
+}
+
+/// The same with a group of three members and two gateways in each of three zones, to try orders on.
+async fn zones() {
+    let program = std::env::current_exe().expect("a program");
+    let mut fleet = Fleet::start(&program, &["a", "b", "c"], 6, 1, true).await;
+    let file = fleet.group.operators();
+    let (program, file) = (program.display(), file.display());
+    println!("gateways     {}", fleet.listen.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(" "));
+    println!(
+        "members      {}",
+        fleet.group.listen.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(" ")
+    );
+    println!("\nOrders to try in another terminal (Ctrl-C ends all):\n");
+    println!("{program} zones {file}");
+    println!("{program} zone drain {file} b --reason 'a drill' --step 25 --every-ms 2000 --wait");
+    println!("{program} zone return {file} b --reason 'over' --step 25 --every-ms 2000 --wait");
+    println!("{program} group show {file}\n");
+    fleet.load(40);
+    let mut before = ZONES.map(|zone| fleet.came_to(zone).len());
+    let mut every = tokio::time::interval(Duration::from_secs(2));
+    every.tick().await;
+    loop {
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => return,
+            _ = every.tick() => {
+                let now = ZONES.map(|zone| fleet.came_to(zone).len());
+                let rates: Vec<String> =
+                    (0..ZONES.len()).map(|i| format!("{} {}", ZONES[i], (now[i] - before[i]) / 2)).collect();
+                println!("requests a second by zone: {}", rates.join(", "));
+                before = now;
+            }
+        }
+    }
 }
 
 /// What each studio used, by the counter: window totals, added up by what was added.
@@ -57,12 +89,25 @@
     )
 }
 
-#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
-async fn main() {
+fn main() -> ExitCode {
+    let word = std::env::args().nth(1).unwrap_or_default();
+    if ["gateway", "group", "zone", "zones"].contains(&word.as_str()) {
+        return starlinghill_control::program::main();
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        // On a thread of the runtime, where blocking work may be announced.
+        let demo = if word == "--zones" { tokio::spawn(zones()) } else { tokio::spawn(demo()) };
+        demo.await.expect("it runs");
+    });
+    ExitCode::SUCCESS
+}
+
+async fn demo() {
     let (nodes, discovery) = nodes(4).await;
     let counter = counter();
-    let gateways: Vec<SocketAddr> =
-        (0..GATEWAYS).map(|i| gateway(i, discovery.stub.address, counter.address)).collect();
+    let (_processes, gateways): (Vec<Process>, Vec<SocketAddr>) =
+        (0..GATEWAYS).map(|i| gateway(i, discovery.stub.address, counter.address)).unzip();
     let running = service(&discovery, &["edge-0", "edge-1"], "", "").await;
     let proxies: Vec<Proxy> = [("edge-0", Flavour::Whole), ("edge-1", Flavour::Delta)]
         .into_iter()
--- /dev/null
+++ b/crates/starlinghill-rig/examples/followers.rs
@@ -0,0 +1,208 @@
+//! What many followers cost a group, and how fast they hear: three real members, followers as gateways have them inside
+//! this process. Prints the time from an order to each follower, what happens when the leader dies and all that followed
+//! it come to the others, commit latency with every entry on the disk, and memory and CPU of the members.
+//!
+//! `followers [--followers N] [--orders N]`.
+
+use clap::Parser;
+use hdrhistogram::Histogram;
+use starlinghill_accord::follower::{Mode, View};
+use starlinghill_accord::order::{Change, Order, Ramp, What, ZoneOrder};
+use starlinghill_accord::state::Outcome;
+use starlinghill_accord::{Position, WHOLE};
+use starlinghill_follow::client::give;
+use starlinghill_follow::link::{follow, Settings};
+use starlinghill_rig::group::Group;
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Clock ticks a second in `/proc/PID/stat`, the same on every Linux that this runs on.
+const TICKS: f64 = 100.0;
+/// Bytes of a page, as in `/proc/PID/statm`.
+const PAGE: u64 = 4_096;
+
+#[derive(Parser)]
+struct Cli {
+    /// Followers.
+    #[arg(long, default_value_t = 1_000)]
+    followers: usize,
+    /// Orders, one after the other.
+    #[arg(long, default_value_t = 50)]
+    orders: u64,
+}
+
+/// Memory in bytes, and CPU time in seconds, of a process so far.
+fn used(pid: u32) -> Option<(u64, f64)> {
+    let pages: u64 =
+        std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let after: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let ticks = after.get(11)?.parse::<f64>().ok()? + after.get(12)?.parse::<f64>().ok()?;
+    Some((pages * PAGE, ticks / TICKS))
+}
+
+fn order(number: u64) -> Order {
+    let ramp = Ramp { step: WHOLE, every_ms: 1_000 };
+    let change = if number.is_multiple_of(2) { Change::Out } else { Change::Return { ramp } };
+    let zone = ZoneOrder { zone: "b".into(), change, expect: None, next: None, force: false };
+    Order {
+        id: format!("o{number}"),
+        author: "followers".into(),
+        reason: "a measurement".into(),
+        at_ms: 0,
+        what: What::Zone(zone),
+    }
+}
+
+fn shown(name: &str, h: &Histogram<u64>) {
+    let ms = |q: f64| h.value_at_quantile(q) as f64 / 1_000.0;
+    println!(
+        "{name}: p50 {:.2} ms, p99 {:.2} ms, worst {:.2} ms ({})",
+        ms(0.5),
+        ms(0.99),
+        h.max() as f64 / 1e3,
+        h.len()
+    );
+}
+
+/// Waits until every follower follows this position, and tells how long each took.
+async fn all_follow(
+    views: &mut [watch::Receiver<View>],
+    position: Position,
+    since: Instant,
+    into: &mut Histogram<u64>,
+) -> Result<(), Box<dyn Error>> {
+    let waits = views.iter_mut().map(|view| {
+        let mut view = view.clone();
+        tokio::spawn(async move {
+            let there = view.wait_for(|v| v.mode == Mode::Following && v.position >= position).await;
+            there.map(|_| since.elapsed()).ok()
+        })
+    });
+    let waits: Vec<_> = waits.collect();
+    for wait in waits {
+        let took = tokio::time::timeout(Duration::from_secs(30), wait).await??.ok_or("a follower ended")?;
+        into.record(took.as_micros().max(1) as u64)?;
+    }
+    Ok(())
+}
+
+async fn measure(cli: Cli) -> Result<(), Box<dyn Error + Send + Sync>> {
+    measured(cli).await.map_err(|e| e.to_string().into())
+}
+
+async fn measured(cli: Cli) -> Result<(), Box<dyn Error>> {
+    let program: PathBuf = std::env::current_exe()?;
+    let mut group = Group::new(&program, &["a", "b", "c"], 1).await;
+    tokio::task::block_in_place(|| group.begin());
+    let file = starlinghill_operators::read(&group.operators()).map_err(|p| format!("{p:?}"))?;
+    let settings = file.group.ok_or("no group")?;
+    let members = group.listen.clone();
+    let pids: Vec<u32> = group.members.iter().filter_map(|m| m.pid()).collect();
+    let before: Vec<_> = pids.iter().filter_map(|pid| used(*pid)).collect();
+
+    let mut commits = Histogram::<u64>::new(3)?;
+    for number in 0..cli.orders {
+        let given = Instant::now();
+        let outcome = give(&members, &order(number), Duration::from_secs(10)).await?;
+        commits.record(given.elapsed().as_micros().max(1) as u64)?;
+        if let Outcome::Refused { causes, .. } = outcome {
+            return Err(format!("{causes:?}").into());
+        }
+    }
+    shown("order to its outcome, on a majority's disks", &commits);
+
+    let mut views = Vec::new();
+    for i in 0..cli.followers {
+        let (tx, rx) = watch::channel(View::of_own_sight());
+        let settings = Settings {
+            members: members.clone(),
+            name: format!("f{i}"),
+            zones: settings.map.zones.keys().cloned().collect(),
+            timing: settings.timing,
+            generation: 1,
+            seed: i as u64,
+        };
+        tokio::spawn(follow(settings, tx));
+        views.push(rx);
+    }
+    let begun = Instant::now();
+    let mut first = Histogram::<u64>::new(3)?;
+    all_follow(&mut views, Position { generation: 1, epoch: 1 }, begun, &mut first).await?;
+    shown("all come at once, to following", &first);
+
+    let mut changes = Histogram::<u64>::new(3)?;
+    let cpu_before: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.1).sum();
+    let span = Instant::now();
+    for number in cli.orders..cli.orders + 20 {
+        let given = Instant::now();
+        let Outcome::Accepted { position } = give(&members, &order(number), Duration::from_secs(10)).await?
+        else {
+            return Err("refused".into());
+        };
+        all_follow(&mut views, position, given, &mut changes).await?;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let cpu: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.1).sum::<f64>() - cpu_before;
+    shown("order to each follower", &changes);
+    let after: Vec<_> = pids.iter().filter_map(|pid| used(*pid)).collect();
+    let grown: u64 = after.iter().zip(&before).map(|(a, b)| a.0.saturating_sub(b.0)).sum();
+    println!(
+        "members together: {:.1} kB of memory and {:.3} ms of CPU a second for each follower ({} of them, 5 questions \
+         a second each)",
+        grown as f64 / 1e3 / cli.followers as f64,
+        cpu * 1e3 / span.elapsed().as_secs_f64() / cli.followers as f64,
+        cli.followers
+    );
+
+    let leader = tokio::task::block_in_place(|| group.wait_for_leader());
+    group.members[leader].kill();
+    let died = Instant::now();
+    let mut changes = Histogram::<u64>::new(3)?;
+    let number = cli.orders + 20;
+    let Outcome::Accepted { position } = give(&members, &order(number), Duration::from_secs(10)).await?
+    else {
+        return Err("refused".into());
+    };
+    println!(
+        "leader killed; the next order has its outcome after {:.0} ms",
+        died.elapsed().as_secs_f64() * 1e3
+    );
+    all_follow(&mut views, position, died, &mut changes).await?;
+    shown("from the leader's death to each follower's next position", &changes);
+    let timing = settings.timing;
+    println!(
+        "bounds by the settings: {:.0} ms, after a death {:.0} ms",
+        timing.reaches_within().0 as f64 / 1e3,
+        timing.reaches_within_after_a_death().0 as f64 / 1e3
+    );
+    let streams: Vec<usize> =
+        group.members.iter().map(|m| m.log().iter().filter(|l| l.contains(" follows ")).count()).collect();
+    println!("streams opened at each member over all: {streams:?}");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let word = std::env::args().nth(1).unwrap_or_default();
+    if ["gateway", "group", "zone", "zones"].contains(&word.as_str()) {
+        return starlinghill_control::program::main();
+    }
+    let cli = Cli::parse();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let done = runtime.map_err(|e| e.to_string()).and_then(|runtime| {
+        runtime
+            .block_on(async { tokio::spawn(measure(cli)).await })
+            .map_err(|e| e.to_string())?
+            .map_err(|e| e.to_string())
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/starlinghill-rig/src/history.rs
+++ b/crates/starlinghill-rig/src/history.rs
@@ -26,7 +26,7 @@
     pub life: usize,
     /// When.
     pub since: Instant,
-    /// How: `following`, `keeping` or `own`.
+    /// How: `started` (it knows nothing yet), `following`, `keeping` or `own`.
     pub mode: String,
     /// The position.
     pub at: At,
@@ -39,6 +39,7 @@
     for line in lines {
         if line.text.contains("follows the group") {
             life += 1;
+            found.push(Follows { life, since: line.at, mode: "started".into(), at: (0, 0) });
         }
         if !line.text.contains("zones by the group") {
             continue;
@@ -57,6 +58,13 @@
     found
 }
 
+/// Since when a gateway knows of a position at this moment; `None`: its present life was not told of it yet.
+pub fn told_since(follows: &[Follows], at: At, now: Instant) -> Option<Instant> {
+    let life = follows.iter().rev().find(|f| f.since <= now)?.life;
+    let told = follows.iter().filter(|f| f.life == life && f.since <= now && f.mode == "following");
+    told.filter(|f| f.at >= at).map(|f| f.since).min()
+}
+
 /// What is wrong with a run, one line each.
 pub fn wrongs(
     orders: &[Ordered],
--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -22,7 +22,7 @@
 pub struct Process {
     /// Its name.
     pub name: String,
-    command: Box<dyn Fn() -> Command + Send>,
+    command: Box<dyn Fn() -> Command + Send + Sync>,
     child: Option<Child>,
     log: Arc<(Mutex<Vec<Line>>, Condvar)>,
     stopped: bool,
@@ -30,7 +30,7 @@
 
 impl Process {
     /// A process that does not run yet.
-    pub fn new(name: &str, command: impl Fn() -> Command + Send + 'static) -> Process {
+    pub fn new(name: &str, command: impl Fn() -> Command + Send + Sync + 'static) -> Process {
         let (name, command) = (name.into(), Box::new(command));
         Process { name, command, child: None, log: Arc::default(), stopped: false }
     }
@@ -73,6 +73,11 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Its number, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether it is stopped by [`Process::stop`].
     pub fn is_stopped(&self) -> bool {
         self.stopped
--- a/crates/starlinghill-view/src/fleet.rs
+++ b/crates/starlinghill-view/src/fleet.rs
@@ -101,13 +101,15 @@
     members: Option<BTreeMap<String, Member>>,
     /// Whose a report is, by address.
     at: BTreeMap<SocketAddr, ServerId>,
+    /// The parts of their work that zones get by order; those not named have their whole part.
+    zones: BTreeMap<String, ZonePart>,
 }
 
 impl Fleet {
     /// A fleet of which nothing is known.
     pub fn new(seed: u64, site: Site) -> Result<Fleet, SettingsError> {
         let judged = FleetView::new(seed, site.settings.clone())?;
-        Ok(Fleet { site, judged, members: None, at: BTreeMap::new() })
+        Ok(Fleet { site, judged, members: None, at: BTreeMap::new(), zones: BTreeMap::new() })
     }
 
     /// Whether a whole list has come.
@@ -115,6 +117,12 @@
         self.members.is_some()
     }
 
+    /// New parts of zones hold from now on.
+    pub fn zones(&mut self, parts: Vec<(String, ZonePart)>) {
+        let sound = |(_, part): &(String, ZonePart)| part.weight.is_finite() && part.weight < 1.0;
+        self.zones = parts.into_iter().filter(sound).collect();
+    }
+
     /// Takes news of the list in. An empty whole list is news too; an empty list of changes is none.
     pub fn list(&mut self, now: Micros, list: MemberList) -> Result<(), ListProblem> {
         let held = self.members.as_ref();
@@ -188,6 +196,8 @@
             self.judged.facts(now).into_iter().map(|f| (f.server, f)).collect();
         let (mut warm, mut part_of_cold, mut all) = (0.0, 0.0, 0.0);
         let mut endpoints = Vec::with_capacity(members.len());
+        // Those whose zone is out by order, and whether that yields where no other one can serve.
+        let mut held: Vec<(usize, bool)> = Vec::new();
         for (address, member) in by_address(members) {
             let server = self.at.get(&address);
             let fact = server.and_then(|id| facts.get(id)).filter(|_| member.phase == Phase::Ready);
@@ -203,19 +213,32 @@
                     }
                     let warm_part =
                         fact.cold_since.map(|since| self.judged.warm_part(step(now, since, cold)));
-                    part *= warm_part.unwrap_or(1.0);
-                    all += size;
+                    let ordered = self.zones.get(&member.locality);
+                    let zone_part = ordered.map_or(1.0, |part| part.weight.max(0.0));
+                    part *= warm_part.unwrap_or(1.0) * zone_part;
+                    // What is not to bear anything by order is not missed either.
+                    let bears = size * zone_part;
+                    all += bears;
                     match (usage, warm_part) {
-                        (Use::Healthy, None) => warm += size,
-                        (Use::Healthy, Some(part)) => part_of_cold += size * part,
+                        (Use::Healthy, None) => warm += bears,
+                        (Use::Healthy, Some(part)) => part_of_cold += bears * part,
                         _ => {}
                     }
+                    if let Some(ordered) = ordered.filter(|_| usage == Use::Healthy && zone_part <= 0.0) {
+                        held.push((endpoints.len(), ordered.yields));
+                        usage = Use::Draining;
+                    }
                 }
             }
             let weight = ((size * part * WEIGHT_OF_ONE) as u32).max(1);
             let (id, zone) = (member.id.clone(), member.locality.clone());
             endpoints.push(Endpoint { id, address, zone, usage, weight });
         }
+        if !endpoints.iter().any(|e: &Endpoint| e.usage == Use::Healthy) {
+            for (i, _) in held.into_iter().filter(|(_, yields)| *yields) {
+                endpoints[i].usage = Use::Healthy;
+            }
+        }
         endpoints.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
         // As the module does: where warm servers are fewer than a third of the fleet, cold ones get their part
         // of what each server would get if all were warm, and what is left over is turned away.
--- a/crates/starlinghill-view/tests/fleet.rs
+++ b/crates/starlinghill-view/tests/fleet.rs
@@ -244,3 +244,53 @@
         assert_eq!((route.on, route.per_try), (RetryOn::NeverRan, None), "{name}");
     }
 }
+
+#[test]
+fn a_zone_by_order_gets_its_part_and_nothing_when_it_is_out_unless_that_yields() {
+    let mut fleet = fleet();
+    let there = |id, port, zone: &str| Member { locality: zone.into(), ..member(id, port, Phase::Ready, 0) };
+    let members = [there("s-1", 1, "a"), there("s-2", 2, "b")];
+    fleet.list(Micros(NOW), list(true, &members)).expect("taken");
+    let order =
+        |fleet: &mut Fleet, weight, yields| fleet.zones(vec![("b".into(), ZonePart { weight, yields })]);
+    order(&mut fleet, 0.25, false);
+    assert_eq!(usage(&mut fleet, NOW, "s-2"), Some((Use::Healthy, 250)));
+    order(&mut fleet, 0.0, false);
+    assert_eq!(usage(&mut fleet, NOW, "s-2").map(|(u, _)| u), Some(Use::Draining));
+    assert_eq!(usage(&mut fleet, NOW, "s-1"), Some((Use::Healthy, 1000)));
+    // The only other one goes: what is out stays out, unless nobody can call the order off.
+    fleet
+        .list(Micros(NOW), list(false, &[Member { phase: Phase::Gone, ..members[0].clone() }]))
+        .expect("taken");
+    assert_eq!(usage(&mut fleet, NOW, "s-2").map(|(u, _)| u), Some(Use::Draining));
+    order(&mut fleet, 0.0, true);
+    assert_eq!(usage(&mut fleet, NOW, "s-2").map(|(u, _)| u), Some(Use::Healthy));
+    fleet.zones(Vec::new());
+    assert_eq!(usage(&mut fleet, NOW, "s-2"), Some((Use::Healthy, 1000)));
+}
+
+#[test]
+fn a_zone_that_is_out_makes_no_fleet_of_cold_servers_turn_more_away() {
+    let cold_since = NOW / 1_000;
+    let there = |id, port, zone: &str, since| Member {
+        locality: zone.into(),
+        ..member(id, port, Phase::Ready, since)
+    };
+    let mut fleet = fleet();
+    // Half of a zone is cold; with the other, large zone out by order the rest is no less able than before.
+    let members = [
+        there("s-1", 1, "a", 0),
+        there("s-2", 2, "a", cold_since),
+        there("s-3", 3, "b", cold_since),
+        there("s-4", 4, "b", cold_since),
+        there("s-5", 5, "b", cold_since),
+    ];
+    fleet.list(Micros(NOW), list(true, &members)).expect("taken");
+    assert!(fleet.picture(Micros(NOW)).expect("known").drop > 0, "one warm of five");
+    fleet.zones(vec![("b".into(), ZonePart { weight: 0.0, yields: false })]);
+    assert_eq!(
+        fleet.picture(Micros(NOW)).expect("known").drop,
+        0,
+        "one warm of two that are to bear anything"
+    );
+}
--- a/crates/starlinghill-xds/src/hub.rs
+++ b/crates/starlinghill-xds/src/hub.rs
@@ -2,7 +2,7 @@
 //! moment. Streams take the newest state when they have room, so no slow one keeps others from it.
 
 use crate::resources::{self, Kind, ResourceSet, TypeSet, Wiring, KINDS};
-use starlinghill_decision::api::{Micros, PlanId, SettingsError};
+use starlinghill_decision::api::{Micros, PlanId, SettingsError, ZonePart};
 use starlinghill_settings::members::MemberList;
 use starlinghill_settings::Site;
 use starlinghill_view::fleet::{Fleet, Observed, Picture};
@@ -64,6 +64,8 @@
     Members(MemberList),
     /// What proxies saw of servers.
     Observed(Vec<Observed>),
+    /// The parts of their work that zones get from now on, by order of the group.
+    Zones(Vec<(String, ZonePart)>),
     /// The operators changed their minds.
     Plan(Plan),
 }
@@ -229,6 +231,7 @@
             News::Observed(seen) => seen.into_iter().for_each(|seen| {
                 self.fleet.observed(now, seen);
             }),
+            News::Zones(parts) => self.fleet.zones(parts),
             News::Plan(plan) => {
                 self.allow.send_replace(allowed(&plan));
                 (self.plan, self.stale) = (plan, true);
