--- a/crates/starlinghill-group/src/serve.rs
+++ b/crates/starlinghill-group/src/serve.rs
@@ -19,7 +19,8 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 use tracing::{info, warn};
@@ -78,14 +79,16 @@
         let members = MembersServer::new(self)
             .max_decoding_message_size(LONGEST_FRAME)
             .max_encoding_message_size(LONGEST_FRAME);
+        // Set on what is accepted here: the builder's own setting holds only for sockets that it opens itself. Without it
+        // each order waits 40 ms for an acknowledgement.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         Server::builder()
-            .tcp_nodelay(true)
             .max_concurrent_streams(64)
             .http2_keepalive_interval(Some(Duration::from_secs(5)))
             .http2_keepalive_timeout(Some(Duration::from_secs(5)))
             .add_service(group)
             .add_service(members)
-            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            .serve_with_incoming_shutdown(incoming, async move {
                 // An error: whoever could stop it is gone, which stops it too.
                 let _ = stopping.wait_for(|stop| *stop).await;
             })
