--- a/crates/starlinghill-follow/src/client.rs
+++ b/crates/starlinghill-follow/src/client.rs
@@ -77,10 +77,15 @@
 ) -> Result<O, NotDone> {
     let until = Instant::now() + patience;
     let (mut counts, mut why) = (false, String::from("there is no member"));
+    let one_try = match kind {
+        Kind::Give => ONE_TRY.min(patience / 2),
+        // A member that joins has to catch up first.
+        Kind::Manage => patience,
+    };
     loop {
         for member in members {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            // A try that is cut short would leave open whether it counts.
+            if Instant::now() + ONE_TRY.min(patience / 2) > until {
                 break;
             }
             let mut client = match group(*member) {
@@ -97,7 +102,7 @@
                     Kind::Manage => client.manage(sealed).await,
                 }
             };
-            match tokio::time::timeout(left.min(ONE_TRY), call).await {
+            match tokio::time::timeout(one_try, call).await {
                 Ok(Ok(reply)) => match decode(&reply.into_inner().bytes) {
                     Ok(outcome) => return Ok(outcome),
                     Err(e) => (counts, why) = (true, format!("{member}: {e}")),
@@ -110,7 +115,7 @@
                 Err(_) => (counts, why) = (true, format!("{member}: no answer in time")),
             }
         }
-        if Instant::now() + PAUSE >= until {
+        if Instant::now() + PAUSE + ONE_TRY.min(patience / 2) >= until {
             return Err(if counts { NotDone::Unknown(why) } else { NotDone::NotReached(why) });
         }
         tokio::time::sleep(PAUSE).await;
--- a/crates/starlinghill-group/src/member.rs
+++ b/crates/starlinghill-group/src/member.rs
@@ -424,6 +424,21 @@
         Ok(Some((leader, at)))
     }
 
+    /// Refuses what would have to go to a leader of which nothing was heard lately: it would lie in a link that is cut, and
+    /// come out when that heals.
+    fn reaches_leader(&self, leader: u64) -> Result<(), Status> {
+        let age = self.age();
+        if age.is_some_and(|age| age <= self.settings.timing.fresh) {
+            return Ok(());
+        }
+        let since = age.map_or("ever".into(), |age| format!("for {} ms", age.0 / 1_000));
+        Err(Status::failed_precondition(format!(
+            "member {} has not heard {since} that a majority follows member {leader}; it is cut off, or there is no \
+             majority",
+            self.speaker.id
+        )))
+    }
+
     /// Asks the leader for something, as it is.
     async fn ask_leader(
         &self,
@@ -551,6 +566,7 @@
                 .await?
                 .ok_or_else(|| Status::internal("an order without an outcome")),
             Some((leader, at)) if may_forward => {
+                self.reaches_leader(leader)?;
                 let patience = span(self.settings.timing.election) * 3;
                 let body = self.ask_leader(leader, &at, "give", encode(order), patience).await?;
                 decode(&body).map_err(|e| Status::internal(e.to_string()))
@@ -567,6 +583,7 @@
         }
         match self.other_leader()? {
             Some((leader, at)) if may_forward => {
+                self.reaches_leader(leader)?;
                 let body = self.ask_leader(leader, &at, "manage", encode(change), CATCH_UP).await?;
                 return decode(&body).map_err(|e| Status::internal(e.to_string()));
             }
--- a/crates/starlinghill-rig/examples/failover.rs
+++ b/crates/starlinghill-rig/examples/failover.rs
@@ -47,6 +47,9 @@
     /// Where the plot goes.
     #[arg(long, default_value = "docs/measured")]
     plot: PathBuf,
+    /// Instead: so many seconds with the whole group away and gateways restarting, beside a fleet without a group.
+    #[arg(long)]
+    away: Option<u64>,
     /// Play this list alone: a file that an earlier run printed.
     #[arg(long)]
     scenario: Option<PathBuf>,
@@ -277,6 +280,9 @@
 fn run() -> Result<(), Box<dyn Error>> {
     let cli = Cli::parse();
     let program = std::env::current_exe()?;
+    if let Some(seconds) = cli.away {
+        return away(&program, seconds);
+    }
     let mut waiting: Vec<Scenario> = match &cli.scenario {
         Some(file) => vec![serde_json::from_str(&std::fs::read_to_string(file)?)?],
         None => (cli.seed..cli.seed + cli.runs).map(Scenario::drawn).collect(),
@@ -306,6 +312,39 @@
     report(done, &cli)
 }
 
+/// The whole group is away while gateways restart one after the other; the same fleet, load and restarts without a group
+/// beside it.
+fn away(program: &Path, seconds: u64) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let one = |follows: bool| {
+        let program = program.to_path_buf();
+        async move {
+            let mut fleet = Fleet::start(&program, &["a", "b", "c"], 6, 1, follows).await;
+            fleet.load(RATE);
+            tokio::task::block_in_place(|| {
+                fleet.suffer(&Fault::KillGroup);
+                let begun = Instant::now();
+                let mut next = 0;
+                while begun.elapsed() < Duration::from_secs(seconds) {
+                    std::thread::sleep(Duration::from_secs(4));
+                    fleet.suffer(&Fault::RestartGateway(next % 6));
+                    next += 1;
+                }
+            });
+            let sent = fleet.rest().await;
+            let said = fleet.followed().iter().flatten().filter(|f| f.mode == "own").count();
+            (fleet.wrongs(&sent), said)
+        }
+    };
+    let both = runtime.block_on(async { tokio::join!(tokio::spawn(one(true)), tokio::spawn(one(false))) });
+    let ((with, said), (without, _)) = (both.0?, both.1?);
+    let share = |w: &Wrongs| w.served as f64 / (w.sent.max(1)) as f64;
+    println!("with a group, away for {seconds} s: {with:?}; {said} times a gateway said that it goes by its own sight");
+    println!("without a group: {without:?}");
+    println!("worth served: {:.4} of that without a group", share(&with) / share(&without));
+    Ok(())
+}
+
 fn report(done: Vec<Result<Played, String>>, cli: &Cli) -> Result<(), Box<dyn Error>> {
     let (mut good, mut broken) = (Vec::new(), Vec::new());
     for played in done {
--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// Lines of a log that are kept; older ones go.
@@ -25,6 +25,8 @@
     command: Box<dyn Fn() -> Command + Send + Sync>,
     child: Option<Child>,
     log: Arc<(Mutex<Vec<Line>>, Condvar)>,
+    readers: Vec<JoinHandle<()>>,
+    begun: Instant,
     stopped: bool,
 }
 
@@ -32,7 +34,8 @@
     /// A process that does not run yet.
     pub fn new(name: &str, command: impl Fn() -> Command + Send + Sync + 'static) -> Process {
         let (name, command) = (name.into(), Box::new(command));
-        Process { name, command, child: None, log: Arc::default(), stopped: false }
+        let (log, readers, begun) = (Arc::default(), Vec::new(), Instant::now());
+        Process { name, command, child: None, log, readers, begun, stopped: false }
     }
 
     /// Starts it, unless it runs.
@@ -40,6 +43,7 @@
         if self.runs() {
             return;
         }
+        self.begun = Instant::now();
         let mut child = (self.command)()
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -54,9 +58,9 @@
         (self.child, self.stopped) = (Some(child), false);
     }
 
-    fn keep(&self, from: impl Read + Send + 'static) {
+    fn keep(&mut self, from: impl Read + Send + 'static) {
         let log = self.log.clone();
-        thread::spawn(move || {
+        let reader = thread::spawn(move || {
             for line in BufReader::new(from).lines().map_while(Result::ok) {
                 let mut lines = log.0.lock().unwrap_or_else(PoisonError::into_inner);
                 if lines.len() >= LINES {
@@ -66,6 +70,14 @@
                 log.1.notify_all();
             }
         });
+        self.readers.push(reader);
+    }
+
+    /// Waits until all that a process wrote before its end is in its log.
+    fn read_to_end(&mut self) {
+        for reader in self.readers.drain(..) {
+            let _ = reader.join();
+        }
     }
 
     /// Whether it runs, stopped or not.
@@ -95,6 +107,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.read_to_end();
         self.stopped = false;
     }
 
@@ -124,7 +137,9 @@
             assert!(Instant::now() < until, "{} did not end", self.name);
             thread::sleep(Duration::from_millis(5));
         }
-        self.child.take().and_then(|mut child| child.wait().ok()).and_then(|status| status.code())
+        let status = self.child.take().and_then(|mut child| child.wait().ok());
+        self.read_to_end();
+        status.and_then(|status| status.code())
     }
 
     /// Its log so far, of all its lives.
@@ -137,13 +152,14 @@
         self.lines().into_iter().map(|line| line.text).collect()
     }
 
-    /// Waits for a line with this text.
+    /// Waits for a line with this text, of its present life.
     pub fn wait_for_log(&self, text: &str, patience: Duration) -> Line {
         let held = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let none = |log: &mut Vec<Line>| !log.iter().any(|line| line.text.contains(text));
+        let wanted = |line: &&Line| line.at >= self.begun && line.text.contains(text);
+        let none = |log: &mut Vec<Line>| !log.iter().any(|line| wanted(&line));
         let (log, late) =
             self.log.1.wait_timeout_while(held, patience, none).unwrap_or_else(PoisonError::into_inner);
-        let found = log.iter().find(|line| line.text.contains(text)).cloned();
+        let found = log.iter().find(wanted).cloned();
         let all = || log.iter().map(|line| line.text.as_str()).collect::<Vec<_>>().join("\n");
         assert!(!late.timed_out(), "{}: waited in vain for '{text}' in\n{}", self.name, all());
         found.expect("it was waited for")
