--- a/crates/starlinghill-control/tests/group.rs
+++ b/crates/starlinghill-control/tests/group.rs
@@ -381,3 +381,56 @@
     let half = came[came.len() * 3 / 4] - came[came.len() / 4];
     assert!(half >= 50, "the middle half of {} within {half} ms: {came:?}", came.len());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_of_three_cut_off_takes_no_order_and_where_each_sees_some_one_order_at_a_time_counts() {
+    let group = group(&["a", "b", "c"]).await;
+    tokio::task::block_in_place(|| {
+        let mut last = 1;
+        // One alone, whichever leads; then two that don't see each other, while the third sees both.
+        for (cut, alone) in [([("a", "b"), ("a", "c")], true), ([("b", "c"), ("b", "c")], false)] {
+            group.wait_for_leader();
+            for (one, other) in cut {
+                group.net.cut(one, other);
+                group.net.cut(other, one);
+            }
+            if alone {
+                group.wait_until("it knows that it is alone", |_| {
+                    group.show()[0]["report"]["age_ms"].as_u64().is_some_and(|ms| ms > 1_000)
+                });
+                let file = group.folder().join("alone.toml");
+                std::fs::write(&file, group.text(1, &group.listen[..1])).expect("a file");
+                ends(
+                    &group.command_by(&file, &["zone", "hold"], &["c", "--reason", "a drill"]),
+                    4,
+                    "not reached",
+                );
+            }
+            for word in ["out", "return"] {
+                let until = std::time::Instant::now() + LIMIT;
+                let id = format!("{word}-{alone}");
+                let more = ["b", "--reason", "a drill", "--id", &id];
+                let more: Vec<&str> = more
+                    .into_iter()
+                    .chain((word == "return").then_some(["--step", "100"]).into_iter().flatten())
+                    .collect();
+                loop {
+                    let output = group.command(&["zone", word], &more);
+                    if output.status.success() {
+                        break;
+                    }
+                    // Not reached, or unknown; anything else is an answer that this order has not earned.
+                    assert!(matches!(output.status.code(), Some(4 | 5)), "{}", said(&output));
+                    assert!(std::time::Instant::now() < until, "{:?}", group.show());
+                }
+                last += 1;
+                let zones = group.wait_until("it counts", |z| epoch(z) >= last);
+                assert_eq!(epoch(&zones), last, "once");
+            }
+            group.net.heal();
+            group.wait_until("all agree", |_| {
+                group.show().iter().all(|m| m["report"]["state"]["position"]["epoch"] == last)
+            });
+        }
+    });
+}
--- a/crates/starlinghill-rig/src/links.rs
+++ b/crates/starlinghill-rig/src/links.rs
@@ -6,10 +6,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -188,27 +188,29 @@
     };
     for stream in [&client, &server] {
         let _ = stream.set_nodelay(true);
-        // Whoever is dropped while it is open is reset; one that ended in order has nothing left to reset.
-        reset_on_drop(stream);
     }
-    let (client_in, client_out) = client.into_split();
-    let (server_in, server_out) = server.into_split();
+    let own: Vec<_> = [&client, &server].iter().filter_map(|s| s.as_fd().try_clone_to_owned().ok()).collect();
+    // Halves that say nothing when they are dropped; the stream's own would end it in order, and not reset it.
+    let (client_in, client_out) = tokio::io::split(client);
+    let (server_in, server_out) = tokio::io::split(server);
     let both = async {
         tokio::join!(pump(client_in, server_out, there.clone()), pump(server_in, client_out, back.clone()))
     };
     tokio::select! {
-        _ = both => {}
+        // In order: what was written last is still on its way.
+        _ = both => return,
         () = is_reset(there.clone()) => {}
         () = is_reset(back.clone()) => {}
     }
+    own.iter().for_each(reset_on_drop);
 }
 
-fn reset_on_drop(stream: &TcpStream) {
-    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+fn reset_on_drop(socket: &impl AsFd) {
+    let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
 }
 
 /// One direction of a connection.
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut link: watch::Receiver<State>) {
+async fn pump(mut from: ReadHalf<TcpStream>, mut to: WriteHalf<TcpStream>, mut link: watch::Receiver<State>) {
     let (tx, mut rx) = mpsc::channel::<(Instant, Vec<u8>)>(PIECES);
     let reading = {
         let link = link.clone();
--- /dev/null
+++ b/crates/starlinghill-rig/tests/links.rs
@@ -0,0 +1,111 @@
+//! Links between processes do what scripts ask of them, one way alone, and heal.
+
+use starlinghill_rig::links::Net;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::timeout;
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// So long nothing may come through a cut.
+const SILENT: Duration = Duration::from_millis(200);
+
+/// Sends back what comes, behind a letter.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = [0; 1024];
+                while let Ok(n) = stream.read(&mut buffer).await {
+                    if n == 0 || stream.write_all(&buffer[..n]).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+async fn ask(stream: &mut TcpStream, text: &[u8], patience: Duration) -> Option<Vec<u8>> {
+    stream.write_all(text).await.ok()?;
+    let mut back = vec![0; text.len()];
+    timeout(patience, stream.read_exact(&mut back)).await.ok()?.ok()?;
+    Some(back)
+}
+
+#[tokio::test]
+async fn a_cut_holds_back_one_way_or_the_other_and_what_it_held_comes_when_it_heals() {
+    let net = Net::new(1);
+    let at = net.tcp("a", "b", echo().await).await;
+    let mut stream = TcpStream::connect(at).await.expect("connected");
+    assert_eq!(ask(&mut stream, b"one", LIMIT).await.as_deref(), Some(&b"one"[..]));
+    for (from, to) in [("a", "b"), ("b", "a")] {
+        net.cut(from, to);
+        assert_eq!(ask(&mut stream, b"two", SILENT).await, None, "{from} to {to}");
+        net.heal();
+        let mut back = [0; 3];
+        timeout(LIMIT, stream.read_exact(&mut back)).await.expect("in time").expect("whole");
+        assert_eq!(&back, b"two");
+    }
+    // Another pair's cut is none of this one's.
+    net.cut("a", "c");
+    assert_eq!(ask(&mut stream, b"six", LIMIT).await.as_deref(), Some(&b"six"[..]));
+}
+
+#[tokio::test]
+async fn a_link_is_slow_or_narrow_as_asked_and_resets_what_goes_over_it() {
+    let net = Net::new(1);
+    let at = net.tcp("a", "b", echo().await).await;
+    let mut stream = TcpStream::connect(at).await.expect("connected");
+    net.change("a", "b", |c| c.delay_ms = 120);
+    let begun = Instant::now();
+    ask(&mut stream, b"late", LIMIT).await.expect("an answer");
+    assert!(begun.elapsed() >= Duration::from_millis(120));
+    net.heal();
+    net.change("b", "a", |c| c.bytes_per_s = Some(1_000));
+    let begun = Instant::now();
+    ask(&mut stream, &[7; 300], LIMIT).await.expect("an answer");
+    assert!(begun.elapsed() >= Duration::from_millis(250), "{:?}", begun.elapsed());
+    net.heal();
+    net.reset("b", "a");
+    let mut buffer = [0; 8];
+    let ended = timeout(LIMIT, stream.read(&mut buffer)).await.expect("in time");
+    assert_eq!(ended.map_err(|e| e.kind()), Err(std::io::ErrorKind::ConnectionReset));
+    let mut new = TcpStream::connect(at).await.expect("connected");
+    assert_eq!(ask(&mut new, b"new", LIMIT).await.as_deref(), Some(&b"new"[..]));
+}
+
+#[tokio::test]
+async fn datagrams_are_lost_doubled_and_cut_by_the_seed() {
+    let count = |seed| async move {
+        let net = Net::new(seed);
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let at = net.udp("a", "b", socket.local_addr().expect("bound")).await;
+        let sender = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        net.change("a", "b", |c| (c.loss, c.doubled) = (0.3, 0.5));
+        for n in 0..100u8 {
+            sender.send_to(&[n], at).await.expect("sent");
+        }
+        let (mut came, mut buffer) = (Vec::new(), [0; 8]);
+        // What comes waits in the socket; nothing more comes after a while.
+        while let Ok(Ok((1, _))) = timeout(2 * SILENT, socket.recv_from(&mut buffer)).await {
+            came.push(buffer[0]);
+        }
+        came.sort_unstable();
+        net.cut("a", "b");
+        sender.send_to(&[200], at).await.expect("sent");
+        assert!(timeout(SILENT, socket.recv_from(&mut buffer)).await.is_err(), "it is cut");
+        came
+    };
+    let came = count(7).await;
+    let mut distinct = came.clone();
+    distinct.dedup();
+    assert!((55..=85).contains(&distinct.len()), "{} of 100", distinct.len());
+    let doubled = came.len() - distinct.len();
+    assert!((20..=50).contains(&doubled), "{doubled} doubled");
+    assert_eq!(count(7).await, came, "the same seed");
+}
