--- a/crates/starlinghill-control/src/program.rs
+++ b/crates/starlinghill-control/src/program.rs
@@ -26,7 +26,11 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tracing::level_filters::LevelFilter;
 use tracing::warn;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// How long `dump` waits for the list of servers.
 const LIST_WAIT: Duration = Duration::from_secs(5);
@@ -172,7 +176,10 @@
 
 /// Runs the program with the process's own arguments.
 pub fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+    // The replicated log's library tells of each vote and each append; what it warns of is for operators.
+    let levels = Targets::new().with_default(LevelFilter::INFO).with_target("openraft", LevelFilter::WARN);
+    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(std::io::stderr);
+    tracing_subscriber::registry().with(lines).with(levels).init();
     let done = match Cli::parse().command {
         Command::Run { file } => run(&file),
         Command::Check { file } => check(&file),
--- a/crates/starlinghill-decision/src/zones.rs
+++ b/crates/starlinghill-decision/src/zones.rs
@@ -1,8 +1,9 @@
-//! Zones by order: the part of its work that each zone gets, as the group has decided it for all gateways. It
-//! can hold a gateway back from a zone, and never lead it past its own list, health, or what cold servers bear.
+//! Zones by order: the part of its work that each zone gets, as the group has decided it for all gateways.
+//! It can hold a gateway back from a zone, and never lead it past its own list, health, or what cold servers
+//! bear.
 //!
-//! A zone's part is drawn by chance for each request, so that all gateways together come to it without a word.
-//! A repeat is kept from what is out alone: a keyed one may have no other servers that know its key.
+//! A zone's part is drawn by chance for each request, so that all gateways together come to it without a
+//! word. A repeat is kept from what is out alone: a keyed one may have no other servers that know its key.
 
 use crate::api::*;
 use crate::context::Context;
