--- a/crates/starlinghill-accord/src/state.rs
+++ b/crates/starlinghill-accord/src/state.rs
@@ -138,6 +138,11 @@
         self
     }
 
+    /// The state without the outcomes that it keeps: for those who look at it and decide nothing by it.
+    pub fn shown(&self) -> State {
+        State { done: VecDeque::new(), ..self.clone() }
+    }
+
     /// Takes an order in. The same order again gets the same outcome and changes nothing.
     pub fn apply(&mut self, order: &Order) -> Outcome {
         let digest = meant(order);
--- a/crates/starlinghill-group/src/serve.rs
+++ b/crates/starlinghill-group/src/serve.rs
@@ -122,7 +122,7 @@
             applied: applied.index,
             age_ms: alive.age().map(|age| age.0 / 1_000),
             members: nodes.map(|(id, n)| (*id, (n.addr.clone(), voters.contains(id)))).collect(),
-            state: applied.state.clone(),
+            state: applied.state.shown(),
             subscribers: subscribers.collect(),
         }
     }
