SIGHUP takes on a new map; adopt keeps regions served; reports of followers by pages

Need: a new map took a restart of every gateway; 'group adopt' checked the floor but let a region end with nothing in service and nobody named to take over; a report of 10,000 followers could come near what a client takes.

Change: a follower takes new settings while it runs (members, zones, times, a higher generation; a lower one is not believed again), gateways and the control service read the operators' file at SIGHUP; RegionWithout is a cause of refusal; reports come 50 followers a page. The follower's settings are made in one place instead of three.

--- a/crates/starlinghill-accord/src/follower.rs
+++ b/crates/starlinghill-accord/src/follower.rs
@@ -161,6 +161,17 @@
         }
     }
 
+    /// Other times hold from now on, and no generation below this is believed any more. What was told by an older one
+    /// counts as never told: its zones' weights go on as the most that they get, by own sight.
+    pub fn renew(&mut self, timing: Timing, generation: u64) {
+        self.timing = timing;
+        self.generation = self.generation.max(generation);
+        if self.held.as_ref().is_some_and(|held| held.position.generation < self.generation) {
+            self.held = None;
+            self.confirmed = None;
+        }
+    }
+
     /// What it does now.
     pub fn view(&self) -> &View {
         &self.view
--- a/crates/starlinghill-accord/src/refusal.rs
+++ b/crates/starlinghill-accord/src/refusal.rs
@@ -80,6 +80,11 @@
         /// The region.
         region: String,
     },
+    /// Under the new map a region would have nothing in service, and no region in service takes over.
+    RegionWithout {
+        /// The region.
+        region: String,
+    },
     /// The region named to take over is not there, is the same, or has nothing in service.
     BadNext {
         /// What was named.
@@ -139,6 +144,11 @@
                     "it is the last zone of region '{region}'; name the region that takes over (--next)"
                 )
             }
+            Cause::RegionWithout { region } => write!(
+                f,
+                "region '{}' would have nothing in service, and no region in service takes over for it",
+                region.escape_debug()
+            ),
             Cause::BadNext { next } => {
                 write!(
                     f,
--- a/crates/starlinghill-accord/src/state.rs
+++ b/crates/starlinghill-accord/src/state.rs
@@ -215,6 +215,12 @@
             } else if left < map.floor {
                 causes.push(Cause::BelowFloor { left, floor: map.floor });
             }
+            // A zone that moves to another region, or leaves, may have been the last one there.
+            let served = |region: &String| map.zones.iter().any(|(n, z)| z.region == *region && sure(n) > 0);
+            let taken_over =
+                |region: &String| self.next.get(region).is_some_and(|n| map.regions.contains(n) && served(n));
+            let without = map.regions.iter().filter(|region| !served(region) && !taken_over(region));
+            causes.extend(without.map(|region| Cause::RegionWithout { region: region.clone() }));
         }
         if !causes.is_empty() {
             return Err(causes);
--- a/crates/starlinghill-accord/tests/follower.rs
+++ b/crates/starlinghill-accord/tests/follower.rs
@@ -109,6 +109,39 @@
     assert!(matches!(&actions[..], [Action::Leave(Why::Behind { .. })]), "{actions:?}");
 }
 
+#[test]
+fn new_settings_keep_what_is_followed_and_a_raised_generation_makes_what_was_told_before_own_sight() {
+    let mut state = settled(1);
+    change(&mut state, 1, "a1", Change::Out);
+    let mut follower = following(&state);
+    let shorter = Timing { fresh: ms(1_500), ..Timing::default() };
+    follower.renew(shorter, 1);
+    assert!(follower.handle(ms(1_400), Event::Tick).is_empty());
+    assert_eq!((follower.view().mode, follower.view().zones["a1"].weight), (Mode::Following, 0));
+    // The new times hold: by the old ones it would still be fresh.
+    follower.handle(ms(1_600), Event::Tick);
+    assert_eq!(follower.view().mode, Mode::Keeping);
+    follower.renew(shorter, 2);
+    follower.met(ms(1_600));
+    follower.handle(ms(1_600), Event::Tick);
+    assert_eq!((follower.view().mode, follower.view().zones["a1"].weight), (Mode::OwnSight, 0));
+    assert!(follower.view().zones["a1"].yields);
+    // Members of the life before are not believed any more, whatever they say; the restored group is.
+    follower.handle(ms(1_610), whole(&state));
+    follower.handle(ms(1_620), answer(1_615, 0, state.position));
+    assert_eq!(follower.view().mode, Mode::OwnSight);
+    // A lower generation in a file that was put back does not bring them back.
+    follower.renew(shorter, 1);
+    follower.handle(ms(1_630), whole(&state));
+    follower.handle(ms(1_640), answer(1_635, 0, state.position));
+    assert_eq!(follower.view().mode, Mode::OwnSight);
+    let restored = state.restored();
+    follower.met(ms(1_650));
+    follower.handle(ms(1_650), whole(&restored));
+    follower.handle(ms(1_660), answer(1_655, 0, restored.position));
+    assert_eq!((follower.view().mode, follower.view().position), (Mode::Following, restored.position));
+}
+
 #[test]
 fn a_restored_group_goes_before_the_old_majority_whatever_its_epochs() {
     let old = settled(1);
--- a/crates/starlinghill-accord/tests/state.rs
+++ b/crates/starlinghill-accord/tests/state.rs
@@ -211,6 +211,29 @@
     assert!(!state.zones.contains_key("a1"));
 }
 
+#[test]
+fn a_new_map_leaves_no_region_without_a_zone_in_service_or_one_that_takes_over() {
+    let moved = |state: &State| {
+        let mut map = map(0);
+        map.zones.insert("a2".into(), Zone { region: "west".into(), capacity: 100 });
+        What::Adopt { map, expect: Some(state.position.epoch) }
+    };
+    let mut state = settled(0);
+    accepted(&mut state, "o1", about("a1", Change::Out));
+    let what = moved(&state);
+    // "a1", which is out, would be all that "east" has.
+    let refused = state.apply(&order("m1", what));
+    let without = Cause::RegionWithout { region: "east".into() };
+    assert!(matches!(refused, Outcome::Refused { causes, .. } if causes == [without]));
+    // With "west" named to take over for it, it may.
+    let last = ZoneOrder { next: Some("west".into()), force: true, ..about("a2", Change::Out) };
+    accepted(&mut state, "o2", last);
+    let what = moved(&state);
+    let good = state.apply(&order("m2", what));
+    assert!(matches!(good, Outcome::Accepted { .. }), "{good:?}");
+    assert_eq!(state.next.get("east").map(String::as_str), Some("west"));
+}
+
 #[test]
 fn what_a_later_version_says_is_refused_whole() {
     let good = order("o1", What::Zone(about("a1", Change::Out)));
--- a/crates/starlinghill-control/src/following.rs
+++ b/crates/starlinghill-control/src/following.rs
@@ -8,9 +8,8 @@
 use starlinghill_follow::link::{follow, Settings};
 use starlinghill_gateway::Parts;
 use starlinghill_operators::Group;
-use std::error::Error;
 use tokio::sync::watch;
-use tracing::info;
+use tracing::{info, warn};
 
 /// What is told of a view: zones with their whole part need no word.
 fn parts(view: &View) -> Parts {
@@ -21,24 +20,56 @@
     .collect()
 }
 
-/// Begins to follow on the present runtime, under this name, until the receiver is dropped.
-pub fn begin(group: &Group, name: &str) -> Result<watch::Receiver<Parts>, Box<dyn Error>> {
+/// Whom to follow by the operators' file, under this name.
+pub fn settings(group: &Group, name: &str, seed: u64) -> Result<Settings, MapProblem> {
     if !is_name(name) {
-        let problem = MapProblem::Name(name.chars().take(64).collect());
-        return Err(format!("NODE_NAME: {problem}").into());
+        return Err(MapProblem::Name(name.chars().take(64).collect()));
     }
-    let settings = Settings {
+    Ok(Settings {
         members: group.members.iter().map(|m| m.listen).collect(),
         name: name.into(),
         zones: group.map.zones.keys().cloned().collect(),
         timing: group.timing,
         generation: group.generation,
-        seed: fastrand::u64(..),
-    };
+        seed,
+    })
+}
+
+/// One who follows.
+pub struct Following {
+    /// The parts of zones.
+    pub parts: watch::Receiver<Parts>,
+    /// Told when the operators' file was read again.
+    pub renew: Renew,
+}
+
+/// Takes on the group's section, read again.
+pub struct Renew(watch::Sender<Settings>);
+
+impl Renew {
+    /// From now on the group is followed by this. Without a section it is followed as before: zones that are out by
+    /// order would come back by an edit of a file.
+    pub fn renew(&self, group: Option<&Group>) {
+        let Some(group) = group else {
+            warn!(key = "group", "gone, and waits for the next start; the group is followed as before");
+            return;
+        };
+        let (name, seed) = (self.0.borrow().name.clone(), self.0.borrow().seed);
+        match settings(group, &name, seed) {
+            Ok(new) => drop(self.0.send_replace(new)),
+            Err(problem) => warn!(%problem, "not usable; the group is followed as before"),
+        }
+    }
+}
+
+/// Begins to follow on the present runtime, under this name, until the receiver is dropped.
+pub fn begin(group: &Group, name: &str) -> Result<Following, MapProblem> {
+    let settings = settings(group, name, fastrand::u64(..))?;
     info!(members = settings.members.len(), "follows the group");
+    let (renew, changes) = watch::channel(settings);
     let (views, mut seen) = watch::channel(View::of_own_sight());
     let (tell, told) = watch::channel(Parts::new());
-    tokio::spawn(follow(settings, views));
+    tokio::spawn(follow(changes, views));
     tokio::spawn(async move {
         loop {
             tokio::select! {
@@ -49,5 +80,5 @@
             tell.send_if_modified(|old| std::mem::replace(old, new.clone()) != new);
         }
     });
-    Ok(told)
+    Ok(Following { parts: told, renew: Renew(renew) })
 }
--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod following;
 pub mod program;
 
+use starlinghill_accord::map::MapProblem;
 use starlinghill_decision::api::{Micros, PlanId, SettingsError};
 use starlinghill_gateway::config::{Config, Upstreams};
 use starlinghill_gateway::discovery::{self, Follower, Source};
@@ -34,7 +35,7 @@
     /// It could not listen.
     Listen(SocketAddr, std::io::Error),
     /// The group can't be followed.
-    Group(String),
+    Group(MapProblem),
     /// Encryption could not be set up.
     Tls(tonic::transport::Error),
     /// A thread could not be started.
@@ -172,6 +173,7 @@
     control: Control,
     stop: watch::Sender<bool>,
     upstreams: watch::Sender<Upstreams>,
+    renew: Option<following::Renew>,
     serving: JoinHandle<Result<(), tonic::transport::Error>>,
     running: JoinHandle<()>,
 }
@@ -186,10 +188,12 @@
         hub::new(seed, site, plan(&control), lease(&control), plans).map_err(StartError::Settings)?;
     let (upstreams, followed) = watch::channel(upstreams);
     follow(followed, hub.news.clone()).map_err(StartError::Thread)?;
+    let mut renew = None;
     if let Some(group) = group {
         let name = format!("control-{}", address.port());
-        let parts = following::begin(&group, &name).map_err(|e| StartError::Group(e.to_string()))?;
-        tokio::spawn(tell_zones(parts, hub.news.clone()));
+        let following = following::begin(&group, &name).map_err(StartError::Group)?;
+        tokio::spawn(tell_zones(following.parts, hub.news.clone()));
+        renew = Some(following.renew);
     }
     let running = tokio::spawn(runner.run());
     let (stop, stopping) = watch::channel(false);
@@ -199,7 +203,7 @@
     let service = Service::new(hub.clone(), limits, seed, stopping);
     let serving = tokio::spawn(service.serve(listener, tls));
     info!(proxies = control.proxies.len(), %address, "listening");
-    Ok(Running { address, hub, control, stop, upstreams, serving, running })
+    Ok(Running { address, hub, control, stop, upstreams, renew, serving, running })
 }
 
 /// Tells the hub the parts of zones, as gateways are told them.
@@ -251,6 +255,11 @@
         for (key, _) in waits.into_iter().filter(|(_, changed)| *changed) {
             warn!(key, "changed, and waits for the next start");
         }
+        match &self.renew {
+            Some(renew) => renew.renew(prepared.group.as_ref()),
+            None if prepared.group.is_some() => warn!(key = "group", "new, and waits for the next start"),
+            None => {}
+        }
         self.upstreams.send_replace(prepared.upstreams);
         if self.hub.news.send(News::Plan(plan(&new))).await.is_ok() {
             info!(proxies = new.proxies.len(), "the operators' file was read again");
--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -155,3 +155,49 @@
     let served = sent.iter().filter(|s| s.gateway == 1 && matches!(s.answer, Some((200, _)))).count();
     assert!(served > 0, "{sent:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn gateways_read_a_new_map_at_sighup_and_one_with_a_broken_file_goes_on_as_before() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a"], 3, 5, true).await;
+    fleet.load(10);
+    let (old, new) = ("{name = \"c\", region = \"west\"},", "{name = \"d\", region = \"west\"},");
+    tokio::task::block_in_place(|| {
+        let put = |file: &Path, text: &str| std::fs::write(file, text).expect("a file");
+        let widened = |file: &Path| {
+            let text = std::fs::read_to_string(file).expect("a file");
+            put(file, &text.replace(old, &format!("{old}\n  {new}")));
+        };
+        widened(&fleet.group.operators());
+        let adopted = fleet.group.command(&["group", "adopt"], &["--reason", "a new wing"]);
+        assert!(adopted.status.success(), "{adopted:?}");
+        // Whoever has to come again is refused as long as it knows the old map.
+        fleet.group.members[0].kill();
+        fleet.group.members[0].start();
+        for i in 0..3 {
+            fleet.gateways[i].wait_for_log("has zones a, b, c; the group has a, b, c, d", LIMIT);
+        }
+        let file = |fleet: &Fleet, i: usize| fleet.group.folder().join(format!("gateway-{i}.toml"));
+        widened(&file(&fleet, 0));
+        widened(&file(&fleet, 1));
+        let whole = std::fs::read_to_string(file(&fleet, 2)).expect("a file");
+        put(&file(&fleet, 2), &whole.replace("floor_percent = 30", "floor_percent = 300"));
+        fleet.gateways.iter_mut().for_each(|gateway| gateway.hang_up());
+        let problem = fleet.gateways[2].wait_for_log("found 300", LIMIT);
+        assert!(problem.text.contains("what was read before stays"), "{}", problem.text);
+        for i in 0..2 {
+            fleet.gateways[i].wait_for_log("follows by new settings members=1 zones=4", LIMIT);
+        }
+        put(&file(&fleet, 2), &whole);
+        widened(&file(&fleet, 2));
+        fleet.gateways[2].hang_up();
+        fleet.wait_until_all_follow();
+        let orders = vec![order(&fleet, &["zone", "out"], &["d", "--reason", "a drill", "--wait", "20"])];
+        // The epoch of the map's change stands between the first one and the order's.
+        assert_eq!(orders[0].at, Some((1, 3)));
+        audit(&fleet, &orders);
+    });
+    let sent = fleet.rest().await;
+    let found = fleet.wrongs(&sent);
+    assert!((found.lost, found.doubled) == (0, 0), "{found:?}");
+    assert_eq!(found.served, found.sent, "{found:?}");
+}
--- a/crates/starlinghill-control/tests/group.rs
+++ b/crates/starlinghill-control/tests/group.rs
@@ -1,7 +1,8 @@
 //! Groups of real member processes: they are killed, stopped, cut from each other and lose their disks.
 
 use starlinghill_accord::follower::{Mode, View};
-use starlinghill_follow::link::{follow, Settings};
+use starlinghill_follow::client::look;
+use starlinghill_follow::link::follow;
 use starlinghill_rig::group::{Group, LIMIT};
 use starlinghill_rig::processes::Process;
 use std::path::Path;
@@ -342,15 +343,10 @@
     let mut views = Vec::new();
     for i in 0..FOLLOWERS {
         let (tx, rx) = tokio::sync::watch::channel(View::of_own_sight());
-        let settings = Settings {
-            members: group.listen.clone(),
-            name: format!("f{i}"),
-            zones: file.map.zones.keys().cloned().collect(),
-            timing: file.timing,
-            generation: 1,
-            seed: i as u64,
-        };
-        tokio::spawn(follow(settings, tx));
+        let (_fixed, changes) = tokio::sync::watch::channel(
+            starlinghill_control::following::settings(&file, &format!("f{i}"), i as u64).expect("a name"),
+        );
+        tokio::spawn(follow(changes, tx));
         views.push(rx);
     }
     let all_at = |epoch: u64, views: &[tokio::sync::watch::Receiver<View>]| {
@@ -364,6 +360,15 @@
         }
     };
     all_at(1, &views).await;
+    // More than one page of a member's report: none is left out, none is told twice.
+    let mut told = Vec::new();
+    for member in &group.listen {
+        let report = look(*member, LIMIT).await.expect("a report");
+        assert!(!report.more);
+        told.extend(report.subscribers.into_iter().map(|s| s.name));
+    }
+    let distinct: std::collections::BTreeSet<&String> = told.iter().collect();
+    assert_eq!((told.len(), distinct.len()), (FOLLOWERS, FOLLOWERS));
     let leader = tokio::task::block_in_place(|| {
         let leader = group.wait_for_leader();
         group.members[leader].kill();
--- a/crates/starlinghill-follow/src/client.rs
+++ b/crates/starlinghill-follow/src/client.rs
@@ -18,6 +18,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// How long one member may take over an order before another is asked.
 const ONE_TRY: Duration = Duration::from_secs(2);
+/// The most followers of one member that are asked for: what a member may be set to take.
+const MOST_SHOWN: usize = 100_000;
 /// The pause before all members are asked again.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -144,14 +146,26 @@
     ask(members, Kind::Manage, change, patience).await
 }
 
-/// What one member knows.
+/// What one member knows. Followers come by pages, the rest is of the last page.
 pub async fn look(member: SocketAddr, patience: Duration) -> Result<Report, String> {
     let told = |e: &dyn fmt::Display| format!("{member}: {e}");
     let mut client = group(member).map_err(|e| told(&e))?;
-    match tokio::time::timeout(patience, client.look(LookRequest {})).await {
-        Ok(Ok(reply)) => decode(&reply.into_inner().bytes).map_err(|e| told(&e)),
-        Ok(Err(status)) => Err(told(&status.message())),
-        Err(_) => Err(told(&"no answer in time")),
+    let until = Instant::now() + patience;
+    let (mut known, mut after) = (Vec::new(), String::new());
+    loop {
+        let page = match tokio::time::timeout_at(until, client.look(LookRequest { after })).await {
+            Ok(Ok(reply)) => decode::<Report>(&reply.into_inner().bytes).map_err(|e| told(&e))?,
+            Ok(Err(status)) => return Err(told(&status.message())),
+            Err(_) => return Err(told(&"no answer in time")),
+        };
+        let (more, Report { subscribers, .. }) = (page.more, &page);
+        // One that says there is more and tells nothing would be asked for ever.
+        let last = subscribers.last().map(|s| s.name.clone()).filter(|_| more && known.len() < MOST_SHOWN);
+        known.extend(subscribers.iter().cloned());
+        match last {
+            Some(last) => after = last,
+            None => return Ok(Report { subscribers: known, more, ..page }),
+        }
     }
 }
 
--- a/crates/starlinghill-follow/src/link.rs
+++ b/crates/starlinghill-follow/src/link.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::{Instant, Interval, MissedTickBehavior};
 use tokio_stream::wrappers::ReceiverStream;
 use tracing::{info, warn};
 
@@ -26,7 +26,7 @@
 const QUESTIONS: usize = 8;
 
 /// Whom to follow, and as whom.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// Where the members listen.
     pub members: Vec<SocketAddr>,
@@ -62,8 +62,18 @@
     whole: u64,
 }
 
-/// Follows until the receiver of views is gone.
-pub async fn follow(settings: Settings, views: watch::Sender<View>) {
+/// New settings, where whoever could send any is still there.
+async fn renewed(changes: &mut watch::Receiver<Settings>) -> Settings {
+    match changes.changed().await {
+        Ok(()) => changes.borrow_and_update().clone(),
+        Err(_) => std::future::pending().await,
+    }
+}
+
+/// Follows until the receiver of views is gone. New settings hold at once: another member is asked by them, and what
+/// was followed so far goes on meanwhile.
+pub async fn follow(mut changes: watch::Receiver<Settings>, views: watch::Sender<View>) {
+    let mut settings = changes.borrow_and_update().clone();
     if settings.members.is_empty() {
         return;
     }
@@ -75,8 +85,7 @@
     let (status, asked) = watch::channel(Status::default());
     let (mut link, mut heard) = connect(&settings, at, begin, asked.clone());
     let (mut failures, mut resume): (u32, Option<Instant>) = (0, None);
-    let mut tick = tokio::time::interval(span(settings.timing.tick));
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut tick = ticks(&settings);
     follower.met(now());
     loop {
         let mut actions = Vec::new();
@@ -85,6 +94,19 @@
             // What came before the tick is known when the age is looked at.
             biased;
             () = views.closed() => break,
+            new = renewed(&mut changes), if resume.is_none() => {
+                if new.members.is_empty() || new == settings {
+                    continue;
+                }
+                follower.renew(new.timing, new.generation);
+                // Not all at once: operators tell all gateways of a file in the same moment.
+                resume = Some(Instant::now() + FIRST_PAUSE.mul_f64(rng.f64()));
+                link.abort();
+                tick = ticks(&new);
+                at %= new.members.len();
+                info!(members = new.members.len(), zones = new.zones.len(), "follows by new settings");
+                settings = new;
+            }
             news = heard.recv(), if resume.is_none() => match news {
                 Some(Heard::Told(told)) => actions = follower.handle(now(), Event::Told(told)),
                 Some(Heard::Answer { asked, age, position }) => {
@@ -131,6 +153,12 @@
     link.abort();
 }
 
+fn ticks(settings: &Settings) -> Interval {
+    let mut ticks = tokio::time::interval(span(settings.timing.tick));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
 fn connect(
     settings: &Settings,
     at: usize,
--- a/crates/starlinghill-follow/src/report.rs
+++ b/crates/starlinghill-follow/src/report.rs
@@ -45,10 +45,16 @@
     pub members: BTreeMap<u64, (String, bool)>,
     /// The state.
     pub state: State,
-    /// Those who follow by this member.
+    /// Those who follow by this member, by name; [`PAGE`] at most.
     pub subscribers: Vec<Subscriber>,
+    /// Whether there are more past the last of them.
+    pub more: bool,
 }
 
+/// The most followers that one report tells of. A member that may take a hundred thousand would fill a message of
+/// any size; beside a state of many zones this many are little.
+pub const PAGE: usize = 50;
+
 /// A change of the group itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
--- a/crates/starlinghill-group/src/serve.rs
+++ b/crates/starlinghill-group/src/serve.rs
@@ -11,9 +11,10 @@
 use starlinghill_follow::proto::group_server::{Group, GroupServer};
 use starlinghill_follow::proto::members_server::{Members, MembersServer};
 use starlinghill_follow::proto::{down, up, Answer, Down, Frame, Hello, LookRequest, Question, Sealed, Up};
-use starlinghill_follow::report::{Manage, Report, Subscriber};
+use starlinghill_follow::report::{Manage, Report, Subscriber, PAGE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -99,21 +100,27 @@
         self.followers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn report(&self, alive: &Alive) -> Report {
+    fn report(&self, alive: &Alive, after: &str) -> Report {
         let metrics = alive.metrics();
         let applied = alive.applied.borrow().clone();
         let voters: BTreeSet<u64> = metrics.membership_config.voter_ids().collect();
         let nodes = metrics.membership_config.nodes();
         let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
         let known = self.known();
-        let subscribers = known.iter().map(|(name, k)| Subscriber {
-            name: name.clone(),
-            program: k.program.clone(),
-            held: k.held,
-            followed: k.followed,
-            mode: k.mode.clone(),
-            heard_ms: ms(k.heard.elapsed()),
-        });
+        let from = if after.is_empty() { Bound::Unbounded } else { Bound::Excluded(after) };
+        let mut rest = known.range::<str, _>((from, Bound::Unbounded));
+        let subscribers: Vec<Subscriber> = rest
+            .by_ref()
+            .take(PAGE)
+            .map(|(name, k)| Subscriber {
+                name: name.clone(),
+                program: k.program.clone(),
+                held: k.held,
+                followed: k.followed,
+                mode: k.mode.clone(),
+                heard_ms: ms(k.heard.elapsed()),
+            })
+            .collect();
         Report {
             member: alive.speaker.id,
             group: alive.speaker.group.clone(),
@@ -123,7 +130,8 @@
             age_ms: alive.age().map(|age| age.0 / 1_000),
             members: nodes.map(|(id, n)| (*id, (n.addr.clone(), voters.contains(id)))).collect(),
             state: applied.state.shown(),
-            subscribers: subscribers.collect(),
+            more: rest.next().is_some(),
+            subscribers,
         }
     }
 
@@ -173,10 +181,10 @@
         Ok(Response::new(Sealed { bytes: encode(&outcome) }))
     }
 
-    async fn look(&self, _: Request<LookRequest>) -> Result<Response<Sealed>, Status> {
+    async fn look(&self, request: Request<LookRequest>) -> Result<Response<Sealed>, Status> {
         let alive = self.member.alive()?;
         let _call = self.call().await?;
-        Ok(Response::new(Sealed { bytes: encode(&self.report(alive)) }))
+        Ok(Response::new(Sealed { bytes: encode(&self.report(alive, &request.into_inner().after)) }))
     }
 
     async fn manage(&self, request: Request<Sealed>) -> Result<Response<Sealed>, Status> {
--- a/crates/starlinghill-rig/examples/followers.rs
+++ b/crates/starlinghill-rig/examples/followers.rs
@@ -10,8 +10,9 @@
 use starlinghill_accord::order::{Change, Order, Ramp, What, ZoneOrder};
 use starlinghill_accord::state::Outcome;
 use starlinghill_accord::{Position, WHOLE};
+use starlinghill_control::following;
 use starlinghill_follow::client::give;
-use starlinghill_follow::link::{follow, Settings};
+use starlinghill_follow::link::follow;
 use starlinghill_rig::group::Group;
 use std::error::Error;
 use std::path::PathBuf;
@@ -118,15 +119,8 @@
     let mut views = Vec::new();
     for i in 0..cli.followers {
         let (tx, rx) = watch::channel(View::of_own_sight());
-        let settings = Settings {
-            members: members.clone(),
-            name: format!("f{i}"),
-            zones: settings.map.zones.keys().cloned().collect(),
-            timing: settings.timing,
-            generation: 1,
-            seed: i as u64,
-        };
-        tokio::spawn(follow(settings, tx));
+        let (_fixed, changes) = watch::channel(following::settings(&settings, &format!("f{i}"), i as u64)?);
+        tokio::spawn(follow(changes, tx));
         views.push(rx);
     }
     let begun = Instant::now();
--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -116,6 +116,11 @@
         self.signal("TERM");
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&mut self) {
+        self.signal("HUP");
+    }
+
     /// SIGSTOP.
     pub fn stop(&mut self) {
         self.signal("STOP");
