xDS: zones that stand in have priorities by region; proxies tested behind a group

Need: the control service told weights and states of zones, not priorities, and no test ran proxies behind a group.

Change: regions in localities; where the service goes by its own sight and only zones that are out are left, they stand in one region after the other. No gaps among localities that have a weight. The stand-in proxy goes by priorities and refuses gaps.

Measured: processes of group and service, two proxies: out, nothing new after 1 s; all out, nothing serves; group killed, own sight, the preferred region stands in alone. Without closing the gaps the view's test fails.

--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -4,12 +4,13 @@
 pub mod following;
 pub mod program;
 
-use starlinghill_accord::map::MapProblem;
+use starlinghill_accord::map::{Map, MapProblem, Zone};
 use starlinghill_decision::api::{Micros, PlanId, SettingsError};
 use starlinghill_gateway::config::{Config, Upstreams};
 use starlinghill_gateway::discovery::{self, Follower, Source};
 use starlinghill_operators::{Control, Group, Problem, Quotas};
 use starlinghill_settings::Site;
+use starlinghill_view::fleet::Place;
 use starlinghill_view::ledger::LedgerSettings;
 use starlinghill_xds::hub::{self, Hub, News};
 use starlinghill_xds::resources::{QuotaWiring, Wiring};
@@ -134,7 +135,7 @@
 }
 
 /// What the hub is told of the operators' section.
-pub fn plan(control: &Control) -> hub::Plan {
+pub fn plan(control: &Control, group: Option<&Group>) -> hub::Plan {
     let quotas = |q: &Quotas| QuotaWiring {
         cluster: q.cluster.clone(),
         customer_header: q.customer_header.clone(),
@@ -143,7 +144,14 @@
         interval: micros(q.interval),
     };
     let proxy = |p: &starlinghill_operators::Proxy| hub::Proxy { id: p.id.clone(), listen: p.listen };
+    let rank = |map: &Map, region: &String| map.regions.iter().position(|r| r == region).unwrap_or(0) as u32;
+    let places = group.map(|group| {
+        let zones = group.map.zones.iter();
+        let place = |zone: &Zone| Place { region: zone.region.clone(), rank: rank(&group.map, &zone.region) };
+        zones.map(|(name, zone)| (name.clone(), place(zone))).collect()
+    });
     hub::Plan {
+        places: places.unwrap_or_default(),
         proxies: control.proxies.iter().map(proxy).collect(),
         wiring: Wiring {
             connect_timeout: micros(control.connect_timeout),
@@ -184,8 +192,8 @@
     let at = control.listen;
     let listener = TcpListener::bind(at).await.map_err(|e| StartError::Listen(at, e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(at, e))?;
-    let (runner, hub) =
-        hub::new(seed, site, plan(&control), lease(&control), plans).map_err(StartError::Settings)?;
+    let (runner, hub) = hub::new(seed, site, plan(&control, group.as_ref()), lease(&control), plans)
+        .map_err(StartError::Settings)?;
     let (upstreams, followed) = watch::channel(upstreams);
     follow(followed, hub.news.clone()).map_err(StartError::Thread)?;
     let mut renew = None;
@@ -261,7 +269,7 @@
             None => {}
         }
         self.upstreams.send_replace(prepared.upstreams);
-        if self.hub.news.send(News::Plan(plan(&new))).await.is_ok() {
+        if self.hub.news.send(News::Plan(plan(&new, prepared.group.as_ref()))).await.is_ok() {
             info!(proxies = new.proxies.len(), "the operators' file was read again");
         }
         self.control = new;
--- a/crates/starlinghill-control/src/program.rs
+++ b/crates/starlinghill-control/src/program.rs
@@ -116,7 +116,7 @@
 }
 
 fn dump(file: &Path, node: &str) -> Result<(), Box<dyn Error>> {
-    let Prepared { control, site, upstreams, .. } = prepare(file).map_err(told)?;
+    let Prepared { control, site, upstreams, group, .. } = prepare(file).map_err(told)?;
     if !control.proxies.iter().any(|p| p.id == node) {
         return Err(format!("{}: control.proxies: expected '{node}' among the ids", file.display()).into());
     }
@@ -129,7 +129,7 @@
     let picture = fleet.picture(now).ok_or("discovery told only changes of the list")?;
     let routes = routes(&site);
     let tables = Arc::new(route_tables(&routes));
-    let published = publish(picture.clone(), &plan(&control), &tables, None, true);
+    let published = publish(picture.clone(), &plan(&control, group.as_ref()), &tables, None, true);
     let set = published.sets.get(node).ok_or("no resources for this node")?;
     let endpoints = picture.endpoints.iter().map(|e| {
         let usage = match e.usage {
@@ -137,7 +137,8 @@
             Use::Ejected => "ejected",
             Use::Draining => "draining",
         };
-        json!({"id": e.id, "address": e.address, "zone": e.zone, "use": usage, "weight": e.weight})
+        json!({"id": e.id, "address": e.address, "zone": e.zone, "use": usage, "weight": e.weight,
+            "region": e.region, "priority": e.priority})
     });
     let routes = routes.iter().map(|r| {
         json!({"class": r.name, "method": r.method, "timeout_ms": r.timeout.0 / 1000, "retries": r.retries,
--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -4,8 +4,12 @@
 use starlinghill_accord::bounds::Timing;
 use starlinghill_accord::Micros;
 use starlinghill_rig::failover::{Fault, Fleet};
-use starlinghill_rig::group::LIMIT;
+use starlinghill_rig::group::{Group, LIMIT};
 use starlinghill_rig::history::{wrongs, Ordered};
+use starlinghill_rig::nodes::SaveNode;
+use starlinghill_rig::processes::Process;
+use starlinghill_rig::proxy::{Flavour, Proxy, Settings};
+use starlinghill_rig::world::{control_file, list, member, Discovery};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -201,3 +205,86 @@
     assert!((found.lost, found.doubled) == (0, 0), "{found:?}");
     assert_eq!(found.served, found.sent, "{found:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn proxies_follow_orders_by_the_control_service_and_zones_that_are_out_stand_in_by_own_sight_alone() {
+    let mut group = Group::new(Path::new(PROGRAM), &["a", "b", "c"], 6).await;
+    tokio::task::block_in_place(|| group.begin());
+    let mut nodes = Vec::new();
+    for _ in 0..3 {
+        nodes.push(SaveNode::start().await);
+    }
+    let entry = |i: usize, phase: &str| {
+        let zone = ["a", "b", "c"][i];
+        let told = member(&format!("s-{zone}"), nodes[i].address, phase);
+        told.replace("\"locality\":\"a\"", &format!("\"locality\":\"{zone}\""))
+    };
+    let discovery = Discovery::start(&[entry(0, "ready"), entry(1, "ready"), entry(2, "ready")].join(","));
+    let section = group.text(1, &group.listen);
+    let file = control_file(discovery.stub.address, &["whole", "delta"], "", &section);
+    let mut service = Process::new("control", move || {
+        let mut command = std::process::Command::new(PROGRAM);
+        command.arg("run").arg(&file);
+        command
+    });
+    tokio::task::block_in_place(|| service.start());
+    let line = tokio::task::block_in_place(|| service.wait_for_log("listening", LIMIT)).text;
+    let address = line.split("address=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
+    let proxy =
+        |node: &str, flavour| Proxy::start(Settings::new(address, node, flavour)).forwarding(100.0, 1);
+    let proxies = [proxy("whole", Flavour::Whole), proxy("delta", Flavour::Delta)];
+    let serves = |proxy: &Proxy| {
+        let mirror = proxy.mirror();
+        let all = mirror.targets.iter().filter(|t| t.healthy);
+        let mut all: Vec<(u32, String)> = all.map(|t| (t.priority, t.id.clone())).collect();
+        all.sort();
+        assert_eq!(mirror.refused, 0);
+        all
+    };
+    let until = async |wanted: &[(u32, &str)]| {
+        let wanted: Vec<(u32, String)> = wanted.iter().map(|(p, id)| (*p, id.to_string())).collect();
+        let end = Instant::now() + LIMIT;
+        while !proxies.iter().all(|p| serves(p) == wanted) {
+            assert!(Instant::now() < end, "{wanted:?}, found {:?}", serves(&proxies[0]));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    until(&[(0, "s-a"), (0, "s-b"), (0, "s-c")]).await;
+    let command = |words: &[&str], more: &[&str]| {
+        let output = tokio::task::block_in_place(|| group.command(words, more));
+        assert!(output.status.success(), "{output:?}");
+    };
+    let began = Instant::now();
+    command(&["zone", "out"], &["b", "--reason", "a drill", "--wait", "20"]);
+    until(&[(0, "s-a"), (0, "s-c")]).await;
+    tokio::time::sleep_until((began + Duration::from_secs(1)).into()).await;
+    let (before, elsewhere) = (nodes[1].requests(), nodes[0].requests());
+    while nodes[0].requests() < elsewhere + 50 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(nodes[1].requests(), before, "new work in a zone that is out");
+    command(&["zone", "out"], &["c", "--reason", "a drill", "--next", "east", "--force"]);
+    until(&[(0, "s-a")]).await;
+    // The rest of the fleet drains: by order the others stay out, whatever that costs.
+    let drains = [entry(0, "draining"), entry(1, "ready"), entry(2, "ready")].join(",");
+    discovery.say(42, &list(42, true, &drains));
+    until(&[]).await;
+    tokio::task::block_in_place(|| {
+        group.members.iter_mut().for_each(Process::kill);
+        service.wait_for_log("mode=own sight", LIMIT);
+    });
+    // Nobody can call the orders off any more: the others stand in, the more preferred region first.
+    until(&[(0, "s-b"), (1, "s-c")]).await;
+    let (b, c) = (nodes[1].requests(), nodes[2].requests());
+    while nodes[1].requests() < b + 50 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(nodes[2].requests(), c, "work in a region that stands in after another one");
+    discovery.say(43, &list(43, true, &[entry(0, "ready"), entry(1, "ready"), entry(2, "ready")].join(",")));
+    until(&[(0, "s-a")]).await;
+    let ended = tokio::task::block_in_place(|| {
+        service.terminate();
+        service.ended(LIMIT)
+    });
+    assert_eq!(ended, Some(0));
+}
--- a/crates/starlinghill-rig/src/proxy.rs
+++ b/crates/starlinghill-rig/src/proxy.rs
@@ -21,7 +21,7 @@
 use envoy_types::pb::google::protobuf::Any;
 use envoy_types::pb::google::rpc;
 use prost::{Message, Name};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -59,6 +59,8 @@
     pub healthy: bool,
     /// Its part of the work.
     pub weight: u32,
+    /// It gets work only where nothing of a lower number may.
+    pub priority: u32,
 }
 
 /// What the proxy has.
@@ -90,6 +92,9 @@
     }
 
     fn refuses(&self, bodies: &[&Any]) -> bool {
+        if bodies.iter().any(|body| has_gaps(body)) {
+            return true;
+        }
         let Some(id) = &self.refuses else { return false };
         let has = |body: &&Any| targets(body).iter().any(|t| t.id == *id);
         bodies.iter().filter(|b| b.type_url == ClusterLoadAssignment::type_url()).any(has)
@@ -107,7 +112,8 @@
 
     /// A server by weight among those that may get work.
     pub fn pick(&self, chance: f64) -> Option<&Target> {
-        let healthy = || self.targets.iter().filter(|t| t.healthy);
+        let first = self.targets.iter().filter(|t| t.healthy).map(|t| t.priority).min()?;
+        let healthy = || self.targets.iter().filter(|t| t.healthy && t.priority == first);
         let mut at = chance * healthy().map(|t| f64::from(t.weight)).sum::<f64>();
         healthy().find(|t| {
             at -= f64::from(t.weight);
@@ -137,8 +143,9 @@
 
 fn targets(body: &Any) -> Vec<Target> {
     let Ok(all) = ClusterLoadAssignment::decode(body.value.as_slice()) else { return Vec::new() };
-    let endpoints = all.endpoints.into_iter().flat_map(|l| l.lb_endpoints);
-    let target = |e: LbEndpoint| {
+    let endpoints = all.endpoints.into_iter();
+    let endpoints = endpoints.flat_map(|l| l.lb_endpoints.into_iter().map(move |e| (l.priority, e)));
+    let target = |(priority, e): (u32, LbEndpoint)| {
         let metadata = e.metadata.as_ref().and_then(|m| m.filter_metadata.get("starlinghill"));
         let id = match metadata.and_then(|m| m.fields.get("id")).and_then(|v| v.kind.clone()) {
             Some(ValueKind::StringValue(id)) => id,
@@ -146,11 +153,22 @@
         };
         let healthy = [HealthStatus::Healthy as i32, HealthStatus::Unknown as i32].contains(&e.health_status);
         let weight = e.load_balancing_weight.map_or(1, |w| w.value);
-        Some(Target { id, address: address(&e)?, healthy, weight })
+        Some(Target { id, address: address(&e)?, healthy, weight, priority })
     };
     endpoints.filter_map(target).collect()
 }
 
+/// Whether priorities of localities that have a weight leave one out, for which gRPC's clients refuse the message.
+fn has_gaps(body: &Any) -> bool {
+    if body.type_url != ClusterLoadAssignment::type_url() {
+        return false;
+    }
+    let Ok(all) = ClusterLoadAssignment::decode(body.value.as_slice()) else { return true };
+    let weighed = all.endpoints.iter().filter(|l| l.load_balancing_weight.is_some());
+    let found: BTreeSet<u32> = weighed.map(|l| l.priority).collect();
+    found.into_iter().zip(0..).any(|(found, wanted)| found != wanted)
+}
+
 /// Where and how a proxy connects.
 #[derive(Debug, Clone)]
 pub struct Settings {
--- a/crates/starlinghill-view/src/fleet.rs
+++ b/crates/starlinghill-view/src/fleet.rs
@@ -5,7 +5,7 @@
 use starlinghill_decision::{FleetView, Health};
 use starlinghill_settings::members::{Member, MemberList, Phase};
 use starlinghill_settings::Site;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -47,6 +47,19 @@
     pub usage: Use,
     /// Its part of the work against the others; 1 at the least.
     pub weight: u32,
+    /// Its zone's region, where operators say one.
+    pub region: String,
+    /// 0, and more for what stands in after others: proxies go to it where nothing before it can serve. Without gaps.
+    pub priority: u32,
+}
+
+/// Where operators see a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Its region.
+    pub region: String,
+    /// How many regions are preferred to it.
+    pub rank: u32,
 }
 
 /// All that proxies are told of the fleet.
@@ -103,13 +116,22 @@
     at: BTreeMap<SocketAddr, ServerId>,
     /// The parts of their work that zones get by order; those not named have their whole part.
     zones: BTreeMap<String, ZonePart>,
+    /// The regions of zones.
+    places: BTreeMap<String, Place>,
 }
 
 impl Fleet {
     /// A fleet of which nothing is known.
     pub fn new(seed: u64, site: Site) -> Result<Fleet, SettingsError> {
         let judged = FleetView::new(seed, site.settings.clone())?;
-        Ok(Fleet { site, judged, members: None, at: BTreeMap::new(), zones: BTreeMap::new() })
+        Ok(Fleet {
+            site,
+            judged,
+            members: None,
+            at: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            places: BTreeMap::new(),
+        })
     }
 
     /// Whether a whole list has come.
@@ -117,6 +139,11 @@
         self.members.is_some()
     }
 
+    /// Regions of zones, from now on.
+    pub fn places(&mut self, places: BTreeMap<String, Place>) {
+        self.places = places;
+    }
+
     /// New parts of zones hold from now on.
     pub fn zones(&mut self, parts: Vec<(String, ZonePart)>) {
         let sound = |(_, part): &(String, ZonePart)| part.weight.is_finite() && part.weight < 1.0;
@@ -232,13 +259,20 @@
             }
             let weight = ((size * part * WEIGHT_OF_ONE) as u32).max(1);
             let (id, zone) = (member.id.clone(), member.locality.clone());
-            endpoints.push(Endpoint { id, address, zone, usage, weight });
+            let place = self.places.get(&zone);
+            let region = place.map_or_else(String::new, |place| place.region.clone());
+            // One by one, by the order of preference: what yields to nobody in particular would be spread over the
+            // regions evenly.
+            let stands_in = self.zones.get(&zone).is_some_and(|part| part.weight <= 0.0 && part.yields);
+            let priority = if stands_in { 1 + place.map_or(0, |place| place.rank) } else { 0 };
+            endpoints.push(Endpoint { id, address, zone, usage, weight, region, priority });
         }
         if !endpoints.iter().any(|e: &Endpoint| e.usage == Use::Healthy) {
             for (i, _) in held.into_iter().filter(|(_, yields)| *yields) {
                 endpoints[i].usage = Use::Healthy;
             }
         }
+        close_gaps(&mut endpoints);
         endpoints.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
         // As the module does: where warm servers are fewer than a third of the fleet, cold ones get their part
         // of what each server would get if all were warm, and what is left over is turned away.
@@ -264,6 +298,17 @@
     }
 }
 
+/// Proxies refuse priorities with gaps, and gRPC clients count only those with something that serves: what does not is
+/// put beside what does.
+fn close_gaps(endpoints: &mut [Endpoint]) {
+    let serve = endpoints.iter().filter(|e| e.usage == Use::Healthy);
+    let found: BTreeSet<u32> = serve.map(|e| e.priority).collect();
+    let last = found.len().saturating_sub(1);
+    for e in endpoints {
+        e.priority = found.range(..e.priority).count().min(last) as u32;
+    }
+}
+
 /// The age that counts: the beginning of the present step.
 fn step(now: Micros, since: Micros, cold: Micros) -> Micros {
     let width = (cold.0 / WARM_STEPS).max(1);
--- a/crates/starlinghill-view/tests/fleet.rs
+++ b/crates/starlinghill-view/tests/fleet.rs
@@ -269,6 +269,44 @@
     assert_eq!(usage(&mut fleet, NOW, "s-2"), Some((Use::Healthy, 1000)));
 }
 
+#[test]
+fn zones_that_stand_in_do_so_one_region_after_the_other_without_gaps() {
+    let mut fleet = fleet();
+    let there = |id, port, zone: &str| Member { locality: zone.into(), ..member(id, port, Phase::Ready, 0) };
+    let members = ["a", "b", "c", "d"].iter().zip(1..).map(|(zone, port)| there(zone, port, zone));
+    fleet.list(Micros(NOW), list(true, &members.collect::<Vec<_>>())).expect("taken");
+    let place = |zone: &str, region: &str, rank| (zone.into(), Place { region: region.into(), rank });
+    let places =
+        [place("a", "east", 0), place("b", "east", 0), place("c", "north", 1), place("d", "west", 2)];
+    fleet.places(places.into_iter().collect());
+    let order = |fleet: &mut Fleet, zones: &[&str], yields| {
+        let part = ZonePart { weight: 0.0, yields };
+        fleet.zones(zones.iter().map(|zone| (zone.to_string(), part)).collect());
+        let picture = fleet.picture(Micros(NOW)).expect("known");
+        let told = picture.endpoints.into_iter();
+        told.map(|e| (e.id, e.region, e.priority, e.usage == Use::Healthy)).collect::<Vec<_>>()
+    };
+    let row = |id: &str, region: &str, priority, serves| (id.into(), region.into(), priority, serves);
+    // An order that is followed takes a zone out whatever becomes of the rest: it stands in for nobody.
+    let followed = order(&mut fleet, &["b", "d"], false);
+    let all = [("a", "east", true), ("b", "east", false), ("c", "north", true), ("d", "west", false)];
+    assert_eq!(followed, all.map(|(id, region, serves)| row(id, region, 0, serves)));
+    // By its own sight the service still sends nothing there while anything else serves. gRPC clients leave out what
+    // does not serve, and would find a gap.
+    assert_eq!(order(&mut fleet, &["b", "d"], true), followed);
+    // Nothing else is there: the most preferred region first, from 0 on, or a proxy would refuse the message.
+    let gone = |zone: &'static str| Member { phase: Phase::Gone, ..there(zone, 1, zone) };
+    fleet.list(Micros(NOW), list(false, &[gone("a"), gone("c")])).expect("taken");
+    assert_eq!(order(&mut fleet, &["b", "d"], true), [row("b", "east", 0, true), row("d", "west", 1, true)]);
+    // One that is there and does not serve takes no priority for itself.
+    let drains = Member { phase: Phase::Draining, ..there("a", 1, "a") };
+    fleet.list(Micros(NOW), list(false, &[drains])).expect("taken");
+    assert_eq!(
+        order(&mut fleet, &["b", "d"], true),
+        [row("a", "east", 0, false), row("b", "east", 0, true), row("d", "west", 1, true)]
+    );
+}
+
 #[test]
 fn a_zone_that_is_out_makes_no_fleet_of_cold_servers_turn_more_away() {
     let cold_since = NOW / 1_000;
--- a/crates/starlinghill-xds/src/hub.rs
+++ b/crates/starlinghill-xds/src/hub.rs
@@ -5,7 +5,7 @@
 use starlinghill_decision::api::{Micros, PlanId, SettingsError, ZonePart};
 use starlinghill_settings::members::MemberList;
 use starlinghill_settings::Site;
-use starlinghill_view::fleet::{Fleet, Observed, Picture};
+use starlinghill_view::fleet::{Fleet, Observed, Picture, Place};
 use starlinghill_view::ledger::{Ledger, LedgerSettings};
 use starlinghill_view::routes::routes;
 use std::collections::{BTreeMap, BTreeSet};
@@ -55,6 +55,8 @@
     pub proxies: Vec<Proxy>,
     /// What else resources hold.
     pub wiring: Wiring,
+    /// The regions of zones, where there is a map of them.
+    pub places: BTreeMap<String, Place>,
 }
 
 /// What the hub hears.
@@ -144,7 +146,8 @@
     plans: BTreeSet<PlanId>,
 ) -> Result<(Runner, Hub), SettingsError> {
     let clock = Clock::start();
-    let fleet = Fleet::new(seed, site.clone())?;
+    let mut fleet = Fleet::new(seed, site.clone())?;
+    fleet.places(plan.places.clone());
     let ledger = Arc::new(Mutex::new(Ledger::new(clock.now(), lease, &site.settings)));
     let (news, inbox) = mpsc::channel(INBOX);
     let (publish, published) = watch::channel(None);
@@ -234,6 +237,7 @@
             News::Zones(parts) => self.fleet.zones(parts),
             News::Plan(plan) => {
                 self.allow.send_replace(allowed(&plan));
+                self.fleet.places(plan.places.clone());
                 (self.plan, self.stale) = (plan, true);
             }
         }
--- a/crates/starlinghill-xds/src/resources.rs
+++ b/crates/starlinghill-xds/src/resources.rs
@@ -317,21 +317,25 @@
     TypeSet::new([Resource::new(Kind::Cluster, SAVE_NODES, message.encode_to_vec())])
 }
 
+/// In percent of a priority's healthy servers: one in ten thousand bears all of its work.
+const NOTHING_ELSE: u32 = 1_000_000;
+
 /// The endpoints, by locality.
 pub fn endpoints(picture: &Picture) -> TypeSet {
     let full = picture.endpoints.iter().map(|e| e.weight).max().unwrap_or(1);
-    let mut localities: BTreeMap<(String, String), Vec<&Endpoint>> = BTreeMap::new();
+    let mut localities: BTreeMap<(u32, &str, &str, String), Vec<&Endpoint>> = BTreeMap::new();
     for e in &picture.endpoints {
         // gRPC clients weigh localities, not endpoints: what warms up or is on trial has one of its own.
         let lesser = e.usage == Use::Healthy && e.weight < full / 2;
         let sub = if lesser { format!("{LESSER}{}", e.id) } else { String::new() };
-        localities.entry((e.zone.clone(), sub)).or_default().push(e);
+        localities.entry((e.priority, &e.region, &e.zone, sub)).or_default().push(e);
     }
-    let groups = localities.into_iter().map(|((zone, sub_zone), members)| {
+    let groups = localities.into_iter().map(|((priority, region, zone, sub_zone), members)| {
         let usable = members.iter().filter(|e| e.usage == Use::Healthy);
         let weight: u32 = usable.map(|e| e.weight).fold(0, u32::saturating_add);
         endpoint::LocalityLbEndpoints {
-            locality: Some(core::Locality { zone, sub_zone, ..Default::default() }),
+            locality: Some(core::Locality { region: region.into(), zone: zone.into(), sub_zone }),
+            priority,
             // gRPC leaves out a locality without a weight, as it should one of which nothing can be used.
             load_balancing_weight: (weight > 0).then_some(UInt32Value { value: weight }),
             lb_endpoints: members.into_iter().map(lb_endpoint).collect(),
@@ -345,12 +349,18 @@
             denominator: envoy_type::fractional_percent::DenominatorType::TenThousand as i32,
         }),
     };
-    let policy =
-        endpoint::cluster_load_assignment::Policy { drop_overloads: vec![drop], ..Default::default() };
+    let stands_in = picture.endpoints.iter().any(|e| e.priority > 0);
+    let policy = endpoint::cluster_load_assignment::Policy {
+        drop_overloads: if picture.drop > 0 { vec![drop] } else { Vec::new() },
+        // By itself a proxy moves work on as soon as three in ten of a priority's servers can't serve. What stands in
+        // is out by an order: it serves only where nothing else can.
+        overprovisioning_factor: if stands_in { number(NOTHING_ELSE) } else { None },
+        ..Default::default()
+    };
     let message = endpoint::ClusterLoadAssignment {
         cluster_name: SAVE_NODES.into(),
         endpoints: groups.collect(),
-        policy: (picture.drop > 0).then_some(policy),
+        policy: (picture.drop > 0 || stands_in).then_some(policy),
         ..Default::default()
     };
     TypeSet::new([Resource::new(Kind::Endpoints, SAVE_NODES, message.encode_to_vec())])
--- a/crates/starlinghill-xds/tests/resources.rs
+++ b/crates/starlinghill-xds/tests/resources.rs
@@ -30,7 +30,15 @@
 }
 
 fn endpoint(id: &str, port: u16, usage: Use, weight: u32) -> Endpoint {
-    Endpoint { id: id.into(), address: ([127, 0, 0, 1], port).into(), zone: "a".into(), usage, weight }
+    Endpoint {
+        id: id.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        usage,
+        weight,
+        region: String::new(),
+        priority: 0,
+    }
 }
 
 fn one<M: Message + Default>(set: TypeSet, kind: Kind, name: &str) -> M {
@@ -74,6 +82,39 @@
     assert!(empty.endpoints.is_empty() && empty.policy.is_none());
 }
 
+#[test]
+fn what_only_stands_in_has_a_priority_of_its_own_and_no_work_moves_on_to_it_while_anything_else_serves() {
+    let away = |id: &str, port, zone: &str, region: &str, priority| Endpoint {
+        zone: zone.into(),
+        region: region.into(),
+        priority,
+        ..endpoint(id, port, Use::Healthy, 1000)
+    };
+    let here = Endpoint { region: "east".into(), ..endpoint("s-0", 1, Use::Ejected, 1000) };
+    let picture = Picture {
+        endpoints: vec![here.clone(), away("s-1", 2, "b", "east", 1), away("s-2", 3, "c", "west", 2)],
+        drop: 0,
+    };
+    let all: ClusterLoadAssignment = one(endpoints(&picture), Kind::Endpoints, SAVE_NODES);
+    let told: Vec<(u32, String, String)> = all
+        .endpoints
+        .iter()
+        .map(|l| {
+            let locality = l.locality.clone().expect("a locality");
+            (l.priority, locality.region, locality.zone)
+        })
+        .collect();
+    let told: Vec<(u32, &str, &str)> = told.iter().map(|(p, r, z)| (*p, r.as_str(), z.as_str())).collect();
+    assert_eq!(told, [(0, "east", "a"), (1, "east", "b"), (2, "west", "c")]);
+    let policy = all.policy.expect("a policy");
+    assert!(policy.drop_overloads.is_empty());
+    // A proxy reckons a priority's health in percent, times this: one in a hundred that serves is enough.
+    assert!(policy.overprovisioning_factor.is_some_and(|f| f.value >= 10_000));
+    let alone: ClusterLoadAssignment =
+        one(endpoints(&Picture { endpoints: vec![here], drop: 0 }), Kind::Endpoints, SAVE_NODES);
+    assert!(alone.policy.is_none());
+}
+
 #[test]
 fn a_locality_of_which_nothing_can_be_used_has_no_weight() {
     let picture = Picture { endpoints: vec![endpoint("s-1", 2, Use::Draining, 1000)], drop: 0 };
