--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -83,6 +83,33 @@
     tokio::task::block_in_place(|| audit(&fleet, &orders));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_zone_that_returns_cold_is_not_overrun_by_all_gateways_together() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 6, 7, true).await;
+    fleet.load(80);
+    let orders = tokio::task::block_in_place(|| {
+        pause(1_500);
+        let mut orders = vec![order(&fleet, &["zone", "out"], &["b", "--reason", "a drill", "--wait", "20"])];
+        pause(1_000);
+        fleet.suffer(&Fault::Cold("b".into()));
+        // At once, while gateways restart: one that knows nothing of rates must not make up for it.
+        let back = ["b", "--reason", "over", "--step", "100", "--wait", "20"];
+        orders.push(order(&fleet, &["zone", "return"], &back));
+        fleet.suffer(&Fault::KillGateway(0));
+        pause(700);
+        fleet.suffer(&Fault::KillGateway(3));
+        pause(3_500);
+        orders
+    });
+    let sent = fleet.rest().await;
+    let loads = fleet.cold_loads();
+    assert_eq!(loads.len(), 3, "each node of the zone is used again: {loads:?}");
+    assert!(loads.iter().all(|(_, share, _)| *share <= 1.0), "{loads:?}");
+    let found = fleet.wrongs(&sent);
+    assert!((found.lost, found.doubled) == (0, 0), "{found:?}");
+    tokio::task::block_in_place(|| audit(&fleet, &orders));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn gateways_serve_and_restart_while_the_whole_group_is_away_and_say_when_they_go_by_their_own_sight() {
     let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 3, 2, true).await;
--- a/crates/starlinghill-rig/examples/failover.rs
+++ b/crates/starlinghill-rig/examples/failover.rs
@@ -134,6 +134,8 @@
     to_gateways: Vec<u64>,
     /// The longest from when the last gateway was told that `b` is out to a new request there; the rule allows 1,000.
     last_send: Option<u64>,
+    /// The most that a cold server got, against what the rule on cold servers allows; 1 is the bound.
+    cold: f64,
     /// Requests that came to each zone, by quarter of a second.
     load: Vec<[u64; 3]>,
 }
@@ -182,7 +184,11 @@
                 let returned = order(&program, &file, &format!("r{seed}"), &["zone", "return"], &drain);
                 [drained, returned]
             });
-            for step in &scenario.steps {
+            // Its servers come back cold, whatever else happens.
+            let cold = Step { at_ms: RETURN_AT, fault: Fault::Cold("b".into()) };
+            let before = scenario.steps.iter().take_while(|step| step.at_ms <= RETURN_AT);
+            let after = scenario.steps.iter().skip_while(|step| step.at_ms <= RETURN_AT);
+            for step in before.chain([&cold]).chain(after) {
                 std::thread::sleep(wait(step.at_ms));
                 fleet.suffer(&step.fault);
             }
@@ -231,7 +237,8 @@
             }
         }
     }
-    Ok(Played { wrongs: fleet.wrongs(&sent), audit, to_gateways, last_send, load, scenario })
+    let cold = fleet.cold_loads().into_iter().map(|(_, share, _)| share).fold(0.0, f64::max);
+    Ok(Played { cold, wrongs: fleet.wrongs(&sent), audit, to_gateways, last_send, load, scenario })
 }
 
 fn plot(played: &Played, folder: &Path, name: &str) -> Result<(), Box<dyn Error>> {
@@ -357,7 +364,7 @@
     let share = |w: &Wrongs| w.served as f64 / (w.sent.max(1)) as f64;
     let quiet = good.iter().find(|p| p.scenario.seed == 0).map_or(1.0, |p| share(&p.wrongs));
     println!(
-        "{:>4} {:<46} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8} {:>9} {:>6}",
+        "{:>4} {:<46} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8} {:>9} {:>5} {:>6}",
         "seed",
         "faults",
         "sent",
@@ -369,6 +376,7 @@
         "doubled",
         "last gw",
         "last send",
+        "cold",
         "worth"
     );
     let mut all = Histogram::<u64>::new(3)?;
@@ -378,7 +386,7 @@
             all.record((*ms).max(1))?;
         }
         println!(
-            "{:>4} {:<46} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8} {:>9} {:>6.3}",
+            "{:>4} {:<46} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8} {:>9} {:>5.2} {:>6.3}",
             p.scenario.seed,
             p.scenario.name.chars().take(46).collect::<String>(),
             w.sent,
@@ -390,6 +398,7 @@
             w.doubled,
             p.to_gateways.iter().max().copied().unwrap_or(0),
             p.last_send.map_or("-".into(), |ms| ms.to_string()),
+            p.cold,
             share(w) / quiet
         );
     }
@@ -408,9 +417,10 @@
         let count = bar.count_since_last_iteration();
         println!("{:>6} {:>5} {}", bar.value_iterated_to() + 1, count, "#".repeat((count as usize).min(100)));
     }
+    let overrun = good.iter().filter(|p| p.cold > 1.0).count();
     println!(
         "{} runs: lost {}, doubled {}, sends later than 1 s after all were told {late_sends}, out of order {audit}, \
-         orders without outcome {}",
+         cold servers overrun in {overrun}, orders without outcome {}",
         good.len(),
         sum(|w| w.lost),
         sum(|w| w.doubled),
@@ -427,7 +437,7 @@
     if let Some(p) = good.iter().filter(|p| p.scenario.seed > 0).max_by_key(|p| p.scenario.steps.len()) {
         plot(p, &cli.plot, "failover-faults")?;
     }
-    match broken.is_empty() && audit + late_sends + sum(|w| w.lost) + sum(|w| w.doubled) == 0 {
+    match broken.is_empty() && audit + late_sends + overrun + sum(|w| w.lost) + sum(|w| w.doubled) == 0 {
         true => Ok(()),
         false => Err("something went wrong; see above".into()),
     }
--- a/crates/starlinghill-rig/src/failover.rs
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -2,6 +2,7 @@
 //! load through all of them; orders to the group; and faults by scripts, which are data and can be played again.
 
 use crate::group::{free_address, Group, LIMIT};
+use crate::history::Cold;
 use crate::nodes::SaveNode;
 use crate::processes::Process;
 use crate::world::{self, Discovery, Stub};
@@ -17,7 +18,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -58,6 +59,8 @@
     Trickle(String, String, u64),
     /// Connections over a link are reset.
     Reset(String, String),
+    /// The save nodes of a zone are started again, and are cold.
+    Cold(String),
     /// All links are whole.
     Heal,
 }
@@ -110,14 +113,33 @@
     seen: Arc<Mutex<Seen>>,
     stop: Arc<AtomicBool>,
     load: Vec<JoinHandle<()>>,
-    _discoveries: Vec<Discovery>,
+    lists: Vec<List>,
+    revision: u64,
+    /// The last start of each node that was started again.
+    cold: Vec<Option<(Instant, u64)>>,
     _counter: Stub,
 }
 
+/// What gateways of one zone are told of the servers: its links lead to them.
+struct List {
+    discovery: Discovery,
+    nodes: Vec<SocketAddr>,
+}
+
 fn zone_of(gateway: usize, gateways: usize) -> &'static str {
     ZONES[gateway * ZONES.len() / gateways]
 }
 
+/// How a server of this fleet warms up, as gateways are told.
+pub const COLD: Cold =
+    Cold { from: 0.17, warm_after: Duration::from_secs(14), multiple: 2.0, within: Duration::from_secs(2) };
+
+/// One member of a list: a node of a zone, where it is seen, since when it runs.
+fn entry(i: usize, zone: &str, at: SocketAddr, up_since_ms: u64) -> String {
+    let member = world::member_since(&format!("s-{i}"), at, "ready", up_since_ms);
+    member.replace("\"locality\":\"a\"", &format!("\"locality\":\"{zone}\""))
+}
+
 fn config(
     i: usize,
     gateways: usize,
@@ -131,7 +153,8 @@
         .replace(
             "\"zone\":\"a\",\"zones\":[\"a\",\"b\"]",
             &format!("\"zone\":\"{zone}\",\"zones\":[\"a\",\"b\",\"c\"]"),
-        );
+        )
+        .replace("\"fall_multiple\":4.0", &format!("\"fall_multiple\":{:.1}", COLD.multiple));
     format!(
         r#"{{"name":"n{i}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be96{i}",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"counter":"{counter}","settings":{settings}}}"#
@@ -148,15 +171,15 @@
         for i in 0..3 * ZONES.len() {
             nodes.push((ZONES[i / 3], SaveNode::start().await));
         }
-        let mut discoveries = Vec::new();
+        let mut lists = Vec::new();
         for zone in ZONES {
-            let mut listed = Vec::new();
+            let (mut listed, mut seen) = (Vec::new(), Vec::new());
             for (i, (there, node)) in nodes.iter().enumerate() {
                 let at = group.net.tcp(zone, there, node.address).await;
-                let member = world::member(&format!("s-{i}"), at, "ready");
-                listed.push(member.replace("\"locality\":\"a\"", &format!("\"locality\":\"{there}\"")));
+                listed.push(entry(i, there, at, 0));
+                seen.push(at);
             }
-            discoveries.push(Discovery::start(&listed.join(",")));
+            lists.push(List { discovery: Discovery::start(&listed.join(",")), nodes: seen });
         }
         let counter = world::counter();
         let (mut processes, mut listen) = (Vec::new(), Vec::new());
@@ -164,7 +187,7 @@
             let zone = zone_of(i, gateways);
             let at = free_address();
             let place = ZONES.iter().position(|z| *z == zone).unwrap_or(0);
-            let config = config(i, gateways, at, discoveries[place].stub.address, counter.address);
+            let config = config(i, gateways, at, lists[place].discovery.stub.address, counter.address);
             let file = group.folder().join(format!("gateway-{i}.json"));
             std::fs::write(&file, config).expect("a file");
             let operators = group.folder().join(format!("gateway-{i}.toml"));
@@ -189,12 +212,14 @@
             group,
             gateways: processes,
             listen,
+            cold: vec![None; nodes.len()],
             nodes,
             begun: Instant::now(),
             seen: Arc::default(),
             stop: Arc::default(),
             load: Vec::new(),
-            _discoveries: discoveries,
+            lists,
+            revision: 41,
             _counter: counter,
         };
         tokio::task::block_in_place(|| {
@@ -277,10 +302,50 @@
                 self.group.net.change(from, to, |c| c.bytes_per_s = Some(*rate));
             }
             Fault::Reset(from, to) => self.group.net.reset(from, to),
+            Fault::Cold(zone) => self.start_again(zone),
             Fault::Heal => self.group.net.heal(),
         }
     }
 
+    fn start_again(&mut self, zone: &str) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        for (i, (there, _)) in self.nodes.iter().enumerate() {
+            if *there == zone {
+                self.cold[i] = Some((Instant::now(), wall));
+            }
+        }
+        self.revision += 1;
+        for list in &self.lists {
+            let members = self.nodes.iter().enumerate().filter_map(|(i, (there, _))| {
+                let (_, since) = self.cold[i].filter(|_| *there == zone)?;
+                Some(entry(i, there, list.nodes[i], since))
+            });
+            let members = members.collect::<Vec<_>>().join(",");
+            list.discovery.say(self.revision, &world::list(self.revision, false, &members));
+        }
+    }
+
+    /// For each node that was started again, the most that came to it within a span of the rule on cold servers, against
+    /// what the rule allows there, and how old it was then. What warm ones bear is taken to be what they got in the
+    /// mean in this run, so it is no more than they do bear.
+    pub fn cold_loads(&self) -> Vec<(String, f64, Duration)> {
+        let until = Instant::now();
+        let warm = self.nodes.iter().zip(&self.cold).filter(|(_, cold)| cold.is_none());
+        let rates = warm.map(|((_, node), _)| {
+            let came = node.came().iter().filter(|came| came.at >= self.begun).count();
+            came as f64 / (until - self.begun).as_secs_f64().max(1.0)
+        });
+        let rates: Vec<f64> = rates.collect();
+        let capacity = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        let cold = self.nodes.iter().zip(&self.cold).enumerate();
+        cold.filter_map(|(i, ((_, node), cold))| {
+            let came: Vec<Instant> = node.came().iter().map(|came| came.at).collect();
+            let (share, age) = COLD.worst(&came, (*cold)?.0, capacity)?;
+            Some((format!("s-{i}"), share, age))
+        })
+        .collect()
+    }
+
     /// Requests that came to the nodes of a zone, by when.
     pub fn came_to(&self, zone: &str) -> Vec<Instant> {
         let nodes = self.nodes.iter().filter(|(z, _)| *z == zone);
--- a/crates/starlinghill-rig/src/history.rs
+++ b/crates/starlinghill-rig/src/history.rs
@@ -65,6 +65,49 @@
     told.filter(|f| f.at >= at).map(|f| f.since).min()
 }
 
+/// How servers bear work after a start, as the platform's settings say it of them.
+#[derive(Debug, Clone, Copy)]
+pub struct Cold {
+    /// The part of its capacity that one has at its start.
+    pub from: f64,
+    /// When it has all of it.
+    pub warm_after: Duration,
+    /// It falls over at so many times what it can do at the moment...
+    pub multiple: f64,
+    /// ...for so long.
+    pub within: Duration,
+}
+
+impl Cold {
+    /// The most that came within any span of the rule's length after a start, against what the rule allows there, and
+    /// when that span began. `capacity` is what a warm server bears a second.
+    pub fn worst(&self, came: &[Instant], started: Instant, capacity: f64) -> Option<(f64, Duration)> {
+        let mut came: Vec<Instant> = came.iter().copied().filter(|at| *at >= started).collect();
+        came.sort_unstable();
+        let mut end = 0;
+        let mut worst: Option<(f64, Duration)> = None;
+        for (i, first) in came.iter().enumerate() {
+            let age = *first - started;
+            if age > self.warm_after {
+                break;
+            }
+            while came.get(end).is_some_and(|at| *at - *first <= self.within) {
+                end += 1;
+            }
+            // Over the span it warms up; its middle stands for it.
+            let at = (age + self.within / 2).as_secs_f64() / self.warm_after.as_secs_f64();
+            let part = self.from + (1.0 - self.from) * at.min(1.0);
+            let allowed = self.multiple * part * capacity * self.within.as_secs_f64();
+            // Chance: three deviations of as many as are allowed.
+            let share = (end - i) as f64 / (allowed + 3.0 * allowed.sqrt()).max(1.0);
+            if worst.is_none_or(|(most, _)| share > most) {
+                worst = Some((share, age));
+            }
+        }
+        worst
+    }
+}
+
 /// What is wrong with a run, one line each.
 pub fn wrongs(
     orders: &[Ordered],
--- a/crates/starlinghill-rig/tests/history.rs
+++ b/crates/starlinghill-rig/tests/history.rs
@@ -1,6 +1,6 @@
 //! The audit finds what is planted.
 
-use starlinghill_rig::history::{wrongs, Follows, Ordered};
+use starlinghill_rig::history::{wrongs, Cold, Follows, Ordered};
 use std::time::{Duration, Instant};
 
 const FRESH: Duration = Duration::from_secs(1);
@@ -57,3 +57,30 @@
     (gateways[0][2].at, gateways[0][2].life) = ((1, 1), 2);
     assert_eq!(found(&orders, &gateways), Vec::<String>::new());
 }
+
+#[test]
+fn a_cold_server_that_gets_more_than_it_bears_is_found_wherever_the_span_begins() {
+    let cold = Cold {
+        from: 0.2,
+        warm_after: Duration::from_secs(10),
+        multiple: 2.0,
+        within: Duration::from_secs(2),
+    };
+    let begin = Instant::now() + Duration::from_secs(1);
+    // 50 a second when warm: 2 * (0.2 to 1.0) * 50 * 2 s, with three deviations of chance.
+    let even = |from_ms: u64, n: u64, over_ms: u64| {
+        (0..n).map(move |i| begin + Duration::from_millis(from_ms + i * over_ms / n)).collect::<Vec<_>>()
+    };
+    let worst = |came: &[Instant]| cold.worst(came, begin, 50.0).map_or(0.0, |(share, _)| share);
+    let fitting = even(0, 40, 2_000);
+    assert!(worst(&fitting) < 1.0, "{}", worst(&fitting));
+    // What came before the start was to the life before.
+    let before: Vec<Instant> = (0..900).map(|i| begin - Duration::from_micros(i + 1)).collect();
+    assert_eq!(worst(&[before, fitting.clone()].concat()), worst(&fitting));
+    assert!(worst(&even(0, 100, 2_000)) > 1.0);
+    // A burst that a look at whole seconds would halve.
+    let burst = even(1_700, 110, 600);
+    assert!(worst(&[fitting.clone(), burst].concat()) > 1.0);
+    // As many are well when it is warm.
+    assert!(worst(&even(9_000, 180, 2_000)) < 1.0);
+}
