--- a/crates/starlinghill-control/src/program/zones.rs
+++ b/crates/starlinghill-control/src/program/zones.rs
@@ -9,12 +9,13 @@
 use starlinghill_accord::{Position, WHOLE};
 use starlinghill_follow::client::{give, look_at_all, NotDone};
 use starlinghill_follow::report::{Report, Subscriber};
+use starlinghill_follow::wall;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// How long members may take to say what they know.
@@ -203,17 +204,13 @@
     best.map(|best| (best, followers)).ok_or_else(|| Exit::NotReached(away.join("; ")))
 }
 
-fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
-}
-
 /// An order with all but what is ordered.
 pub fn signed(id: Option<String>, by: Option<String>, reason: String) -> Order {
     let author = by.or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "operator".into());
     let id = id.unwrap_or_else(|| format!("{:016x}", fastrand::u64(..)));
     // What is ordered is filled in by the caller; a step of nothing is refused by every group.
     let what = What::Step { zone: String::new(), of: 0 };
-    Order { id, author, reason, at_ms: now_ms(), what }
+    Order { id, author, reason, at_ms: wall::now_ms(), what }
 }
 
 fn part(z: &ZoneState) -> String {
@@ -225,7 +222,7 @@
 }
 
 fn ago(at_ms: u64) -> String {
-    match now_ms().saturating_sub(at_ms) / 1_000 {
+    match wall::now_ms().saturating_sub(at_ms) / 1_000 {
         _ if at_ms == 0 => "-".into(),
         s @ 0..=119 => format!("{s} s"),
         s @ 120..=7_199 => format!("{} min", s / 60),
--- a/crates/starlinghill-follow/src/lib.rs
+++ b/crates/starlinghill-follow/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod link;
 pub mod report;
+pub mod wall;
 
 /// The types of `proto/group.proto`.
 #[allow(missing_docs, clippy::doc_markdown)]
--- a/crates/starlinghill-gateway/src/inbox.rs
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -90,6 +90,10 @@
 
 impl Clock {
     /// Reads the system's clock once; from then on the monotonic one counts.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "servers' starts and windows of counts are told in Unix time"
+    )]
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
--- a/crates/starlinghill-group/src/member.rs
+++ b/crates/starlinghill-group/src/member.rs
@@ -17,12 +17,13 @@
 use starlinghill_accord::wire::{decode, encode};
 use starlinghill_accord::Micros;
 use starlinghill_follow::report::{Manage, Managed};
+use starlinghill_follow::wall;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{watch, OnceCell};
 use tokio::task::JoinHandle;
 use tonic::Status;
@@ -120,11 +121,6 @@
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
-/// Wall time, for people.
-fn wall() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
-}
-
 fn span(micros: Micros) -> Duration {
     Duration::from_micros(micros.0)
 }
@@ -510,7 +506,7 @@
                     id: String::new(),
                     author: format!("member {}", self.speaker.id),
                     reason: "the next step".into(),
-                    at_ms: wall(),
+                    at_ms: wall::now_ms(),
                     what: What::Step { zone: due.zone.clone(), of: due.of },
                 };
                 if let Err(e) = self.write(Record::Order(order)).await {
--- a/crates/starlinghill-rig/src/failover.rs
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -12,13 +12,14 @@
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
+use starlinghill_follow::wall;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -308,7 +309,7 @@
     }
 
     fn start_again(&mut self, zone: &str) {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let wall = wall::system();
         for (i, (there, _)) in self.nodes.iter().enumerate() {
             if *there == zone {
                 self.cold[i] = Some((Instant::now(), wall));
--- a/crates/starlinghill-xds/src/hub.rs
+++ b/crates/starlinghill-xds/src/hub.rs
@@ -29,6 +29,7 @@
 
 impl Clock {
     /// Reads the system's clock once; from then on the monotonic one counts.
+    #[expect(clippy::disallowed_methods, reason = "servers' starts are told in Unix time")]
     pub fn start() -> Clock {
         let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { base, start: Instant::now() }
