--- a/crates/starlinghill-rig/examples/followers.rs
+++ b/crates/starlinghill-rig/examples/followers.rs
@@ -14,17 +14,13 @@
 use starlinghill_follow::client::give;
 use starlinghill_follow::link::follow;
 use starlinghill_rig::group::Group;
+use starlinghill_rig::processes::used;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// Clock ticks a second in `/proc/PID/stat`, the same on every Linux that this runs on.
-const TICKS: f64 = 100.0;
-/// Bytes of a page, as in `/proc/PID/statm`.
-const PAGE: u64 = 4_096;
-
 #[derive(Parser)]
 struct Cli {
     /// Followers.
@@ -35,16 +31,6 @@
     orders: u64,
 }
 
-/// Memory in bytes, and CPU time in seconds, of a process so far.
-fn used(pid: u32) -> Option<(u64, f64)> {
-    let pages: u64 =
-        std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    let after: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
-    let ticks = after.get(11)?.parse::<f64>().ok()? + after.get(12)?.parse::<f64>().ok()?;
-    Some((pages * PAGE, ticks / TICKS))
-}
-
 fn order(number: u64) -> Order {
     let ramp = Ramp { step: WHOLE, every_ms: 1_000 };
     let change = if number.is_multiple_of(2) { Change::Out } else { Change::Return { ramp } };
@@ -129,7 +115,7 @@
     shown("all come at once, to following", &first);
 
     let mut changes = Histogram::<u64>::new(3)?;
-    let cpu_before: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.1).sum();
+    let cpu_before: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.cpu).sum();
     let span = Instant::now();
     for number in cli.orders..cli.orders + 20 {
         let given = Instant::now();
@@ -140,10 +126,10 @@
         all_follow(&mut views, position, given, &mut changes).await?;
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
-    let cpu: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.1).sum::<f64>() - cpu_before;
+    let cpu: f64 = pids.iter().filter_map(|pid| used(*pid)).map(|u| u.cpu).sum::<f64>() - cpu_before;
     shown("order to each follower", &changes);
     let after: Vec<_> = pids.iter().filter_map(|pid| used(*pid)).collect();
-    let grown: u64 = after.iter().zip(&before).map(|(a, b)| a.0.saturating_sub(b.0)).sum();
+    let grown: u64 = after.iter().zip(&before).map(|(a, b)| a.memory.saturating_sub(b.memory)).sum();
     println!(
         "members together: {:.1} kB of memory and {:.3} ms of CPU a second for each follower ({} of them, 5 questions \
          a second each)",
--- a/crates/starlinghill-rig/src/failover.rs
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -3,30 +3,20 @@
 
 use crate::group::{free_address, Group, LIMIT};
 use crate::history::Cold;
+use crate::load::{Load, Sent, WAITS};
 use crate::nodes::SaveNode;
 use crate::processes::Process;
 use crate::world::{self, Discovery, Stub};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper::Request;
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use starlinghill_follow::wall;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
 /// The zones of the fleet, as in [`crate::group::MAP`].
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
-/// How long a client waits for an answer before it counts as lost: the longest deadline of a class, and some.
-const WAITS: Duration = Duration::from_secs(9);
 /// The time of a request's class that is on time.
 const ON_TIME: Duration = Duration::from_secs(1);
 
@@ -76,27 +66,6 @@
     pub fault: Fault,
 }
 
-/// One request of a client's.
-#[derive(Debug, Clone)]
-pub struct Sent {
-    /// Its id.
-    pub call: String,
-    /// Its class.
-    pub class: &'static str,
-    /// The gateway.
-    pub gateway: usize,
-    /// When it was sent.
-    pub at: Instant,
-    /// The answer's status, and when it came; `None`: the connection ended without one, or none came.
-    pub answer: Option<(u16, Instant)>,
-}
-
-/// What clients have seen.
-#[derive(Default)]
-struct Seen {
-    sent: Vec<Sent>,
-}
-
 /// The fleet.
 pub struct Fleet {
     /// The group.
@@ -111,9 +80,7 @@
     pub begun: Instant,
     /// When each gateway was killed or told to end: what it had open then ends with it.
     pub ended: Vec<Vec<Instant>>,
-    seen: Arc<Mutex<Seen>>,
-    stop: Arc<AtomicBool>,
-    load: Vec<JoinHandle<()>>,
+    load: Option<Load>,
     lists: Vec<List>,
     revision: u64,
     /// The last start of each node that was started again.
@@ -216,9 +183,7 @@
             cold: vec![None; nodes.len()],
             nodes,
             begun: Instant::now(),
-            seen: Arc::default(),
-            stop: Arc::default(),
-            load: Vec::new(),
+            load: None,
             lists,
             revision: 41,
             _counter: counter,
@@ -234,34 +199,18 @@
         fleet
     }
 
-    /// Load through every gateway: so many requests a second each, of all classes, from clients that keep a
-    /// connection each.
+    /// Load through every gateway: so many requests a second each, of all classes.
     pub fn load(&mut self, per_s: u64) {
         self.begun = Instant::now();
-        let calls = Arc::new(AtomicU64::new(0));
-        // So many clients that one slow answer does not hold the rate down.
-        let clients = (per_s / 4).max(1);
-        for gateway in 0..self.listen.len() {
-            for client in 0..clients {
-                let (at, seen, stop, calls) =
-                    (self.listen[gateway], self.seen.clone(), self.stop.clone(), calls.clone());
-                let every = Duration::from_millis(clients * 1_000 / per_s);
-                let first = every.mul_f64(client as f64 / clients as f64);
-                self.load.push(tokio::spawn(async move {
-                    tokio::time::sleep(first).await;
-                    ask_always(at, gateway, every, &seen, &stop, &calls).await;
-                }));
-            }
-        }
+        self.load = Some(Load::start(&self.listen, per_s));
     }
 
     /// Ends the load, waits for what is open, and tells all that was sent.
     pub async fn rest(&mut self) -> Vec<Sent> {
-        self.stop.store(true, Ordering::Relaxed);
-        for client in self.load.drain(..) {
-            let _ = client.await;
+        match &mut self.load {
+            Some(load) => load.rest().await,
+            None => Vec::new(),
         }
-        self.seen.lock().unwrap_or_else(PoisonError::into_inner).sent.clone()
     }
 
     /// Carries a fault out.
@@ -415,74 +364,3 @@
     /// Run twice though they may not.
     pub doubled: usize,
 }
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for client in self.load.drain(..) {
-            client.abort();
-        }
-    }
-}
-
-async fn ask_always(
-    at: SocketAddr,
-    gateway: usize,
-    every: Duration,
-    seen: &Mutex<Seen>,
-    stop: &AtomicBool,
-    calls: &AtomicU64,
-) {
-    let mut sender: Option<http1::SendRequest<Full<Bytes>>> = None;
-    let mut next = tokio::time::Instant::now();
-    while !stop.load(Ordering::Relaxed) {
-        tokio::time::sleep_until(next).await;
-        next = (next + every).max(tokio::time::Instant::now());
-        if sender.as_ref().is_none_or(http1::SendRequest::is_closed) {
-            // A gateway that is being started again refuses; nothing was sent then.
-            let Ok(stream) = TcpStream::connect(at).await else { continue };
-            let _ = stream.set_nodelay(true);
-            let Ok((new, connection)) = http1::handshake(TokioIo::new(stream)).await else { continue };
-            tokio::spawn(connection);
-            sender = Some(new);
-        }
-        let Some(open) = &mut sender else { continue };
-        if open.ready().await.is_err() {
-            sender = None;
-            continue;
-        }
-        let number = calls.fetch_add(1, Ordering::Relaxed);
-        let class = ["look", "look", "buy", "once"][(number % 4) as usize];
-        let call = format!("{number:016x}");
-        let sent_at = Instant::now();
-        let asked = async {
-            let response = open.send_request(request(class, &call, number)).await.ok()?;
-            let status = response.status().as_u16();
-            response.into_body().collect().await.ok()?;
-            Some((status, Instant::now()))
-        };
-        let answer = tokio::time::timeout(WAITS, asked).await.ok().flatten();
-        if answer.is_none() {
-            sender = None;
-        }
-        let sent = Sent { call, class, gateway, at: sent_at, answer };
-        seen.lock().unwrap_or_else(PoisonError::into_inner).sent.push(sent);
-    }
-}
-
-fn request(class: &str, call: &str, number: u64) -> Request<Full<Bytes>> {
-    let method = if class == "look" { "GET" } else { "POST" };
-    let body = if class == "look" { Bytes::new() } else { Bytes::from_static(b"hello") };
-    let customer = number % 97;
-    let request = Request::builder()
-        .method(method)
-        .uri(format!("/api?customer={customer:016x}&x=1"))
-        .header("host", "origin.svc")
-        .header("x-call-id", call)
-        .header("x-call-class", class)
-        .header("x-plan", "team")
-        .header("x-budget-ms", "4000")
-        .header("x-quota", "units=1,spread=2,first=0");
-    let request =
-        if class == "buy" { request.header("idempotency-key", format!("k-{number}")) } else { request };
-    request.body(Full::new(body)).expect("a sound request")
-}
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`group`]: a group of real member processes, with links between them.
 //! - [`history`]: the audit of what was ordered and what gateways followed.
 //! - [`links`]: links between real processes, one a directed pair of zones, that are cut, slow, lossy or reset.
+//! - [`load`]: clients at a steady pace, and what became of each request.
 //! - [`nodes`]: save nodes that many proxies send to at once, and what they saw.
 //! - [`outage`]: a fleet of real gateways round a counter in trouble, by scenarios.
 //! - [`processes`]: real processes that are killed, stopped, continued and started again.
@@ -18,6 +19,7 @@
 pub mod group;
 pub mod history;
 pub mod links;
+pub mod load;
 pub mod nodes;
 pub mod outage;
 pub mod processes;
--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -18,6 +18,36 @@
     pub text: String,
 }
 
+/// Bytes of a page, as in `/proc/PID/statm`.
+const PAGE: u64 = 4_096;
+
+/// What a process uses.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Used {
+    /// Resident memory, in bytes.
+    pub memory: u64,
+    /// CPU time so far, in seconds, of the threads that there are.
+    pub cpu: f64,
+    /// Threads.
+    pub threads: usize,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+/// What a process uses now; `None` where it is gone.
+pub fn used(pid: u32) -> Option<Used> {
+    let pages: u64 =
+        std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
+    let mut cpu = 0.0;
+    for task in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
+        // One that ends meanwhile is left out.
+        let ran = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        cpu += ran.split(' ').next()?.parse::<f64>().unwrap_or(0.0) / 1e9;
+    }
+    let count = |what: &str| std::fs::read_dir(format!("/proc/{pid}/{what}")).map(Iterator::count).ok();
+    Some(Used { memory: pages * PAGE, cpu, threads: count("task")?, descriptors: count("fd")? })
+}
+
 /// A process, by the command that starts it again and again.
 pub struct Process {
     /// Its name.
