Estimates and the split of ceilings go from the decision module to pure packages

Need: the policy list is to name every file that decides; what estimates and keeps books has to leave these files first.

Change: the part of requests that asks the counter, throttling and what servers bear are starlinghill-estimate; how a hard ceiling is split, and turns, are starlinghill_ledger::ceiling. The module says which outcomes tell of load and decides by what it is told. The circle borne <-> fleet is gone.

--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -2,7 +2,6 @@
 //! answers, by a local bucket where it does not.
 
 use crate::api::*;
-use crate::asking::Asking;
 use crate::breaker::Breaker;
 use crate::bucket::{mix, TokenBucket};
 use crate::calls::{Call, Purpose};
@@ -10,6 +9,7 @@
 use crate::repeats::{Refusal, Repeats};
 use crate::scattered::Scattered;
 use crate::tally::Tally;
+use starlinghill_estimate::asking::Asking;
 use starlinghill_ledger::flow::Flow;
 use starlinghill_ledger::shares::{Exchange, Shares};
 use starlinghill_ledger::usual::Usual;
@@ -282,7 +282,10 @@
         outcome: Outcome,
     ) {
         let now = cx.now;
-        self.asking.failed(made, now, outcome);
+        // What comes back spoilt or broken says nothing of the counter's load.
+        if matches!(outcome, Outcome::Timeout | Outcome::Full) {
+            self.asking.jammed(made, now);
+        }
         if self.last_failed != Some(customer) || probe {
             self.breaker.failure(now, probe);
         }
--- a/crates/starlinghill-decision/src/context.rs
+++ b/crates/starlinghill-decision/src/context.rs
@@ -5,8 +5,6 @@
 
 /// Weight of the newest sample in smoothed figures.
 pub(crate) const SMOOTH: f64 = 0.1;
-/// Parts that adapt (of requests that ask, of requests that pass) never fall below this.
-pub(crate) const LEAST_PART: f64 = 0.05;
 
 /// What a timer was set for.
 #[derive(Debug, Clone, Copy)]
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -62,7 +62,13 @@
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
         let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
-        self.throttle.ended(now, outcome, took, aim);
+        // Only what tells of load counts: a server that can't be reached, breaks off or answers with an error
+        // does so whatever the others bear, and what was called off was no server's fault.
+        match outcome {
+            Outcome::Ok => self.throttle.note(now, took <= aim),
+            Outcome::Full | Outcome::Timeout => self.throttle.note(now, false),
+            _ => {}
+        }
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
--- a/crates/starlinghill-decision/src/learned.rs
+++ b/crates/starlinghill-decision/src/learned.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::attempts::Gateway;
-use crate::borne::Borne;
+use starlinghill_estimate::borne::Borne;
 
 /// What is older counts for nothing; what is younger loses weight evenly.
 const OLDEST: Micros = Micros(10_000_000);
@@ -16,7 +16,7 @@
     pub fn learned(&self) -> Learned {
         let known = self.fleet.servers.iter().filter(|(_, s)| s.listed && s.latency > 0.0);
         let servers = known.map(|(&id, s)| (id, s.limit, s.latency)).collect();
-        Learned { at: self.cx.now, per_weight: self.fleet.borne.rate, servers }
+        Learned { at: self.cx.now, per_weight: self.fleet.borne.rate(), servers }
     }
 
     /// Takes over what an earlier process knew, by its age. Servers that are cold now, or that this process knows better, are left
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,15 +2,14 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `server`, `borne`, `throttle`, `asking`, `breaker`, `context`, `roster`, `fleet`,
-//! `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`.
+//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `server`,
+//! `breaker`, `context`, `roster`, `fleet`, `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`,
+//! `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`. Estimates stand in `starlinghill_estimate`.
 
 pub mod api;
 
 mod admission;
-mod asking;
 mod attempts;
-mod borne;
 mod breaker;
 mod bucket;
 mod calls;
@@ -29,7 +28,6 @@
 mod sharing;
 mod tally;
 mod thin;
-mod throttle;
 mod zones;
 
 pub use attempts::Gateway;
--- a/crates/starlinghill-decision/src/roster.rs
+++ b/crates/starlinghill-decision/src/roster.rs
@@ -2,13 +2,13 @@
 //! among them stands in `choice`, what is held against them in `health`.
 
 use crate::api::*;
-use crate::borne::Borne;
 use crate::bucket::TokenBucket;
 use crate::context::{Context, Timer};
 use crate::fleet::LIMIT_START;
 use crate::server::Server;
-use crate::throttle::Throttle;
 use crate::zones::Zones;
+use starlinghill_estimate::borne::Borne;
+use starlinghill_estimate::throttle::Throttle;
 use std::collections::BTreeMap;
 
 /// Time over which flow is averaged.
--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -10,24 +10,15 @@
 use crate::api::*;
 use crate::bucket::{mix, TokenBucket};
 use crate::calls::{Call, Purpose};
-use crate::context::{Context, LEAST_PART};
+use crate::context::Context;
+use starlinghill_estimate::LEAST_PART;
+use starlinghill_ledger::ceiling::{Split, Turns};
 use starlinghill_ledger::demand::{Demand, SPAN};
 use starlinghill_ledger::usual::Usual;
+use starlinghill_ledger::Quota;
 
 /// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter bears is shared by all.
 const MANY: u32 = 16;
-/// The part of a ceiling that is split evenly: the least that leaves each gateway room for a little more than the largest request,
-/// else the most. Customers come unevenly, and one gateway may see half of what one asks for.
-const SPLITS: [f64; 3] = [0.6, 0.7, 0.8];
-const ROOMY: f64 = 1.2;
-/// The length of a turn, at the least, and the requests that one has room for. Longer turns need fewer calls, and leave less to be
-/// split: a burst may spend two turns at once.
-const TURN: Micros = Micros(500_000);
-const TURN_HOLDS: f64 = 2.0;
-/// The most of a turn that is taken for requests to come.
-const MOST_AHEAD: f64 = 0.5;
-/// What was let through may still wait so long for a server.
-const ON_THE_WAY: Micros = Micros(100_000);
 /// A total that was heard within this time will do, and one within the next as long as there is little to tell: less than this
 /// gateway's part of what the quota gives in so many seconds. Guards against a few busy customers, each seen by a few gateways,
 /// that take half of a counter's calls, while gateways that know nothing of a customer can't ask. Longer hears of a spike too late.
@@ -54,9 +45,7 @@
     uncounted: (u64, f64),
     /// This gateway's own part of its ceiling.
     own_part: Option<TokenBucket>,
-    /// What is left here of a turn, and the last turn known to be spent.
-    turn: (u64, f64),
-    turn_spent: u64,
+    turns: Turns,
 }
 
 impl Scattered {
@@ -66,52 +55,6 @@
     }
 }
 
-/// How a plan's ceiling is kept over the gateways of a customer.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Split {
-    /// Each gateway's own part: units a second, and at once.
-    rate: f64,
-    depth: f64,
-    /// The turns' length, and the units of each; none where the ceiling holds too little for turns.
-    turn: Micros,
-    units: f64,
-}
-
-impl Split {
-    /// The same at each gateway: it follows from the settings and the customer's spread alone.
-    fn of(set: &Settings, plan: &Plan, spread: f64) -> Split {
-        let late = ON_THE_WAY + set.count_timeout;
-        let shared = |part: f64| {
-            let rate = plan.ceiling_rate * (1.0 - part);
-            let turn =
-                TURN.max(Micros((TURN_HOLDS * set.most_units / rate.max(1e-9) * 1e6).min(1e12) as u64));
-            // Two turns, one behind the other, can be spent at once, and calls that were late with them.
-            let held = rate * (turn + turn + late).secs();
-            let depth = (plan.ceiling_burst - held - plan.ceiling_rate * part * ON_THE_WAY.secs()) / spread;
-            (Split { rate: plan.ceiling_rate * part / spread, depth, turn, units: rate * turn.secs() }, depth)
-        };
-        // One that has a customer to itself has all of its ceiling.
-        let tries: &[f64] = if spread > 1.0 { &SPLITS } else { &[1.0] };
-        let mut fits = None;
-        for (split, depth) in tries.iter().map(|&part| shared(part)) {
-            fits = if depth >= set.most_units { Some(split) } else { fits };
-            if depth >= set.most_units * ROOMY {
-                break;
-            }
-        }
-        if let Some(split) = fits {
-            return split;
-        }
-        // A part of less than one request is of no use: all by turns, or where the ceiling does not hold two of them, none.
-        let (turns, left) = shared(0.0);
-        if left >= 0.0 {
-            return Split { depth: 0.0, ..turns };
-        }
-        let depth = (plan.ceiling_burst - plan.ceiling_rate * ON_THE_WAY.secs()).max(0.0) / spread;
-        Split { rate: plan.ceiling_rate / spread, depth, turn: TURN, units: 0.0 }
-    }
-}
-
 /// The current span of a customer's demand, and how much of it has passed.
 fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
     let shifted = cx.now.0 + mix(customer.0) % SPAN.0;
@@ -163,40 +106,21 @@
     /// are to be expected within the turn.
     pub(crate) fn ask_turn(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
         let split = self.split(cx, a);
-        let (turn, passed) = (cx.now.0 / split.turn.0, Micros(cx.now.0 % split.turn.0));
+        let (turn, left) = split.turn_at(cx.now);
         let Some(c) = self.customers.get_mut(&a.customer) else { return Asked::Full };
-        let expected = c.asked.now(cx.now).max(0.0) * (split.turn - passed).secs();
-        if c.scattered.turn.0 == turn && c.scattered.turn.1 >= a.units {
-            c.scattered.turn.1 -= a.units;
+        if c.scattered.turns.take(turn, a.units) {
             return Asked::Free;
         }
+        let amount = split.amount(a.units, c.asked.now(cx.now), left);
         // Known to be spent: a call could only tell the same, and a counter has better things to do.
-        let spent = c.scattered.turn_spent == turn;
-        if spent || a.units > split.units || !self.may_call(cx, a.customer) {
+        if c.scattered.turns.is_spent(turn) || a.units > split.units || !self.may_call(cx, a.customer) {
             return Asked::Full;
         }
-        let amount = a.units + expected.min(split.units * MOST_AHEAD).floor();
         let name = name_of(a.customer, TURN_NAME, turn);
         self.call_for(cx, name, split.turn + split.turn, Call::new(cx.now, Purpose::Turn, a, turn, amount));
         Asked::Called
     }
 
-    /// What was got of a turn, by the total that was heard; what the request leaves of it can be used while the turn lasts.
-    fn got_of_turn(&mut self, cx: &Context, call: &Call, units: f64, total: f64) -> f64 {
-        let Some(c) = self.customers.get_mut(&call.customer) else { return 0.0 };
-        let split = Split::of(&cx.set, &cx.set.plans[c.plan], c.spread);
-        let got = (split.units - (total - call.amount)).clamp(0.0, call.amount);
-        if got < call.amount {
-            c.scattered.turn_spent = call.span;
-        }
-        let rest = if got >= units { got - units } else { got };
-        if cx.now.0 / split.turn.0 == call.span {
-            let had = if c.scattered.turn.0 == call.span { c.scattered.turn.1 } else { 0.0 };
-            c.scattered.turn = (call.span, had + rest);
-        }
-        got
-    }
-
     fn call_for(&mut self, cx: &mut Context, name: CountName, life: Micros, call: Call) {
         let probe =
             self.breaker.probing || self.customers.get(&call.customer).is_some_and(|c| c.breaker.probing);
@@ -215,10 +139,8 @@
     ) -> Option<f64> {
         if outcome != Outcome::Ok {
             // Guards against a jam that calls for the same turn would only make longer. What they lack comes with the next.
-            if let Some(c) = self.customers.get_mut(&call.customer).filter(|_| call.purpose == Purpose::Turn)
-            {
-                c.scattered.turn_spent = call.span;
-            }
+            let c = self.customers.get_mut(&call.customer).filter(|_| call.purpose == Purpose::Turn);
+            c.into_iter().for_each(|c| c.scattered.turns.give_up(call.span));
             self.call_failed(cx, call.customer, call.probe, call.at, outcome);
             return None;
         }
@@ -230,8 +152,13 @@
             c.scattered.heard = cx.now;
         }
         c.breaker.success(call.probe);
-        let total =
-            if call.purpose == Purpose::Turn { self.got_of_turn(cx, call, call.units, total) } else { total };
+        let total = match call.purpose {
+            Purpose::Turn => {
+                let split = split(&cx.set, c.plan, c.spread);
+                c.scattered.turns.got(&split, cx.now, call.span, (call.amount, call.units), total)
+            }
+            _ => total,
+        };
         self.asking.answered(cx.now - call.at, cx.set.count_timeout, call.probe);
         (self.heard, self.last_failed) = (true, None);
         self.breaker.success(call.probe);
@@ -289,10 +216,17 @@
     }
 
     fn split(&self, cx: &Context, a: &Arrival) -> Split {
-        Split::of(&cx.set, &cx.set.plans[a.plan.0], f64::from(a.spread.max(1)))
+        split(&cx.set, a.plan.0, f64::from(a.spread.max(1)))
     }
 }
 
+/// How a plan's ceiling is kept over the gateways of a customer; the same at each of them.
+fn split(set: &Settings, plan: usize, spread: f64) -> Split {
+    let plan = &set.plans[plan];
+    let ceiling = Quota { rate: plan.ceiling_rate, burst: plan.ceiling_burst };
+    Split::of(ceiling, set.most_units, set.count_timeout, spread)
+}
+
 fn name_of(customer: CustomerId, what: u64, span: u64) -> CountName {
     CountName(mix(mix(customer.0 ^ mix(what)) ^ mix(span)) >> 1)
 }
--- a/crates/starlinghill-decision/src/server.rs
+++ b/crates/starlinghill-decision/src/server.rs
@@ -21,3 +21,15 @@
     pub(crate) cold_since: Option<Micros>,
     pub(crate) cold_room: TokenBucket,
 }
+
+impl Server {
+    /// It is cold, and what is out at it is all that it may have.
+    pub(crate) fn pushed(&self) -> bool {
+        self.cold_since.is_some() && self.cold_room.level <= 0.0
+    }
+
+    /// It is cold no more once its time is over.
+    pub(crate) fn warms(&mut self, now: Micros, cold: Micros) {
+        self.cold_since = self.cold_since.filter(|&since| now < since + cold);
+    }
+}
--- a/crates/starlinghill-decision/src/asking.rs
+++ b/crates/starlinghill-estimate/src/asking.rs
@@ -1,7 +1,7 @@
 //! How many requests ask the shared counter: all where it bears that, a part where calls fail or queue.
 
-use crate::api::{Micros, Outcome};
-use crate::context::LEAST_PART;
+use crate::LEAST_PART;
+use starlinghill_ledger::Micros;
 
 /// The share is cut by a failed call and a little by an answer that queued for more than half of the time there is, raised by each
 /// other answer, and never below `LEAST_PART`. Raised by as much whatever it is, so that gateways come to equal shares of a
@@ -30,7 +30,7 @@
 
 /// The share of requests that ask.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Asking {
+pub struct Asking {
     share: f64,
     many: bool,
     /// No answer has queued or failed yet.
@@ -48,30 +48,30 @@
 
 impl Asking {
     /// At the start of one of so many gateways. Guards against a counter that all of them fill before the first cut.
-    pub(crate) fn of(gateways: u32) -> Asking {
+    pub fn of(gateways: u32) -> Asking {
         let share = (START / f64::from(gateways.max(1))).min(1.0);
         Asking { share, many: share < 1.0, starting: share < 1.0, ..Asking::default() }
     }
 
     /// Whether one asks by this draw (from 0 to 1): what is worth much first, repeats last.
-    pub(crate) fn asks(&self, draw: f64, power: f64) -> bool {
+    pub fn asks(&self, draw: f64, power: f64) -> bool {
         draw < self.chance(power)
     }
 
     /// The part that asks of what has this power.
-    pub(crate) fn chance(&self, power: f64) -> f64 {
+    pub fn chance(&self, power: f64) -> f64 {
         self.share.powf(power)
     }
 
     /// The counter has calls to spare.
-    pub(crate) fn spare(&self) -> bool {
+    pub fn spare(&self) -> bool {
         self.share >= SPARE
     }
 
-    /// A call that was made then has failed. One cut answers for all calls that were out when it was made: guards against
-    /// asking next to nothing for a moment's jam. What comes back spoilt or broken says nothing of the counter's load.
-    pub(crate) fn failed(&mut self, made: Micros, now: Micros, outcome: Outcome) {
-        if made >= self.last_cut && matches!(outcome, Outcome::Timeout | Outcome::Full) {
+    /// A call that was made then came back by now as one that the counter did not bear. One cut answers for all calls that were out
+    /// when it was made: guards against asking next to nothing for a moment's jam.
+    pub fn jammed(&mut self, made: Micros, now: Micros) {
+        if made >= self.last_cut {
             let cut = if self.many { MANY_CUT } else { CUT };
             (self.share, self.last_cut) = ((self.share * cut).max(LEAST_PART), now);
             self.starting = false;
@@ -80,7 +80,7 @@
 
     /// A call was answered after so long, of the time there is. Guards against taking a counter that is slow by itself for one
     /// that our calls drown: only what it takes beyond its best says that calls queue.
-    pub(crate) fn answered(&mut self, took: Micros, limit: Micros, probe: bool) {
+    pub fn answered(&mut self, took: Micros, limit: Micros, probe: bool) {
         let took = took.secs();
         let best =
             self.unqueued.map_or(took, |best| if took < best { took } else { best + (took - best) * FORGET });
--- a/crates/starlinghill-decision/src/borne.rs
+++ b/crates/starlinghill-estimate/src/borne.rs
@@ -1,7 +1,6 @@
 //! What servers were seen to bear from this gateway, which is the measure for cold ones.
 
-use crate::api::Micros;
-use crate::server::Server;
+use starlinghill_ledger::Micros;
 
 /// Time over which what warm servers bear is averaged.
 const SPAN: f64 = 10.0;
@@ -10,17 +9,22 @@
 
 /// Units a second for each weight of a warm server, over the last moments in which enough of them were warm.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Borne {
-    pub(crate) rate: f64,
+pub struct Borne {
+    rate: f64,
     at: Option<Micros>,
 }
 
 impl Borne {
     /// What an earlier process of this gateway saw.
-    pub(crate) fn recalled(rate: f64) -> Borne {
+    pub fn recalled(rate: f64) -> Borne {
         Borne { rate, at: None }
     }
 
+    /// The rate that another process of this gateway could go by.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// What a warm server gets from this gateway now, for its weight, or bore when enough of them were warm.
     ///
     /// Guards against a spiral: with nearly all servers cold, what goes out is bounded by the very figure that is
@@ -28,7 +32,7 @@
     ///
     /// Never less than `least`: guards against a start with every server cold and nothing known, where what is allowed would be
     /// nothing, and so would what goes out.
-    pub(crate) fn per_weight(&mut self, now: Micros, flow: f64, (warm, all): (f64, f64), least: f64) -> f64 {
+    pub fn per_weight(&mut self, now: Micros, flow: f64, (warm, all): (f64, f64), least: f64) -> f64 {
         if warm <= 0.0 || warm < WARM_PART * all {
             return (flow / all.max(1e-9)).max(self.rate).max(least);
         }
@@ -39,15 +43,3 @@
         present.max(self.rate).max(least)
     }
 }
-
-impl Server {
-    /// It is cold, and what is out at it is all that it may have.
-    pub(crate) fn pushed(&self) -> bool {
-        self.cold_since.is_some() && self.cold_room.level <= 0.0
-    }
-
-    /// It is cold no more once its time is over.
-    pub(crate) fn warms(&mut self, now: Micros, cold: Micros) {
-        self.cold_since = self.cold_since.filter(|&since| now < since + cold);
-    }
-}
--- a/crates/starlinghill-decision/src/throttle.rs
+++ b/crates/starlinghill-estimate/src/throttle.rs
@@ -1,8 +1,8 @@
 //! Adaptive throttling towards the servers (Beyer et al., "Site Reliability Engineering", chapter 21): of what is asked for, a
 //! little more goes on than came back in time of late.
 
-use crate::api::{Micros, Outcome};
-use crate::context::LEAST_PART;
+use crate::LEAST_PART;
+use starlinghill_ledger::Micros;
 
 /// Time over which requests are counted, in seconds. Shorter forgets overload between two of its answers.
 const SPAN: f64 = 5.0;
@@ -14,33 +14,24 @@
 
 /// What was asked for and what came back in time, over the last moments.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Throttle {
+pub struct Throttle {
     asked: f64,
     in_time: f64,
     at: Micros,
 }
 
 impl Throttle {
-    /// One that went on stands for as many of usual worth as were asked for. Guards against a trap: with what is worth little all
+    /// One that went on came back, in time or not. It stands for as many of usual worth as were asked for. Guards against a trap: with what is worth little all
     /// shed, counting what was shed would say for good that much is asked for and does not come back.
-    fn note(&mut self, now: Micros, in_time: f64) {
+    pub fn note(&mut self, now: Micros, in_time: bool) {
+        let in_time = f64::from(u8::from(in_time));
         let (kept, stands_for) = ((-(now - self.at).secs() / SPAN).exp(), 1.0 / self.pass());
         (self.asked, self.in_time) = (self.asked * kept + stands_for, self.in_time * kept + in_time);
         self.at = now.max(self.at);
     }
 
     /// The part of the requests of usual worth that goes on.
-    pub(crate) fn pass(&self) -> f64 {
+    pub fn pass(&self) -> f64 {
         ((SLACK * self.in_time + GRANTED) / (self.asked + GRANTED)).clamp(LEAST_PART, 1.0)
     }
-
-    /// An attempt ended. Only what tells of load counts: a server that can't be reached, breaks off or answers with an error
-    /// does so whatever the others bear, and what was called off was no server's fault.
-    pub(crate) fn ended(&mut self, now: Micros, outcome: Outcome, took: Micros, aim: Micros) {
-        match outcome {
-            Outcome::Ok => self.note(now, f64::from(u8::from(took <= aim))),
-            Outcome::Full | Outcome::Timeout => self.note(now, 0.0),
-            _ => {}
-        }
-    }
 }
--- a/crates/starlinghill-ledger/src/lib.rs
+++ b/crates/starlinghill-ledger/src/lib.rs
@@ -1,11 +1,13 @@
 //! What one gateway knows of quotas that it shares with others through a counter which may be slow, silent,
 //! emptied or set back. Pure: time is an argument, nothing is sent from here, and equal inputs give equal results.
 //!
+//! - [`ceiling`]: a hard ceiling split over gateways, and the turns by which they share the rest.
 //! - [`flow`]: how fast units pass.
 //! - [`shares`]: parts of a quota that move between gateways while the counter is away, and their messages.
 //! - [`store`]: follows a quota's store of units from the totals that the counter tells.
 //! - [`time`]: the unit of time.
 
+pub mod ceiling;
 pub mod demand;
 pub mod flow;
 pub mod shares;
