Members may listen beyond loopback where operators say that the network is theirs

Need: a group whose members listen on loopback alone decides for one machine; encryption of its own waits, by the operators' wish.

Measured: tests of the section; no traffic leaves loopback here, so none was played beyond it.

--- a/crates/starlinghill-control/src/program/group.rs
+++ b/crates/starlinghill-control/src/program/group.rs
@@ -16,7 +16,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
-use tracing::error;
+use tracing::{error, warn};
 
 /// How long a change of the group may take: a member that joins has to catch up.
 const PATIENCE: Duration = Duration::from_secs(40);
@@ -135,6 +135,11 @@
         timing: group.timing,
         subscribers: group.subscribers,
     };
+    if group.private {
+        warn!(
+            "members' messages are neither encrypted nor signed: the network between them has to see to both"
+        );
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(usage)?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate()).map_err(usage)?;
--- a/crates/starlinghill-operators/src/group.rs
+++ b/crates/starlinghill-operators/src/group.rs
@@ -21,6 +21,8 @@
     /// The least generation that is believed: raised after a restore, so that nobody goes with what is left of
     /// the group before.
     pub generation: u64,
+    /// Members may listen beyond this machine: the operators say that what passes between them is protected below.
+    pub private: bool,
     /// The members.
     pub members: Vec<GroupMember>,
     /// Regions and zones.
@@ -55,6 +57,7 @@
     generation: Option<Spanned<i64>>,
     floor_percent: Option<Spanned<i64>>,
     subscribers: Option<Spanned<i64>>,
+    network: Option<Spanned<String>>,
     #[serde(default)]
     members: Vec<Spanned<RawMember>>,
     #[serde(default)]
@@ -116,7 +119,13 @@
             String::new()
         }
     };
-    let members = members(&mut c, &section, raw.members);
+    let private = raw.network.as_ref().is_some_and(|network| network.get_ref() == "private");
+    if let Some(other) = raw.network.filter(|n| !["loopback", "private"].contains(&n.get_ref().as_str())) {
+        let found: String = other.get_ref().chars().take(40).collect();
+        let what = format!("expected \"loopback\" or \"private\", found '{}'", found.escape_debug());
+        c.fail(other.span(), "group.network", what);
+    }
+    let members = members(&mut c, &section, raw.members, private);
     let floor = c.number("group.floor_percent", raw.floor_percent, 50, 1..=100) as u16 * 10;
     let map = map(&mut c, &section, raw.regions, raw.zones, floor);
     let generation = c.number("group.generation", raw.generation, 1, 1..=1_000_000) as u64;
@@ -124,13 +133,14 @@
     let timing = timing(&mut c, &section, raw.timing);
     let folder = crate::below(folder, &raw.folder.unwrap_or_else(|| "group".into()));
     let good = c.problems.len() == before;
-    good.then_some(Group { name, folder, generation, members, map, timing, subscribers })
+    good.then_some(Group { name, folder, generation, private, members, map, timing, subscribers })
 }
 
 fn members(
     c: &mut Check,
     section: &std::ops::Range<usize>,
     raw: Vec<Spanned<RawMember>>,
+    private: bool,
 ) -> Vec<GroupMember> {
     let mut members: Vec<GroupMember> = Vec::new();
     let count = raw.len();
@@ -152,11 +162,13 @@
             c.fail(id.span(), "group.members.id", what);
         }
         let Some(address) = c.address("group.members.listen", listen) else { continue };
-        if !address.ip().is_loopback() {
-            let what = format!(
-                "expected a loopback address: what members say is neither encrypted nor signed yet, found {}",
-                address.ip()
-            );
+        let ip = address.ip();
+        // What members say is neither encrypted nor signed: whoever reaches one can order zones out.
+        if !private && !ip.is_loopback() {
+            let what = format!("expected a loopback address unless group.network is \"private\", found {ip}");
+            c.fail(listen.span(), "group.members.listen", what);
+        } else if ip.is_unspecified() {
+            let what = format!("expected an address at which the others reach it, found {ip}");
             c.fail(listen.span(), "group.members.listen", what);
         }
         if members.iter().any(|m| m.listen == address) {
--- a/crates/starlinghill-operators/tests/group.rs
+++ b/crates/starlinghill-operators/tests/group.rs
@@ -37,6 +37,7 @@
             "ops.toml:6: group.members.id: expected a number from 1 to 1000000, each once, found 1",
         ),
         ("127.0.0.1:7302", "10.0.0.1:7302", "ops.toml:6: group.members.listen: expected a loopback address"),
+        ("name = \"campus\"", "name = \"campus\"\nnetwork = \"open\"", "ops.toml:3: group.network: expected"),
         ("127.0.0.1:7302", "127.0.0.1:7301", "ops.toml:6: group.members.listen: expected each address once"),
         ("127.0.0.1:7302", "nowhere", "ops.toml:6: group.members.listen: expected an address and a port"),
         ("region = \"east\"", "region = \"west\"", "zone 'e1': expected one of the regions, found 'west'"),
@@ -61,6 +62,19 @@
     }
 }
 
+#[test]
+fn members_listen_beyond_this_machine_only_where_operators_say_that_the_network_is_theirs() {
+    let beyond = GOOD.replace("127.0.0.1:7302", "10.0.0.1:7302");
+    let loopback = beyond.replace("name = \"campus\"", "name = \"campus\"\nnetwork = \"loopback\"");
+    assert!(read(&beyond).is_err() && read(&loopback).is_err());
+    let private = beyond.replace("name = \"campus\"", "name = \"campus\"\nnetwork = \"private\"");
+    let group = read(&private).expect("sound");
+    assert!(group.private && !group.members[1].listen.ip().is_loopback());
+    let anywhere = private.replace("10.0.0.1:7302", "0.0.0.0:7302");
+    let wanted = "ops.toml:7: group.members.listen: expected an address at which the others reach it";
+    assert!(read(&anywhere).expect_err("it is wrong")[0].contains(wanted));
+}
+
 #[test]
 fn times_that_do_not_fit_together_are_refused_with_what_would() {
     let timing =
