--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -1,16 +1,17 @@
 //! The life of a request: its arrival, its attempts one after another, what waits for a server, its answer.
 
-use crate::admission::{Admission, Asked, FORGET};
+use crate::admission::Admission;
 use crate::api::*;
-use crate::calls::Purpose;
+use crate::calls::{Asked, Purpose};
 use crate::context::{Context, Timer};
-use crate::guards::{Attempt, Request};
+use crate::customer::FORGET;
+use crate::request::{Attempt, Request};
 use crate::roster::Fleet;
 use std::collections::BTreeMap;
 
 /// Retry budget: further attempts earned by each request, and the most saved up.
 pub(crate) const RETRY_SHARE: f64 = 0.2;
-const RETRY_SAVED: f64 = 20.0;
+pub(crate) const RETRY_SAVED: f64 = 20.0;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
 /// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
@@ -23,33 +24,15 @@
 #[derive(Default)]
 pub struct Gateway {
     pub(crate) cx: Context,
-    admission: Admission,
+    pub(crate) admission: Admission,
     pub(crate) fleet: Fleet,
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    held: Vec<RequestId>,
-    hold_timer: bool,
-    retries: f64,
+    pub(crate) held: Vec<RequestId>,
+    pub(crate) hold_timer: bool,
+    pub(crate) retries: f64,
 }
 
 impl Gateway {
-    /// A gateway as it starts, knowing nothing but its settings.
-    pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
-        set.check()?;
-        let cx = Context::new(seed, set);
-        let (admission, fleet) = (Admission::new(cx.set.gateways), Fleet::default());
-        let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
-        // Goes out with the first event, whichever that is.
-        new.cx.timer(Timer::Sweep, FORGET);
-        new.cx.out.extend(new.cx.set.must_subscribe.then_some(Action::Subscribe));
-        Ok(new)
-    }
-
-    /// How many things it keeps in mind. Comes back down when traffic does.
-    pub fn kept(&self) -> usize {
-        let told = self.fleet.servers.len() + self.requests.len() + self.admission.kept();
-        told + self.cx.timers.len() + self.held.len()
-    }
-
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.cx.now = self.cx.now.max(now);
@@ -179,11 +162,16 @@
     fn on_counted(&mut self, name: CountName, nth: usize, outcome: Outcome, total: f64) {
         let Some(call) = self.admission.answered(name, nth) else { return };
         call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
-        let counted = self.admission.counted(&mut self.cx, &call, outcome, total);
+        let counted = match call.purpose {
+            Purpose::Window | Purpose::Open => self.admission.counted(&mut self.cx, &call, outcome, total),
+            Purpose::Demand | Purpose::Turn => {
+                Some((self.admission.counted_scattered(&self.cx, &call, outcome, total), false))
+            }
+        };
         let Some((heard, held)) = counted else { return };
         let held = held && call.purpose == Purpose::Window;
         if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)).filter(|_| held) {
-            r.counted = Some(call.span);
+            r.counted = Some(call.post.span);
         }
         if let Some(id) = call.request {
             self.decide(id, call.purpose, heard);
--- a/crates/starlinghill-decision/src/choice.rs
+++ b/crates/starlinghill-decision/src/choice.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::bucket::mix;
 use crate::context::Context;
-use crate::guards::Request;
+use crate::request::Request;
 use crate::roster::Fleet;
 
 impl Fleet {
--- /dev/null
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -0,0 +1,103 @@
+//! One customer as a gateway knows it. Nothing here decides.
+
+use crate::api::*;
+use crate::breaker::Breaker;
+use crate::bucket::{mix, TokenBucket};
+use crate::context::Context;
+use crate::repeats::Refusal;
+use starlinghill_ledger::account::Account;
+use starlinghill_ledger::ceiling::{Split, Turns};
+use starlinghill_ledger::demand::{Demand, SPAN};
+use starlinghill_ledger::flow::Flow;
+use starlinghill_ledger::shares::Shares;
+use starlinghill_ledger::Quota;
+
+/// Life of one count of attempts out, so that what a killed gateway held is forgotten.
+pub(crate) const EPOCH: Micros = Micros(5_000_000);
+/// Life of idle customers, of whom many come once.
+pub(crate) const FORGET: Micros = Micros(30_000_000);
+/// The length of a window. Long ones are followed over their edges seldom; a name lives for 60 s at most.
+pub(crate) const WINDOW: Micros = Micros(25_000_000);
+
+/// One customer as this gateway knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Customer {
+    pub(crate) refused: Option<Refusal>,
+    pub(crate) plan: usize,
+    pub(crate) spread: f64,
+    pub(crate) account: Account,
+    pub(crate) bucket: Option<TokenBucket>,
+    pub(crate) first: u32,
+    /// What other gateways gave of theirs, and what was asked for here while the counter said nothing.
+    pub(crate) shares: Shares,
+    pub(crate) asked: Flow,
+    /// What may go on unheard or beyond the quota under a ceiling.
+    pub(crate) beyond: TokenBucket,
+    /// Until when it fills as if no gateway went by totals.
+    pub(crate) quiet: Micros,
+    pub(crate) breaker: Breaker,
+    /// Own attempts out (of a plan that caps them).
+    pub(crate) out: f64,
+    pub(crate) used: Micros,
+    /// What is kept of one that comes through many gateways.
+    pub(crate) scattered: Scattered,
+}
+
+/// What a gateway keeps of a customer that comes through many.
+#[derive(Debug, Default)]
+pub(crate) struct Scattered {
+    /// What was heard of its demand, and when.
+    pub(crate) demand: Demand,
+    pub(crate) heard: Micros,
+    /// Nothing was heard of it for long before that.
+    pub(crate) stranger: bool,
+    /// What goes with the next call of that span.
+    pub(crate) uncounted: (u64, f64),
+    /// This gateway's own part of its ceiling.
+    pub(crate) own_part: Option<TokenBucket>,
+    pub(crate) turns: Turns,
+}
+
+impl Scattered {
+    /// What is asked for here and at the other gateways, in units a second, by what was last heard of its demand.
+    pub(crate) fn flows(&self, own: f64) -> Option<(f64, f64)> {
+        self.demand.usual().map(|all| (own.max(0.0), (all - own).max(0.0)))
+    }
+}
+
+pub(crate) fn quota_of(cx: &Context, plan: usize) -> Quota {
+    Quota { rate: cx.set.plans[plan].rate, burst: cx.set.plans[plan].burst }
+}
+
+/// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not all
+/// windows end at once.
+pub(crate) fn span(cx: &Context, customer: CustomerId, length: Micros) -> (u64, Micros) {
+    let shifted = cx.now.0 + mix(customer.0) % length.0;
+    (shifted / length.0, Micros(length.0 - shifted % length.0))
+}
+
+/// The current span of a customer's demand, and how much of it has passed.
+pub(crate) fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
+    let shifted = cx.now.0 + mix(customer.0) % SPAN.0;
+    (shifted / SPAN.0, Micros(shifted % SPAN.0))
+}
+
+/// The name of a count of a customer's that is neither of its window nor of its places.
+pub(crate) fn name_of(customer: CustomerId, what: u64, span: u64) -> CountName {
+    CountName(mix(mix(customer.0 ^ mix(what)) ^ mix(span)) >> 1)
+}
+
+/// How a plan's ceiling is kept over the gateways of a customer; the same at each of them.
+pub(crate) fn split(set: &Settings, plan: usize, spread: f64) -> Split {
+    let plan = &set.plans[plan];
+    let ceiling = Quota { rate: plan.ceiling_rate, burst: plan.ceiling_burst };
+    Split::of(ceiling, set.most_units, set.count_timeout, spread)
+}
+
+/// The gateways of a customer's set, without this one; none where this one is not of it.
+pub(crate) fn others(cx: &Context, first: u32, spread: u32) -> impl Iterator<Item = u32> {
+    let (all, me) = (cx.set.gateways.max(1), cx.set.me);
+    let set = move || (0..spread.min(all)).map(move |i| (first % all + i) % all);
+    let mine = set().any(|gateway| gateway == me);
+    set().filter(move |gateway| mine && *gateway != me)
+}
--- a/crates/starlinghill-decision/src/fleet_view.rs
+++ b/crates/starlinghill-decision/src/fleet_view.rs
@@ -5,8 +5,9 @@
 use crate::attempts::{RETRY_SHARE, SPARE_PART};
 use crate::context::Context;
 use crate::fleet::FLEET_START;
-use crate::health::{warm_part, EJECT_DOUBLINGS, EJECT_FIRST, EJECT_SHARE};
+use crate::health::{EJECT_DOUBLINGS, EJECT_FIRST, EJECT_SHARE};
 use crate::roster::Fleet;
+use crate::server::warm_part;
 
 /// The module's own bounds, for who must write them into another program's configuration.
 #[derive(Debug, Clone, Copy)]
--- a/crates/starlinghill-decision/src/health.rs
+++ b/crates/starlinghill-decision/src/health.rs
@@ -4,7 +4,7 @@
 use crate::bucket::TokenBucket;
 use crate::context::{Context, SMOOTH};
 use crate::roster::Fleet;
-use crate::server::Server;
+use crate::server::{warm_part, Server};
 
 /// Bounds on attempts out at one server: the least, what a late answer leaves of it, what an early one adds.
 /// All but the cut are scaled to the gateway's part (`scale`).
@@ -28,21 +28,6 @@
 /// half of what they can: with most servers cold, the rest must not be refused. Proxies get the plain part.
 const COLD_PUSH: f64 = 1.5;
 
-/// The part of its capacity that a server has so long after its start.
-fn capacity_part(set: &Settings, age: Micros) -> f64 {
-    set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0)
-}
-
-/// The part of its capacity that a server has now.
-pub(crate) fn present_part(set: &Settings, now: Micros, s: &Server) -> f64 {
-    s.cold_since.map_or(1.0, |since| capacity_part(set, now - since))
-}
-
-/// The part of a warm server's work that one gets which started so long ago.
-pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
-    capacity_part(set, age) * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
-}
-
 impl Fleet {
     pub(crate) fn judge(
         &mut self,
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -2,9 +2,11 @@
 //! output is a list of [`api::Action`]s, and chance comes from a seed. The real gateway, the simulator's
 //! adapter and the control service all decide through this package.
 //!
-//! Files, each using only those before it: `api` (the interface), `bucket`, `calls`, `tally`, `repeats`, `server`,
-//! `breaker`, `context`, `roster`, `fleet`, `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`,
-//! `scattered`, `attempts`, `lifecycle`, `learned`, `fleet_view`. Estimates stand in `starlinghill_estimate`.
+//! Files that choose a server, a retry or a refusal, each on the policy list of the deploy file: `breaker`, `fleet`,
+//! `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`. The others keep
+//! the books: `api` (the interface), `bucket`, `calls`, `repeats`, `server`, `context`, `customer`, `request`,
+//! `roster`, `counter`, `messages`, `lifecycle`, `learned`, `fleet_view`. Estimates stand in
+//! `starlinghill_estimate`, quotas' stores, tallies and ceilings in `starlinghill_ledger`.
 
 pub mod api;
 
@@ -15,18 +17,21 @@
 mod calls;
 mod choice;
 mod context;
+mod counter;
+mod customer;
 mod fleet;
 mod fleet_view;
 mod guards;
 mod health;
 mod learned;
 mod lifecycle;
+mod messages;
 mod repeats;
+mod request;
 mod roster;
 mod scattered;
 mod server;
 mod sharing;
-mod tally;
 mod thin;
 mod zones;
 
--- a/crates/starlinghill-decision/src/lifecycle.rs
+++ b/crates/starlinghill-decision/src/lifecycle.rs
@@ -1,8 +1,10 @@
-//! What changes while a gateway runs but is no traffic: its rules, and its end.
+//! What is no traffic: a gateway's start, what changes while it runs, and its end.
 
+use crate::admission::Admission;
 use crate::api::*;
-use crate::attempts::Gateway;
+use crate::attempts::{Gateway, RETRY_SAVED};
 use crate::context::{Context, Timer};
+use crate::customer::FORGET;
 use crate::roster::Fleet;
 
 impl Context {
@@ -23,6 +25,24 @@
 }
 
 impl Gateway {
+    /// A gateway as it starts, knowing nothing but its settings.
+    pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
+        set.check()?;
+        let cx = Context::new(seed, set);
+        let (admission, fleet) = (Admission::new(cx.set.gateways), Fleet::default());
+        let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
+        // Goes out with the first event, whichever that is.
+        new.cx.timer(Timer::Sweep, FORGET);
+        new.cx.out.extend(new.cx.set.must_subscribe.then_some(Action::Subscribe));
+        Ok(new)
+    }
+
+    /// How many things it keeps in mind. Comes back down when traffic does.
+    pub fn kept(&self) -> usize {
+        let told = self.fleet.servers.len() + self.requests.len() + self.admission.kept();
+        told + self.cx.timers.len() + self.held.len()
+    }
+
     /// Takes new rules for what comes from now on. Rules under which an open request came are kept, whatever was
     /// handed in: guards against another effect for one that has run. Rules that make no sense change nothing.
     pub(crate) fn on_rules(&mut self, rules: Rules) {
--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -1,66 +1,40 @@
-//! Customers that come through many gateways. None of these sees enough of a customer to follow its store, and all of them
-//! together ask more often than a counter answers: what is asked for is counted by samples, and each gateway lets through the
-//! part of it that the quota bears (`starlinghill_ledger::demand`).
+//! Customers that come through many gateways. None of these sees enough of a customer to follow its store,
+//! and all of them together ask more often than a counter answers: what is asked for is counted by samples,
+//! and each gateway lets through the part of it that the quota bears (`starlinghill_ledger::demand`).
 //!
-//! A hard ceiling does not rest on samples. A part of it is split evenly over the customer's gateways; what a gateway lacks it
-//! may take from the rest, of which so much may be taken in each short turn, by a count of its own. Over any time the two together
-//! stay within the ceiling, in whatever order calls and gateways come.
+//! A hard ceiling does not rest on samples. A part of it is split evenly over the customer's gateways; what
+//! a gateway lacks it may take from the rest, of which so much may be taken in each short turn, by a count
+//! of its own. Over any time the two together stay within the ceiling, in whatever order calls and gateways
+//! come.
 
-use crate::admission::{quota_of, Admission, Asked, REPEAT_POWER};
+use crate::admission::{Admission, REPEAT_POWER};
 use crate::api::*;
-use crate::bucket::{mix, TokenBucket};
-use crate::calls::{Call, Purpose};
+use crate::bucket::TokenBucket;
+use crate::calls::{Asked, Call, Purpose};
 use crate::context::Context;
+use crate::customer::{demand_span, name_of, quota_of, split};
 use starlinghill_estimate::LEAST_PART;
-use starlinghill_ledger::ceiling::{Split, Turns};
-use starlinghill_ledger::demand::{Demand, SPAN};
+use starlinghill_ledger::ceiling::Split;
+use starlinghill_ledger::demand::SPAN;
 use starlinghill_ledger::usual::Usual;
-use starlinghill_ledger::Quota;
 
-/// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter bears is shared by all.
+/// Gateways of a fleet in which customers are counted so. Not by a customer's own spread: what one counter
+/// bears is shared by all.
 const MANY: u32 = 16;
-/// A total that was heard within this time will do, and one within the next as long as there is little to tell: less than this
-/// gateway's part of what the quota gives in so many seconds. Guards against a few busy customers, each seen by a few gateways,
-/// that take half of a counter's calls, while gateways that know nothing of a customer can't ask. Longer hears of a spike too late.
+/// A total that was heard within this time will do, and one within the next as long as there is little to
+/// tell: less than this gateway's part of what the quota gives in so many seconds. Guards against a few
+/// busy customers, each seen by a few gateways, that take half of a counter's calls, while gateways that
+/// know nothing of a customer can't ask. Longer hears of a spike too late.
 const FRESH: Micros = Micros(700_000);
 const STALE: Micros = Micros(2_000_000);
 const WORTH_TELLING: f64 = 1.0;
-/// A gateway that heard nothing of a customer for this long is one of those that let it through unasked; of what these let
-/// through beyond the quota, the ones that do ask make up a part, by letting through less than the quota's part (its power).
-const STRANGER: Micros = Micros(5_000_000);
+/// Of what strangers' gateways let through beyond the quota (`counter`), the ones that do ask make up a part,
+/// by letting through less than the quota's part (its power).
 const MAKES_UP: i32 = 4;
 /// Apart from the names of windows and places.
 const DEMAND_NAME: u64 = 0x6465_6d61_6e64;
 const TURN_NAME: u64 = 0x7475_726e;
 
-/// What a gateway keeps of a customer that comes through many.
-#[derive(Debug, Default)]
-pub(crate) struct Scattered {
-    /// What was heard of its demand, and when.
-    demand: Demand,
-    heard: Micros,
-    /// Nothing was heard of it for long before that.
-    stranger: bool,
-    /// What goes with the next call of that span.
-    uncounted: (u64, f64),
-    /// This gateway's own part of its ceiling.
-    own_part: Option<TokenBucket>,
-    turns: Turns,
-}
-
-impl Scattered {
-    /// What is asked for here and at the other gateways, in units a second, by what was last heard of its demand.
-    pub(crate) fn flows(&self, own: f64) -> Option<(f64, f64)> {
-        self.demand.usual().map(|all| (own.max(0.0), (all - own).max(0.0)))
-    }
-}
-
-/// The current span of a customer's demand, and how much of it has passed.
-fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
-    let shifted = cx.now.0 + mix(customer.0) % SPAN.0;
-    (shifted / SPAN.0, Micros(shifted % SPAN.0))
-}
-
 impl Admission {
     /// What is to be asked first for a request.
     pub(crate) fn first_question(&self, cx: &Context, a: &Arrival) -> Purpose {
@@ -71,7 +45,8 @@
         }
     }
 
-    /// Counts a request: with the next call where one was made a moment ago, else by chance, as many times as it is rare.
+    /// Counts a request: with the next call where one was made a moment ago, else by chance, as many times
+    /// as it is rare.
     pub(crate) fn ask_demand(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
         let (span, elapsed) = demand_span(cx, a.customer);
         // A client's repeat belongs to its first try, which was counted.
@@ -102,8 +77,8 @@
         Asked::Called
     }
 
-    /// Takes from the turn of the moment what this gateway's own part of the ceiling lacks, for this request and for those that
-    /// are to be expected within the turn.
+    /// Takes from the turn of the moment what this gateway's own part of the ceiling lacks, for this
+    /// request and for those that are to be expected within the turn.
     pub(crate) fn ask_turn(&mut self, cx: &mut Context, a: &Arrival) -> Asked {
         let split = self.split(cx, a);
         let (turn, left) = split.turn_at(cx.now);
@@ -121,51 +96,8 @@
         Asked::Called
     }
 
-    fn call_for(&mut self, cx: &mut Context, name: CountName, life: Micros, call: Call) {
-        let probe =
-            self.breaker.probing || self.customers.get(&call.customer).is_some_and(|c| c.breaker.probing);
-        let amount = call.amount;
-        self.calls.entry(name).or_default().push_back(Call { probe, ..call });
-        cx.out.push(Action::Count(name, amount, life));
-    }
-
-    /// Takes in what a call for such a customer came to; returns the total if one was heard, or what was got of a turn.
-    pub(crate) fn counted_scattered(
-        &mut self,
-        cx: &Context,
-        call: &Call,
-        outcome: Outcome,
-        total: f64,
-    ) -> Option<f64> {
-        if outcome != Outcome::Ok {
-            // Guards against a jam that calls for the same turn would only make longer. What they lack comes with the next.
-            let c = self.customers.get_mut(&call.customer).filter(|_| call.purpose == Purpose::Turn);
-            c.into_iter().for_each(|c| c.scattered.turns.give_up(call.span));
-            self.call_failed(cx, call.customer, call.probe, call.at, outcome);
-            return None;
-        }
-        let (span, elapsed) = demand_span(cx, call.customer);
-        let c = self.customers.get_mut(&call.customer)?;
-        if call.purpose == Purpose::Demand && call.span == span {
-            c.scattered.stranger = c.scattered.heard + STRANGER < cx.now;
-            c.scattered.demand.heard(quota_of(cx, c.plan), cx.now, span, elapsed, total);
-            c.scattered.heard = cx.now;
-        }
-        c.breaker.success(call.probe);
-        let total = match call.purpose {
-            Purpose::Turn => {
-                let split = split(&cx.set, c.plan, c.spread);
-                c.scattered.turns.got(&split, cx.now, call.span, (call.amount, call.units), total)
-            }
-            _ => total,
-        };
-        self.asking.answered(cx.now - call.at, cx.set.count_timeout, call.probe);
-        (self.heard, self.last_failed) = (true, None);
-        self.breaker.success(call.probe);
-        Some(total)
-    }
-
-    /// Whether the quota bears a request: by what was heard of the demand, or by the local bucket while the counter is silent.
+    /// Whether the quota bears a request: by what was heard of the demand, or by the local bucket while the
+    /// counter is silent.
     pub(crate) fn demand_holds(&mut self, cx: &mut Context, a: &Arrival) -> bool {
         let pays = self.unheard_pays(cx, a.plan.0);
         let Some(c) = self.customers.get_mut(&a.customer) else { return false };
@@ -219,14 +151,3 @@
         split(&cx.set, a.plan.0, f64::from(a.spread.max(1)))
     }
 }
-
-/// How a plan's ceiling is kept over the gateways of a customer; the same at each of them.
-fn split(set: &Settings, plan: usize, spread: f64) -> Split {
-    let plan = &set.plans[plan];
-    let ceiling = Quota { rate: plan.ceiling_rate, burst: plan.ceiling_burst };
-    Split::of(ceiling, set.most_units, set.count_timeout, spread)
-}
-
-fn name_of(customer: CustomerId, what: u64, span: u64) -> CountName {
-    CountName(mix(mix(customer.0 ^ mix(what)) ^ mix(span)) >> 1)
-}
--- a/crates/starlinghill-decision/src/server.rs
+++ b/crates/starlinghill-decision/src/server.rs
@@ -33,3 +33,18 @@
         self.cold_since = self.cold_since.filter(|&since| now < since + cold);
     }
 }
+
+/// The part of its capacity that a server has so long after its start.
+fn capacity_part(set: &Settings, age: Micros) -> f64 {
+    set.cold_from + (1.0 - set.cold_from) * (age.secs() / set.cold.secs().max(1e-6)).min(1.0)
+}
+
+/// The part of its capacity that a server has now.
+pub(crate) fn present_part(set: &Settings, now: Micros, s: &Server) -> f64 {
+    s.cold_since.map_or(1.0, |since| capacity_part(set, now - since))
+}
+
+/// The part of a warm server's work that one gets which started so long ago.
+pub(crate) fn warm_part(set: &Settings, age: Micros) -> f64 {
+    capacity_part(set, age) * if age < set.cold { (set.fall_multiple / 2.0).min(1.0) } else { 1.0 }
+}
--- a/crates/starlinghill-decision/src/thin.rs
+++ b/crates/starlinghill-decision/src/thin.rs
@@ -1,32 +1,36 @@
-//! Choice of a server where traffic is thin: so many gateways share the servers that none has more than an attempt or two out at any.
+//! Choice of a server where traffic is thin: so many gateways share the servers that none has more than an
+//! attempt or two out at any.
 //!
-//! What a gateway has out says nothing of a server's load there, and the gateway with the best figures for a server is not alone
-//! in that: whoever takes the best one takes the same as all others. So servers are drawn by chance in proportion to what they
-//! can do, of which all gateways together come to the right sums without a word: a cold server gets its part from the first moment,
-//! and no gateway has to save up leave for it.
+//! What a gateway has out says nothing of a server's load there, and the gateway with the best figures for
+//! a server is not alone in that: whoever takes the best one takes the same as all others. So servers are
+//! drawn by chance in proportion to what they can do, of which all gateways together come to the right sums
+//! without a word: a cold server gets its part from the first moment, and no gateway has to save up leave
+//! for it.
 
 use crate::api::*;
 use crate::context::Context;
-use crate::guards::Request;
-use crate::health::present_part;
+use crate::request::Request;
 use crate::roster::Fleet;
+use crate::server::present_part;
 
 /// Attempts that a gateway may have out in all, and at one server. More are held for a moment.
 const MOST_OUT: f64 = 16.0;
 const MOST_AT_ONE: f64 = 2.0;
-/// How much a cold server may get beyond its part of what servers usually bear. Well within what it falls over at.
+/// How much a cold server may get beyond its part of what servers usually bear. Well within what it falls
+/// over at.
 const COLD_PUSH: f64 = 1.2;
 
 impl Fleet {
-    /// A server for a request, drawn by chance from this gateway's own part of the fleet, else from the rest.
+    /// A server for a request, drawn by chance from this gateway's own part of the fleet, else from the
+    /// rest.
     pub(crate) fn pick_thin(&mut self, cx: &mut Context, r: &Request) -> Option<ServerId> {
         if self.out_now >= MOST_OUT {
             return None;
         }
         let (cold, usual) = self.cold_share(cx);
         let any_healthy = self.servers.values().any(|s| s.listed && self.takes(cx, s));
-        // The part is counted by what its servers can do now. Guards against cold ones whose neighbours in the ring are cold too,
-        // and which would be all that some gateways have.
+        // The part is counted by what its servers can do now. Guards against cold ones whose neighbours in
+        // the ring are cold too, and which would be all that some gateways have.
         let (reach, mut able) = (self.reach(cx) as f64 * usual, 0.0);
         let mut best: Option<(f64, ServerId)> = None;
         for id in self.own_part_first(cx) {
@@ -57,8 +61,9 @@
         best.map(|(_, id)| id)
     }
 
-    /// What of their part by capacity cold servers may have. Less than all of it where nearly everything is cold: what comes
-    /// would be beyond what they bear, however evenly it is spread. With it the mean weight of a listed server.
+    /// What of their part by capacity cold servers may have. Less than all of it where nearly everything is
+    /// cold: what comes would be beyond what they bear, however evenly it is spread. With it the mean
+    /// weight of a listed server.
     fn cold_share(&mut self, cx: &Context) -> (f64, f64) {
         let (now, set) = (cx.now, &cx.set);
         let (mut able, mut all) = (0.0, 0.0);
--- a/crates/starlinghill-decision/src/zones.rs
+++ b/crates/starlinghill-decision/src/zones.rs
@@ -7,7 +7,7 @@
 
 use crate::api::*;
 use crate::context::Context;
-use crate::guards::Request;
+use crate::request::Request;
 use crate::roster::Fleet;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/starlinghill-ledger/src/lib.rs
+++ b/crates/starlinghill-ledger/src/lib.rs
@@ -1,17 +1,21 @@
 //! What one gateway knows of quotas that it shares with others through a counter which may be slow, silent,
 //! emptied or set back. Pure: time is an argument, nothing is sent from here, and equal inputs give equal results.
 //!
+//! - [`account`]: one customer's quota as a gateway keeps it.
 //! - [`ceiling`]: a hard ceiling split over gateways, and the turns by which they share the rest.
 //! - [`flow`]: how fast units pass.
 //! - [`shares`]: parts of a quota that move between gateways while the counter is away, and their messages.
 //! - [`store`]: follows a quota's store of units from the totals that the counter tells.
+//! - [`tally`]: one gateway's side of a shared count.
 //! - [`time`]: the unit of time.
 
+pub mod account;
 pub mod ceiling;
 pub mod demand;
 pub mod flow;
 pub mod shares;
 pub mod store;
+pub mod tally;
 pub mod time;
 pub mod usual;
 
