Evidence on zones: what gateways see, and what all reports together say, pure

Change: starlinghill-evidence counts what becomes of attempts by zone over four seconds, and makes of all reports a finding for each zone with its reasons: cut off, cut from some, sick, overloaded, list wrong, everywhere; gateways that are cut off themselves are left out. Each zone has one voice. No program uses it yet.

Failed on the way: answers late at the usual rate taken for overload (a slow zone looks the same), one lucky voice of eleven taken for cut links.

--- /dev/null
+++ b/crates/starlinghill-evidence/tests/watch.rs
@@ -0,0 +1,101 @@
+//! One gateway's counts over time.
+
+use starlinghill_accord::Micros;
+use starlinghill_evidence::report::{Report, Unusable};
+use starlinghill_evidence::sums::{Became, Sight, Sums};
+use starlinghill_evidence::watch::Watch;
+
+fn secs(s: f64) -> Micros {
+    Micros((s * 1e6) as u64)
+}
+
+/// So many attempts a second at a zone, for a while, each of the like.
+fn run(watch: &mut Watch, from: f64, seconds: f64, per_s: f64, zone: &str, became: impl Fn(u64) -> Became) {
+    for i in 0..(seconds * per_s) as u64 {
+        watch.ended(secs(from + i as f64 / per_s), zone, became(i));
+    }
+}
+
+fn watch() -> Watch {
+    Watch::new(["a".to_string(), "b".to_string()])
+}
+
+#[test]
+fn a_report_is_of_the_last_four_seconds_and_of_zones_that_were_tried() {
+    let mut watch = watch();
+    run(&mut watch, 0.0, 10.0, 20.0, "a", |_| Became::Answered);
+    run(&mut watch, 10.0, 4.0, 20.0, "a", |_| Became::Silent);
+    watch.ended(secs(13.9), "nowhere", Became::Failed);
+    let report = watch.report(secs(13.99));
+    assert_eq!(report.zones.keys().collect::<Vec<_>>(), ["a"]);
+    let sums = report.zones["a"];
+    assert_eq!((sums.answered, sums.silent), (0, 80));
+    assert_eq!(sums.sight(), Sight::Dark);
+    // With nothing new it forgets, and says nothing of what it does not know.
+    assert_eq!(watch.report(secs(18.1)), Report::default());
+}
+
+#[test]
+fn a_zone_that_is_late_because_more_is_asked_of_it_is_loaded_and_one_that_is_late_by_itself_is_sick() {
+    let late = |_| Became::Late;
+    let mut asked_more = watch();
+    run(&mut asked_more, 0.0, 60.0, 20.0, "a", |_| Became::Answered);
+    run(&mut asked_more, 60.0, 6.0, 40.0, "a", late);
+    assert_eq!(asked_more.report(secs(65.99)).zones["a"].sight(), Sight::Loaded);
+    let mut slower = watch();
+    run(&mut slower, 0.0, 60.0, 20.0, "a", |_| Became::Answered);
+    run(&mut slower, 60.0, 6.0, 20.0, "a", late);
+    assert_eq!(slower.report(secs(65.99)).zones["a"].sight(), Sight::Sick);
+    // Half of its servers are gone, and the rest does what it can: it is not at its work.
+    let mut halved = watch();
+    run(&mut halved, 0.0, 60.0, 20.0, "a", |_| Became::Answered);
+    run(&mut halved, 60.0, 6.0, 30.0, "a", |i| if i % 3 == 0 { Became::Late } else { Became::Silent });
+    assert_eq!(halved.report(secs(65.99)).zones["a"].sight(), Sight::Sick);
+    // A trouble is not taken for usual, however long it lasts.
+    run(&mut slower, 66.0, 600.0, 20.0, "a", late);
+    assert_eq!(slower.report(secs(665.99)).zones["a"].sight(), Sight::Sick);
+}
+
+#[test]
+fn a_start_says_nothing_of_what_is_usual() {
+    let mut watch = watch();
+    run(&mut watch, 0.0, 1.0, 20.0, "a", |_| Became::Answered);
+    assert_eq!(watch.report(secs(1.0)).zones["a"].usual, 0);
+    run(&mut watch, 1.0, 20.0, 20.0, "a", |_| Became::Answered);
+    let usual = watch.report(secs(21.0)).zones["a"].usual;
+    assert!((75..=82).contains(&usual), "{usual}");
+}
+
+#[test]
+fn a_report_is_small_and_what_is_out_of_bounds_is_told_by_its_zone() {
+    let mut watch = Watch::new((0..6).map(|i| format!("zone-{i}")));
+    for i in 0..6 {
+        run(&mut watch, 0.0, 8.0, 20.0, &format!("zone-{i}"), |n| match n % 10 {
+            0 => Became::Late,
+            1 => Became::Failed,
+            2 => Became::Silent,
+            _ => Became::Answered,
+        });
+    }
+    let report = watch.report(secs(7.99));
+    let bytes = serde_json::to_vec(&report).expect("it can be written");
+    assert!(bytes.len() < 600, "{} bytes for six zones", bytes.len());
+    assert_eq!(serde_json::from_slice::<Report>(&bytes).expect("it can be read"), report);
+    assert!(serde_json::from_str::<Report>(r#"{"zones":{"a":{"answered":1,"colour":2}}}"#).is_err());
+    assert_eq!(report.check(), Ok(()));
+    let with = |name: &str, sums: Sums| Report { zones: [(name.to_string(), sums)].into() };
+    let bad = Sums { answered: 1, late: 2, ..Sums::default() };
+    assert_eq!(with("a", bad).check(), Err(Unusable::Counts("a".into())));
+    assert_eq!(with("a", Sums { silent: u32::MAX, ..bad }).check(), Err(Unusable::Counts("a".into())));
+    assert!(matches!(with("a b", Sums::default()).check(), Err(Unusable::Name(_))));
+    let many = Report { zones: (0..300).map(|i| (format!("z{i}"), Sums::default())).collect() };
+    assert_eq!(many.check(), Err(Unusable::TooMany(300)));
+}
+
+#[test]
+fn counts_never_run_over() {
+    let mut sums = Sums { silent: u32::MAX, ..Sums::default() };
+    sums.note(Became::Silent);
+    sums += sums;
+    assert_eq!(sums.silent, u32::MAX);
+}
