Gateways tell what they see of zones; a command says what is wrong, and who sees it

Change: a watcher beside the gateway's driver hears of each attempt's end (none on the platform); a gateway that follows counts them by zone and puts a report into a question once a second; members keep the newest of each follower, bounded and checked; 'why' makes findings of all of them. Rig nodes may take a time over an answer.

Seen: at light load a gateway may never try a zone, and has no voice on it; listed.

--- a/crates/starlinghill-control/src/following.rs
+++ b/crates/starlinghill-control/src/following.rs
@@ -5,7 +5,7 @@
 use starlinghill_accord::map::{is_name, MapProblem};
 use starlinghill_accord::WHOLE;
 use starlinghill_decision::api::ZonePart;
-use starlinghill_follow::link::{follow, Settings};
+use starlinghill_follow::link::{follow, Evidence, Settings};
 use starlinghill_gateway::Parts;
 use starlinghill_operators::Group;
 use tokio::sync::watch;
@@ -20,8 +20,8 @@
     .collect()
 }
 
-/// Whom to follow by the operators' file, under this name.
-pub fn settings(group: &Group, name: &str, seed: u64) -> Result<Settings, MapProblem> {
+/// Whom to follow by the operators' file, under this name, from this zone; empty: from none of them.
+pub fn settings(group: &Group, name: &str, zone: &str, seed: u64) -> Result<Settings, MapProblem> {
     if !is_name(name) {
         return Err(MapProblem::Name(name.chars().take(64).collect()));
     }
@@ -29,6 +29,7 @@
         members: group.members.iter().map(|m| m.listen).collect(),
         name: name.into(),
         zones: group.map.zones.keys().cloned().collect(),
+        zone: zone.into(),
         timing: group.timing,
         generation: group.generation,
         seed,
@@ -54,8 +55,8 @@
             warn!(key = "group", "gone, and waits for the next start; the group is followed as before");
             return;
         };
-        let (name, seed) = (self.0.borrow().name.clone(), self.0.borrow().seed);
-        match settings(group, &name, seed) {
+        let old = self.0.borrow().clone();
+        match settings(group, &old.name, &old.zone, old.seed) {
             Ok(new) => drop(self.0.send_replace(new)),
             Err(problem) => warn!(%problem, "not usable; the group is followed as before"),
         }
@@ -63,13 +64,18 @@
 }
 
 /// Begins to follow on the present runtime, under this name, until the receiver is dropped.
-pub fn begin(group: &Group, name: &str) -> Result<Following, MapProblem> {
-    let settings = settings(group, name, fastrand::u64(..))?;
+pub fn begin(
+    group: &Group,
+    name: &str,
+    zone: &str,
+    evidence: Option<Evidence>,
+) -> Result<Following, MapProblem> {
+    let settings = settings(group, name, zone, fastrand::u64(..))?;
     info!(members = settings.members.len(), "follows the group");
     let (renew, changes) = watch::channel(settings);
     let (views, mut seen) = watch::channel(View::of_own_sight());
     let (tell, told) = watch::channel(Parts::new());
-    tokio::spawn(follow(changes, views));
+    tokio::spawn(follow(changes, views, evidence));
     tokio::spawn(async move {
         loop {
             tokio::select! {
--- a/crates/starlinghill-control/src/lib.rs
+++ b/crates/starlinghill-control/src/lib.rs
@@ -199,7 +199,7 @@
     let mut renew = None;
     if let Some(group) = group {
         let name = format!("control-{}", address.port());
-        let following = following::begin(&group, &name).map_err(StartError::Group)?;
+        let following = following::begin(&group, &name, "", None).map_err(StartError::Group)?;
         tokio::spawn(tell_zones(following.parts, hub.news.clone()));
         renew = Some(following.renew);
     }
--- a/crates/starlinghill-control/src/program.rs
+++ b/crates/starlinghill-control/src/program.rs
@@ -5,6 +5,7 @@
 
 mod group;
 mod node;
+mod why;
 mod zones;
 
 use crate::{plan, prepare, start, Prepared};
@@ -72,6 +73,8 @@
     Group(group::Args),
     /// Show the zones: state, epoch, who, why, and which gateways follow.
     Zones(zones::ListArgs),
+    /// Say what is found of the zones by what all gateways see, and who sees what.
+    Why(why::Args),
     /// Order something about a zone.
     #[command(subcommand)]
     Zone(zones::ZoneCommand),
@@ -189,6 +192,7 @@
         Command::Group(args) => return group::main(args),
         Command::Zones(args) => return zones::list(&args),
         Command::Zone(command) => return zones::order(command),
+        Command::Why(args) => return why::main(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/starlinghill-control/src/program/node.rs
+++ b/crates/starlinghill-control/src/program/node.rs
@@ -2,20 +2,31 @@
 //! SIGHUP it reads the operators' file again, beside the platform's settings.
 
 use crate::following::{begin, Following, Renew};
-use starlinghill_gateway::{process, Parts};
+use starlinghill_accord::Micros;
+use starlinghill_decision::api::Outcome;
+use starlinghill_evidence::sums::Became;
+use starlinghill_evidence::watch::Watch;
+use starlinghill_gateway::config::Config;
+use starlinghill_gateway::process::{self, Beside};
+use starlinghill_gateway::watched::Attempted;
 use starlinghill_operators::Group;
 use std::error::Error;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
 use tracing::warn;
 
-async fn read_again(file: PathBuf, mut hang_up: Signal, renew: Renew) {
+async fn read_again(file: PathBuf, mut hang_up: Signal, renew: Renew, watch: Arc<Mutex<Watch>>) {
     while hang_up.recv().await.is_some() {
         match starlinghill_operators::read(&file) {
-            Ok(operators) => renew.renew(operators.group.as_ref()),
+            Ok(operators) => {
+                renew.renew(operators.group.as_ref());
+                let zones = operators.group.map(|group| group.map.zones.into_keys());
+                zones.into_iter().for_each(|zones| locked(&watch).follow(zones));
+            }
             Err(problems) => {
                 for problem in problems {
                     warn!(%problem, "the operators' file is not usable; what was read before stays");
@@ -25,11 +36,40 @@
     }
 }
 
-fn beside(file: &Path, group: &Group, name: &str) -> Result<watch::Receiver<Parts>, Box<dyn Error>> {
+/// What became of an attempt, as evidence on its server's zone; `None`: it says nothing of it.
+fn became(attempted: &Attempted) -> Option<Became> {
+    Some(match attempted.outcome {
+        Outcome::Ok if attempted.late => Became::Late,
+        Outcome::Ok => Became::Answered,
+        Outcome::Error | Outcome::Reset => Became::Failed,
+        Outcome::Full => Became::TurnedAway,
+        Outcome::Timeout => Became::Silent,
+        Outcome::ConnectFailed if attempted.refused => Became::Refused,
+        Outcome::ConnectFailed => Became::Unreached,
+        Outcome::Cancelled | Outcome::Moot => return None,
+    })
+}
+
+fn locked(watch: &Mutex<Watch>) -> MutexGuard<'_, Watch> {
+    watch.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn beside(file: &Path, group: &Group, config: &Config) -> Result<Beside, Box<dyn Error>> {
     let hang_up = signal(SignalKind::hangup())?;
-    let Following { parts, renew } = begin(group, name).map_err(|e| format!("NODE_NAME: {e}"))?;
-    tokio::spawn(read_again(file.to_path_buf(), hang_up, renew));
-    Ok(parts)
+    let begun = Instant::now();
+    let now = move || Micros(u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX));
+    let watch = Arc::new(Mutex::new(Watch::new(group.map.zones.keys().cloned())));
+    // One thread has both; nobody waits for the other.
+    let (seen, told) = (watch.clone(), watch.clone());
+    let watcher = move |attempted: &Attempted| {
+        let Some(became) = became(attempted) else { return };
+        locked(&seen).ended(now(), attempted.zone, became);
+    };
+    let evidence = move || locked(&told).report(now());
+    let following = begin(group, config.name(), config.zone(), Some(Arc::new(evidence)));
+    let Following { parts, renew } = following.map_err(|e| format!("NODE_NAME: {e}"))?;
+    tokio::spawn(read_again(file.to_path_buf(), hang_up, renew, watch));
+    Ok(Beside { zones: parts, watcher: Box::new(watcher) })
 }
 
 /// Runs the gateway until SIGTERM.
@@ -42,7 +82,7 @@
         }
     };
     let group = operators.group;
-    let done = process::run(|name| group.as_ref().map(|group| beside(file, group, name)).transpose());
+    let done = process::run(|config| group.as_ref().map(|group| beside(file, group, config)).transpose());
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -3,7 +3,7 @@
 
 use starlinghill_accord::bounds::Timing;
 use starlinghill_accord::Micros;
-use starlinghill_rig::failover::{Fault, Fleet};
+use starlinghill_rig::failover::{Fault, Fleet, ZONES};
 use starlinghill_rig::group::{Group, LIMIT};
 use starlinghill_rig::history::{wrongs, Ordered};
 use starlinghill_rig::nodes::SaveNode;
@@ -316,3 +316,65 @@
     });
     assert_eq!(ended, Some(0));
 }
+
+/// What `why --json` finds of each zone.
+fn found(fleet: &Fleet) -> Vec<String> {
+    let output = fleet.group.command(&["why"], &["--json"]);
+    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    ZONES.iter().map(|zone| told["zones"][zone]["finding"].as_str().unwrap_or("-").to_string()).collect()
+}
+
+#[track_caller]
+fn wait_until_found(fleet: &Fleet, wanted: [&str; 3]) {
+    let until = Instant::now() + LIMIT;
+    while found(fleet) != wanted {
+        let all = fleet.group.command(&["why"], &[]);
+        assert!(Instant::now() < until, "{wanted:?}, found {}", String::from_utf8_lossy(&all.stdout));
+        pause(100);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_is_wrong_with_a_zone_is_found_from_what_all_gateways_see() {
+    let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 6, 9, true).await;
+    // So that each gateway has something out at servers of every zone: of what is idle it takes what answered fastest.
+    fleet.nodes.iter().for_each(|(_, node)| node.takes(80));
+    fleet.load(120);
+    tokio::task::block_in_place(|| {
+        wait_until_found(&fleet, ["well", "well", "well"]);
+        let cut = |fleet: &mut Fleet, pairs: &[(&str, &str)]| {
+            for (from, to) in pairs {
+                fleet.suffer(&Fault::Cut((*from).into(), (*to).into()));
+                fleet.suffer(&Fault::Cut((*to).into(), (*from).into()));
+            }
+        };
+        // Two zones do not see each other, and the third one sees both.
+        cut(&mut fleet, &[("a", "b")]);
+        wait_until_found(&fleet, ["cut from b", "cut from a", "well"]);
+        // One is silent to both others; of these nobody can say more than that.
+        cut(&mut fleet, &[("c", "b")]);
+        wait_until_found(&fleet, ["cut from b", "cut off", "cut from b"]);
+        fleet.suffer(&Fault::Heal);
+        wait_until_found(&fleet, ["well", "well", "well"]);
+        // Its servers fail, for all and for their own zone.
+        let of_b = |fleet: &Fleet, fails: bool| {
+            fleet.nodes.iter().filter(|(zone, _)| *zone == "b").for_each(|(_, node)| node.fail(fails));
+        };
+        of_b(&fleet, true);
+        wait_until_found(&fleet, ["well", "sick", "well"]);
+        of_b(&fleet, false);
+        wait_until_found(&fleet, ["well", "well", "well"]);
+        // All fail: no zone is to blame.
+        fleet.nodes.iter().for_each(|(_, node)| node.fail(true));
+        wait_until_found(&fleet, ["trouble everywhere", "trouble everywhere", "trouble everywhere"]);
+        let one = fleet.group.command(&["why"], &["b"]);
+        let said = String::from_utf8_lossy(&one.stdout);
+        assert!(said.contains("sees it sick") && said.contains("6 of 6 gateways say"), "{said}");
+        let none = fleet.group.command(&["why"], &["x"]);
+        assert_eq!(none.status.code(), Some(1));
+        assert!(
+            String::from_utf8_lossy(&none.stderr).contains("expected one of the zones a, b, c, found 'x'")
+        );
+    });
+    fleet.rest().await;
+}
--- a/crates/starlinghill-evidence/src/report.rs
+++ b/crates/starlinghill-evidence/src/report.rs
@@ -3,6 +3,7 @@
 use crate::sums::Sums;
 use serde::{Deserialize, Serialize};
 use starlinghill_accord::map::{is_name, MOST_ZONES};
+use starlinghill_accord::wire::Message;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -19,6 +20,10 @@
     pub zones: BTreeMap<String, Sums>,
 }
 
+impl Message for Report {
+    const KIND: &'static str = "evidence";
+}
+
 /// Why a report is not used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Unusable {
@@ -51,7 +56,8 @@
                 return Err(Unusable::Name(name.chars().take(64).collect()));
             }
             let s = sums;
-            let all = [s.answered, s.failed, s.turned_away, s.refused, s.unreached, s.silent, s.usual];
+            let all =
+                [s.answered, s.failed, s.turned_away, s.refused, s.unreached, s.silent, s.mute, s.usual];
             if s.late > s.answered || all.iter().any(|n| *n > MOST) {
                 return Err(Unusable::Counts(name.clone()));
             }
--- a/crates/starlinghill-evidence/src/sums.rs
+++ b/crates/starlinghill-evidence/src/sums.rs
@@ -6,6 +6,9 @@
 
 /// Attempts below which nothing is said: chance would speak.
 pub const FLOOR: u32 = 8;
+/// So many attempts in a row without a word, and none for a whole span, say that a zone is dark, however few they are: who
+/// loses every third answer comes to that by chance once in a hundred times.
+const MUTE: u32 = 4;
 /// The part of all attempts from which on a zone is dark, or its servers absent, and the part of answers up to which.
 const NEARLY_ALL: f64 = 0.9;
 const NEARLY_NONE: f64 = 0.02;
@@ -64,6 +67,9 @@
     /// Sent without an answer.
     #[serde(skip_serializing_if = "none")]
     pub silent: u32,
+    /// Attempts in a row that nothing came back of, up to now, where nothing has come back for a whole span.
+    #[serde(skip_serializing_if = "none")]
+    pub mute: u32,
     /// Answers that usually come from there in as much time; 0: not known yet.
     #[serde(skip_serializing_if = "none")]
     pub usual: u32,
@@ -131,6 +137,9 @@
     /// What it looks like.
     pub fn sight(&self) -> Sight {
         let n = self.attempts() as f64;
+        if self.mute >= MUTE {
+            return Sight::Dark;
+        }
         if self.attempts() < u64::from(FLOOR) {
             return Sight::Unknown;
         }
@@ -165,6 +174,7 @@
         add(&mut self.refused, other.refused);
         add(&mut self.unreached, other.unreached);
         add(&mut self.silent, other.silent);
+        add(&mut self.mute, other.mute);
         add(&mut self.usual, other.usual);
     }
 }
--- a/crates/starlinghill-follow/src/link.rs
+++ b/crates/starlinghill-follow/src/link.rs
@@ -7,9 +7,11 @@
 use starlinghill_accord::bounds::Timing;
 use starlinghill_accord::directive::Told;
 use starlinghill_accord::follower::{Action, Event, Follower, View};
-use starlinghill_accord::wire::{decode, LONGEST};
+use starlinghill_accord::wire::{decode, encode, LONGEST};
 use starlinghill_accord::{Micros, Position};
+use starlinghill_evidence::report::Report;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -34,6 +36,8 @@
     pub name: String,
     /// The zones of the operators' file.
     pub zones: Vec<String>,
+    /// The zone that it is in; empty where it is in none of them.
+    pub zone: String,
     /// Times.
     pub timing: Timing,
     /// The least generation of the group that is believed.
@@ -53,6 +57,12 @@
     Lost(String),
 }
 
+/// What is seen of zones, asked for when it is told.
+pub type Evidence = Arc<dyn Fn() -> Report + Send + Sync>;
+
+/// How often what is seen is told.
+const TELL: Duration = Duration::from_secs(1);
+
 /// What is said of oneself with each question.
 #[derive(Debug, Clone, Default)]
 struct Status {
@@ -72,7 +82,11 @@
 
 /// Follows until the receiver of views is gone. New settings hold at once: another member is asked by them, and what
 /// was followed so far goes on meanwhile.
-pub async fn follow(mut changes: watch::Receiver<Settings>, views: watch::Sender<View>) {
+pub async fn follow(
+    mut changes: watch::Receiver<Settings>,
+    views: watch::Sender<View>,
+    evidence: Option<Evidence>,
+) {
     let mut settings = changes.borrow_and_update().clone();
     if settings.members.is_empty() {
         return;
@@ -83,7 +97,9 @@
     let mut follower = Follower::new(settings.timing, settings.generation);
     let mut at = rng.usize(..settings.members.len());
     let (status, asked) = watch::channel(Status::default());
-    let (mut link, mut heard) = connect(&settings, at, begin, asked.clone());
+    let connect =
+        |settings: &Settings, at: usize| connect(settings, at, begin, asked.clone(), evidence.clone());
+    let (mut link, mut heard) = connect(&settings, at);
     let (mut failures, mut resume): (u32, Option<Instant>) = (0, None);
     let mut tick = ticks(&settings);
     follower.met(now());
@@ -118,7 +134,7 @@
             },
             () = tokio::time::sleep_until(resume.unwrap_or(begin)), if resume.is_some() => {
                 resume = None;
-                (link, heard) = connect(&settings, at, begin, asked.clone());
+                (link, heard) = connect(&settings, at);
                 follower.met(now());
             }
             _ = tick.tick() => actions = follower.handle(now(), Event::Tick),
@@ -164,12 +180,13 @@
     at: usize,
     begin: Instant,
     status: watch::Receiver<Status>,
+    evidence: Option<Evidence>,
 ) -> (JoinHandle<()>, mpsc::Receiver<Heard>) {
     // Bounded: a reader that falls behind makes the member wait, not this process's memory grow.
     let (tx, rx) = mpsc::channel(16);
     let settings = settings.clone();
     let task = tokio::spawn(async move {
-        let why = converse(&settings, at, begin, status, &tx).await;
+        let why = converse(&settings, at, begin, status, evidence, &tx).await;
         // Where nobody listens any more there is nobody to tell.
         let _ = tx.send(Heard::Lost(why)).await;
     });
@@ -182,6 +199,7 @@
     at: usize,
     begin: Instant,
     mut status: watch::Receiver<Status>,
+    evidence: Option<Evidence>,
     out: &mpsc::Sender<Heard>,
 ) -> String {
     let patience = span(settings.timing.patience);
@@ -195,6 +213,7 @@
         name: settings.name.clone(),
         program: env!("CARGO_PKG_VERSION").into(),
         zones: settings.zones.clone(),
+        zone: settings.zone.clone(),
     };
     if up.try_send(Up { what: Some(up::What::Hello(hello)) }).is_err() {
         return "no room for the first message".into();
@@ -209,6 +228,7 @@
     ask.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut number, mut wholes) = (0u64, status.borrow().whole);
     let mut open: Vec<(u64, Instant, Micros)> = Vec::new();
+    let mut told: Option<Instant> = None;
     loop {
         let oldest = open.first().map(|(_, sent, _)| *sent + patience);
         let question = tokio::select! {
@@ -258,7 +278,10 @@
             let whole = s.whole != wholes;
             wholes = s.whole;
             let (held, followed) = (Some(At::from(s.held)), Some(At::from(s.followed)));
-            let question = Question { number, held, followed, mode: s.mode, whole };
+            let due = evidence.as_ref().filter(|_| told.is_none_or(|at| at.elapsed() >= TELL));
+            told = if due.is_some() { Some(Instant::now()) } else { told };
+            let evidence = due.map(|evidence| encode(&evidence())).unwrap_or_default();
+            let question = Question { number, held, followed, mode: s.mode, whole, evidence };
             // The time before it is sent: the age is reckoned long, never short.
             open.push((number, Instant::now(), now()));
             if up.try_send(Up { what: Some(up::What::Question(question)) }).is_err() {
--- a/crates/starlinghill-follow/src/report.rs
+++ b/crates/starlinghill-follow/src/report.rs
@@ -4,6 +4,7 @@
 use starlinghill_accord::state::State;
 use starlinghill_accord::wire::Message;
 use starlinghill_accord::Position;
+use starlinghill_evidence::report::Report as Evidence;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -23,6 +24,10 @@
     pub mode: String,
     /// How long ago it said so, in milliseconds.
     pub heard_ms: u64,
+    /// The zone that it is in.
+    pub zone: String,
+    /// What it saw of zones last, and how long ago it said that.
+    pub evidence: Option<(u64, Evidence)>,
 }
 
 /// What one member knows.
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -170,7 +170,11 @@
                 Some(connection) => (connection, true),
                 None => match timeout(self.dial_timeout, Connection::open(backend.address)).await {
                     Ok(Ok(connection)) => (connection, false),
-                    _ => return Outcome::ConnectFailed.into(),
+                    Ok(Err(e)) => {
+                        let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
+                        return Ended { refused, ..Outcome::ConnectFailed.into() };
+                    }
+                    Err(_) => return Outcome::ConnectFailed.into(),
                 },
             };
             // Guards against sending to a backend that began to drain while the connection came up.
@@ -213,7 +217,8 @@
                 let (pool, own) = (self.clone(), backend.clone());
                 let give_back: GiveBack = Box::new(move |connection| pool.give_back(&own, connection));
                 let download = Download::new(held, body, connection, length, give_back, place);
-                return Ended { outcome, body: Some(Served::Passing(Box::new(download))) };
+                let body = Some(Served::Passing(Box::new(download)));
+                return Ended { outcome, body, refused: false };
             }
             let frame = tokio::select! {
                 biased;
@@ -237,7 +242,7 @@
         }
         self.give_back(backend, connection);
         match outcome {
-            Outcome::Ok => Ended { outcome, body: Some(Served::Whole(joined(held, size))) },
+            Outcome::Ok => Ended { body: Some(Served::Whole(joined(held, size))), ..outcome.into() },
             _ => outcome.into(),
         }
     }
--- a/crates/starlinghill-gateway/src/config.rs
+++ b/crates/starlinghill-gateway/src/config.rs
@@ -231,6 +231,16 @@
         Ok(Config { name, inherited, folder, ops: from_environment("NODE_OPS")?.or(self.ops), ..self })
     }
 
+    /// The gateway's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The zone that the gateway is in; empty where the platform names none.
+    pub fn zone(&self) -> &str {
+        self.site.zone_name(self.site.settings.zone).unwrap_or_default()
+    }
+
     /// The keys that it has.
     pub fn shape(&self) -> &Shape {
         &self.shape
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -8,6 +8,7 @@
 use crate::handover::Handover;
 use crate::inbox::{Answer, Clock, Inbox, Input, Ordered, Post, Taken};
 use crate::orders::Orders;
+use crate::watched::{Watched, Watcher};
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
 use starlinghill_maintenance::{Book, Roster};
@@ -35,6 +36,7 @@
 
 /// A request in the table: until it has its answer and nothing of it is out.
 struct Open {
+    class: ClassId,
     reply: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
     attempts: Vec<Attempt>,
@@ -94,15 +96,18 @@
     ready_at: Option<Instant>,
     /// It is to end.
     closing: bool,
+    watched: Option<Watched>,
 }
 
 impl Driver {
-    /// A driver that knows nothing yet but the configuration, and for how long it waits for news of the list that it knows.
+    /// A driver that knows nothing yet but the configuration, and for how long it waits for news of the list that it
+    /// knows. The watcher hears of each attempt that ends.
     pub fn new(
         config: Config,
         clock: Clock,
         ready: watch::Sender<bool>,
         wait: Duration,
+        watcher: Option<Watcher>,
     ) -> Result<Driver, ConfigError> {
         let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
         // Without a door there are no orders, and nothing to keep.
@@ -140,6 +145,7 @@
             ready,
             ready_at: None,
             closing: false,
+            watched: watcher.map(Watched::new),
         };
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
@@ -227,7 +233,8 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { arrival, forward, reply } = *taken;
-                let open = Open { reply: Some(reply), forward: Rc::new(forward), attempts: Vec::new() };
+                let (class, forward) = (arrival.class, Rc::new(forward));
+                let open = Open { class, reply: Some(reply), forward, attempts: Vec::new() };
                 self.requests.insert(arrival.id, open);
                 self.batch.push(Event::Request(arrival));
             }
@@ -273,7 +280,7 @@
                     }
                 });
                 // From here on it is the client's, and its server has done its work.
-                let ended = Ended { outcome: Outcome::Ok, body: Some(Served::Passing(download)) };
+                let ended = Ended { body: Some(Served::Passing(download)), ..Outcome::Ok.into() };
                 self.take(Input::Ended(id, attempt, server, ended, took));
             }
             Input::Whole(id) => self.batch.push(Event::Whole(id)),
@@ -281,6 +288,10 @@
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
                 open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
+                if let Some(watched) = &self.watched {
+                    let class = self.site.settings.classes.get(open.class.0);
+                    watched.ended(server, ended.outcome, ended.refused, class.is_some_and(|c| took > c.aim));
+                }
                 // The first 200 is the client's at once and ends the request; the module hears of it.
                 if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
                     let _ = reply.send(Answer::Served(body));
@@ -363,6 +374,7 @@
         let mut entries = Vec::with_capacity(list.members.len());
         for member in list.members {
             let server = self.site.server(&member.id);
+            self.watched.iter_mut().for_each(|watched| watched.listed(server, &member.locality));
             let listed = match member.phase {
                 Phase::Ready => Listed::InService,
                 Phase::Draining => Listed::Draining,
@@ -397,6 +409,7 @@
         }
         // Guards against growing with every backend there ever was.
         self.site.servers.retain(|server, _| self.backends.contains_key(server));
+        self.watched.iter_mut().for_each(|watched| watched.keep(|server| self.backends.contains_key(server)));
         self.batch.push(Event::Servers(scope, entries));
     }
 
--- a/crates/starlinghill-gateway/src/forward.rs
+++ b/crates/starlinghill-gateway/src/forward.rs
@@ -103,10 +103,12 @@
     pub outcome: Outcome,
     /// A 200's body.
     pub body: Option<Served>,
+    /// The connection was refused: nothing listens there.
+    pub refused: bool,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None }
+        Ended { outcome, body: None, refused: false }
     }
 }
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod server;
 pub mod upload;
+pub mod watched;
 
 use config::{Config, ConfigError, Upstreams};
 use driver::Driver;
@@ -41,6 +42,7 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
+use watched::Watcher;
 
 /// The part of the memory that clients' bodies may fill.
 const BODIES_PART: usize = 8;
@@ -85,6 +87,8 @@
     pub site: watch::Receiver<Option<Rc<Site>>>,
     /// The parts of their work that zones get by order, where there is a group that orders.
     pub zones: Option<watch::Receiver<Parts>>,
+    /// Hears of each attempt that ends, where somebody wants to know.
+    pub watcher: Option<Watcher>,
     /// It is to end.
     pub stopping: watch::Receiver<bool>,
 }
@@ -94,7 +98,7 @@
 
 /// Runs a gateway until it is to end and all that it took is answered.
 pub async fn run(config: Config, control: Control) -> Result<(), RunError> {
-    let Control { upstreams, site, zones, stopping } = control;
+    let Control { upstreams, site, zones, watcher, stopping } = control;
     let clock = Clock::start();
     let (ready, is_ready) = watch::channel(false);
     let (listen, ops, sockets, shared) =
@@ -114,7 +118,7 @@
     let bodies = config.memory / BODIES_PART;
     let peers = config.peers.clone();
     let follower = config.follower();
-    let driver = Driver::new(config, clock, ready, follower.wait()).map_err(RunError::Config)?;
+    let driver = Driver::new(config, clock, ready, follower.wait(), watcher).map_err(RunError::Config)?;
     let inbox = driver.inbox();
     match peers {
         // The process that this one takes over from may have the socket.
--- a/crates/starlinghill-gateway/src/process.rs
+++ b/crates/starlinghill-gateway/src/process.rs
@@ -2,6 +2,7 @@
 //! ends at SIGTERM.
 
 use crate::config::{Config, Reloaded};
+use crate::watched::Watcher;
 use crate::{Control, Parts};
 use std::error::Error;
 use std::rc::Rc;
@@ -10,10 +11,18 @@
 use tokio::task::LocalSet;
 use tracing::{info, warn};
 
+/// What stands beside a gateway.
+pub struct Beside {
+    /// Tells the parts that zones get.
+    pub zones: watch::Receiver<Parts>,
+    /// Hears of each attempt that ends.
+    pub watcher: Watcher,
+}
+
 /// Runs until SIGTERM and until all that was taken is answered. `beside` is called once the runtime runs, with the
-/// gateway's name; it may tell the parts that zones get.
+/// configuration.
 pub fn run(
-    beside: impl FnOnce(&str) -> Result<Option<watch::Receiver<Parts>>, Box<dyn Error>>,
+    beside: impl FnOnce(&Config) -> Result<Option<Beside>, Box<dyn Error>>,
 ) -> Result<(), Box<dyn Error>> {
     let config = Config::from_environment()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -46,7 +55,7 @@
                 }
             }
         });
-        let zones = beside(&config.name)?;
-        Ok(crate::run(config, Control { upstreams, site, zones, stopping }).await?)
+        let (zones, watcher) = beside(&config)?.map(|beside| (beside.zones, beside.watcher)).unzip();
+        Ok(crate::run(config, Control { upstreams, site, zones, watcher, stopping }).await?)
     })
 }
--- a/crates/starlinghill-group/src/serve.rs
+++ b/crates/starlinghill-group/src/serve.rs
@@ -8,6 +8,7 @@
 use starlinghill_accord::order::Order;
 use starlinghill_accord::wire::{decode, encode, LONGEST, LONGEST_ORDER};
 use starlinghill_accord::Position;
+use starlinghill_evidence::report::Report as Evidence;
 use starlinghill_follow::proto::group_server::{Group, GroupServer};
 use starlinghill_follow::proto::members_server::{Members, MembersServer};
 use starlinghill_follow::proto::{down, up, Answer, Down, Frame, Hello, LookRequest, Question, Sealed, Up};
@@ -54,6 +55,9 @@
     followed: Position,
     mode: String,
     heard: Instant,
+    zone: String,
+    /// What it saw of zones last, and when it said that.
+    evidence: Option<(Instant, Evidence)>,
 }
 
 impl Service {
@@ -119,6 +123,8 @@
                 followed: k.followed,
                 mode: k.mode.clone(),
                 heard_ms: ms(k.heard.elapsed()),
+                zone: k.zone.clone(),
+                evidence: k.evidence.clone().map(|(at, evidence)| (ms(at.elapsed()), evidence)),
             })
             .collect();
         Report {
@@ -199,6 +205,18 @@
     }
 }
 
+/// The most bytes of what one gateway sees: a map of the most zones, each with counts of seven figures.
+const LONGEST_EVIDENCE: usize = 64 << 10;
+
+fn evidence(bytes: &[u8]) -> Result<Evidence, String> {
+    if bytes.len() > LONGEST_EVIDENCE {
+        return Err(format!("{} bytes, {LONGEST_EVIDENCE} at most", bytes.len()));
+    }
+    let evidence: Evidence = decode(bytes).map_err(|e| e.to_string())?;
+    evidence.check().map_err(|e| e.to_string())?;
+    Ok(evidence)
+}
+
 fn order(bytes: &[u8]) -> Result<Order, Status> {
     if bytes.len() > LONGEST_ORDER {
         let what = format!("an order of {} bytes, {LONGEST_ORDER} at most", bytes.len());
@@ -326,7 +344,22 @@
             let mut known = self.service.known();
             let mode: String = question.mode.chars().take(16).collect();
             let at = |at: Option<starlinghill_follow::proto::At>| at.map(Position::from).unwrap_or_default();
+            let evidence = match &question.evidence[..] {
+                [] => None,
+                bytes => match evidence(bytes) {
+                    Ok(evidence) => Some((Instant::now(), evidence)),
+                    Err(what) => {
+                        // Those who follow and tell nonsense still follow.
+                        warn!(gateway = self.hello.name, what, "what it says of zones can't be used");
+                        None
+                    }
+                },
+            };
+            let own = known.get(&self.hello.name).filter(|k| k.serial == self.serial);
+            let evidence = evidence.or_else(|| own.and_then(|k| k.evidence.clone()));
             let new = Known {
+                zone: self.hello.zone.chars().take(64).collect(),
+                evidence,
                 serial: self.serial,
                 program: self.hello.program.chars().take(32).collect(),
                 held: at(question.held),
--- a/crates/starlinghill-rig/examples/failover.rs
+++ b/crates/starlinghill-rig/examples/failover.rs
@@ -272,7 +272,7 @@
 
 fn main() -> ExitCode {
     let word = std::env::args().nth(1).unwrap_or_default();
-    if ["gateway", "group", "zone", "zones"].contains(&word.as_str()) {
+    if ["gateway", "group", "why", "zone", "zones"].contains(&word.as_str()) {
         return starlinghill_control::program::main();
     }
     match run() {
--- a/crates/starlinghill-rig/examples/fleet.rs
+++ b/crates/starlinghill-rig/examples/fleet.rs
@@ -91,7 +91,7 @@
 
 fn main() -> ExitCode {
     let word = std::env::args().nth(1).unwrap_or_default();
-    if ["gateway", "group", "zone", "zones"].contains(&word.as_str()) {
+    if ["gateway", "group", "why", "zone", "zones"].contains(&word.as_str()) {
         return starlinghill_control::program::main();
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
--- a/crates/starlinghill-rig/examples/followers.rs
+++ b/crates/starlinghill-rig/examples/followers.rs
@@ -105,8 +105,9 @@
     let mut views = Vec::new();
     for i in 0..cli.followers {
         let (tx, rx) = watch::channel(View::of_own_sight());
-        let (_fixed, changes) = watch::channel(following::settings(&settings, &format!("f{i}"), i as u64)?);
-        tokio::spawn(follow(changes, tx));
+        let (_fixed, changes) =
+            watch::channel(following::settings(&settings, &format!("f{i}"), "", i as u64)?);
+        tokio::spawn(follow(changes, tx, None));
         views.push(rx);
     }
     let begun = Instant::now();
@@ -167,7 +168,7 @@
 
 fn main() -> ExitCode {
     let word = std::env::args().nth(1).unwrap_or_default();
-    if ["gateway", "group", "zone", "zones"].contains(&word.as_str()) {
+    if ["gateway", "group", "why", "zone", "zones"].contains(&word.as_str()) {
         return starlinghill_control::program::main();
     }
     let cli = Cli::parse();
--- a/crates/starlinghill-rig/src/nodes.rs
+++ b/crates/starlinghill-rig/src/nodes.rs
@@ -10,9 +10,9 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -43,6 +43,7 @@
     seen: Arc<Mutex<BTreeMap<String, Seen>>>,
     came: Arc<Mutex<Vec<Came>>>,
     fails: Arc<AtomicBool>,
+    takes_ms: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -52,13 +53,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
         let (seen, fails) = (Arc::<Mutex<BTreeMap<String, Seen>>>::default(), Arc::<AtomicBool>::default());
-        let came = Arc::<Mutex<Vec<Came>>>::default();
-        let (log, bad, list) = (seen.clone(), fails.clone(), came.clone());
+        let (came, takes_ms) = (Arc::<Mutex<Vec<Came>>>::default(), Arc::<AtomicU64>::default());
+        let (log, bad, list, time) = (seen.clone(), fails.clone(), came.clone(), takes_ms.clone());
         let task = tokio::spawn(async move {
             // What it serves ends with it.
             let mut served = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                let (log, bad, list) = (log.clone(), bad.clone(), list.clone());
+                let (log, bad, list, time) = (log.clone(), bad.clone(), list.clone(), time.clone());
                 let service = service_fn(move |request: Request<hyper::body::Incoming>| {
                     let from = request.headers().get("x-from").and_then(|v| v.to_str().ok());
                     let from = from.unwrap_or("nobody").to_string();
@@ -74,14 +75,20 @@
                     if bad.load(Ordering::Relaxed) {
                         *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
                     }
-                    async move { Ok::<_, Infallible>(response) }
+                    let takes = Duration::from_millis(time.load(Ordering::Relaxed));
+                    async move {
+                        if !takes.is_zero() {
+                            tokio::time::sleep(takes).await;
+                        }
+                        Ok::<_, Infallible>(response)
+                    }
                 });
                 served.spawn(async move {
                     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
                 });
             }
         });
-        SaveNode { address, seen, came, fails, task }
+        SaveNode { address, seen, came, fails, takes_ms, task }
     }
 
     /// What it saw, by sender.
@@ -99,6 +106,11 @@
         self.seen.lock().expect("whole").values().map(|s| s.requests).sum()
     }
 
+    /// From now on it takes so long over each answer.
+    pub fn takes(&self, ms: u64) {
+        self.takes_ms.store(ms, Ordering::Relaxed);
+    }
+
     /// From now on it answers 500, or no longer.
     pub fn fail(&self, fails: bool) {
         self.fails.store(fails, Ordering::Relaxed);
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -220,6 +220,10 @@
         self.servers.entry(id).or_insert_with(|| name.to_string());
         id
     }
+    /// The name of a zone's number.
+    pub fn zone_name(&self, zone: ZoneId) -> Option<&str> {
+        self.zones.iter().find(|(_, number)| **number == zone.0).map(|(name, _)| name.as_str())
+    }
     /// The number of a zone's name.
     pub fn zone(&mut self, name: &str) -> ZoneId {
         zone_id(&mut self.zones, name)
