--- a/crates/starlinghill-control/tests/clocks.rs
+++ b/crates/starlinghill-control/tests/clocks.rs
@@ -7,7 +7,7 @@
 use starlinghill_follow::wall;
 use starlinghill_rig::failover::{Fault, Fleet};
 use starlinghill_rig::group::LIMIT;
-use starlinghill_rig::history::{wrongs, Ordered};
+use starlinghill_rig::history::wrongs;
 use std::process::ExitCode;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
@@ -56,23 +56,12 @@
     ExitCode::SUCCESS
 }
 
-fn order(fleet: &Fleet, words: &[&str], more: &[&str]) -> Ordered {
-    let given = Instant::now();
-    let output = fleet.group.command(words, more);
-    let answered = Instant::now();
-    let said = String::from_utf8_lossy(&output.stdout).to_string();
-    let at = said.split("accepted at ").nth(1).and_then(|s| s.split(' ').next()?.split_once('.'));
-    let at = at.and_then(|(g, e)| Some((g.parse().ok()?, e.parse().ok()?)));
-    assert!(output.status.success() && at.is_some(), "{output:?}");
-    Ordered { given, answered, at }
-}
-
 async fn ramps_and_ages_go_by_no_wall_clock() {
     let program = std::env::current_exe().expect("this program");
     let mut fleet = Fleet::start(&program, &["a", "b", "c"], 3, 8, true).await;
     tokio::task::block_in_place(|| {
         let drain = ["b", "--reason", "a drill", "--step", "12", "--every-ms", "500"];
-        let mut orders = vec![order(&fleet, &["zone", "drain"], &drain)];
+        let mut orders = vec![fleet.order(&["zone", "drain"], &drain)];
         // Steps are stamped by whoever leads. Leaders change twice, so that two clocks at the least make some.
         let (mut changes, mut stamps) = (0, Vec::new());
         let begun = Instant::now();
@@ -105,7 +94,7 @@
         assert!(apart > 30_000, "the clocks that made steps were not apart: {stamps:?}");
         assert!(took < EVERY * STEPS + Duration::from_secs(8), "{took:?}, {stamps:?}");
         let back = ["b", "--reason", "over", "--step", "50", "--every-ms", "500", "--wait", "20"];
-        orders.push(order(&fleet, &["zone", "return"], &back));
+        orders.push(fleet.order(&["zone", "return"], &back));
         let zones = fleet.wait_until_all_follow();
         let number = |key: &str| zones["position"][key].as_u64().unwrap_or(0);
         let last = (number("generation"), number("epoch"));
--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -3,7 +3,7 @@
 
 use starlinghill_accord::bounds::Timing;
 use starlinghill_accord::Micros;
-use starlinghill_rig::failover::{Fault, Fleet, ZONES};
+use starlinghill_rig::failover::{Fault, Fleet};
 use starlinghill_rig::group::{Group, LIMIT};
 use starlinghill_rig::history::{wrongs, Ordered};
 use starlinghill_rig::nodes::SaveNode;
@@ -19,17 +19,6 @@
 /// What a process may need to write a line of its log, and this one to read it, on a machine that is busy with tests.
 const SLACK: Duration = Duration::from_millis(1_500);
 
-fn order(fleet: &Fleet, words: &[&str], more: &[&str]) -> Ordered {
-    let given = Instant::now();
-    let output = fleet.group.command(words, more);
-    let answered = Instant::now();
-    let said = String::from_utf8_lossy(&output.stdout).to_string();
-    let at = said.split("accepted at ").nth(1).and_then(|s| s.split(' ').next()?.split_once('.'));
-    let at = at.and_then(|(g, e)| Some((g.parse().ok()?, e.parse().ok()?)));
-    assert!(output.status.success() && at.is_some(), "{output:?}");
-    Ordered { given, answered, at }
-}
-
 fn pause(ms: u64) {
     std::thread::sleep(Duration::from_millis(ms));
 }
@@ -50,7 +39,7 @@
     let (orders, out_at, back_at) = tokio::task::block_in_place(|| {
         pause(500);
         let drain = ["b", "--reason", "a drill", "--step", "25", "--every-ms", "600"];
-        let mut orders = vec![order(&fleet, &["zone", "drain"], &drain)];
+        let mut orders = vec![fleet.order(&["zone", "drain"], &drain)];
         let suffer = |fleet: &mut Fleet, fault: Fault| fleet.suffer(&fault);
         suffer(&mut fleet, Fault::RestartGateway(0));
         pause(300);
@@ -67,7 +56,7 @@
         pause(1_500);
         let back_at = Instant::now();
         let back = ["b", "--reason", "over", "--step", "50", "--every-ms", "600", "--wait", "20"];
-        orders.push(order(&fleet, &["zone", "return"], &back));
+        orders.push(fleet.order(&["zone", "return"], &back));
         pause(500);
         (orders, out_at, back_at)
     });
@@ -89,12 +78,12 @@
     fleet.load(80);
     let orders = tokio::task::block_in_place(|| {
         pause(1_500);
-        let mut orders = vec![order(&fleet, &["zone", "out"], &["b", "--reason", "a drill", "--wait", "20"])];
+        let mut orders = vec![fleet.order(&["zone", "out"], &["b", "--reason", "a drill", "--wait", "20"])];
         pause(1_000);
         fleet.suffer(&Fault::Cold("b".into()));
         // At once, while gateways restart: one that knows nothing of rates must not make up for it.
         let back = ["b", "--reason", "over", "--step", "100", "--wait", "20"];
-        orders.push(order(&fleet, &["zone", "return"], &back));
+        orders.push(fleet.order(&["zone", "return"], &back));
         fleet.suffer(&Fault::KillGateway(0));
         pause(700);
         fleet.suffer(&Fault::KillGateway(3));
@@ -117,7 +106,7 @@
     fleet.load(20);
     let orders = tokio::task::block_in_place(|| {
         let out = ["b", "--reason", "a drill", "--wait", "20"];
-        let orders = vec![order(&fleet, &["zone", "out"], &out)];
+        let orders = vec![fleet.order(&["zone", "out"], &out)];
         fleet.suffer(&Fault::KillGroup);
         let away = Instant::now();
         fleet.gateways[0].wait_for_log("mode=keeping", LIMIT);
@@ -146,7 +135,7 @@
         let mut orders = Vec::new();
         for (round, word) in ["out", "return", "out", "return"].into_iter().enumerate() {
             let leader = fleet.group.wait_for_leader();
-            orders.push(order(&fleet, &["zone", word], &["b", "--reason", "a drill"]));
+            orders.push(fleet.order(&["zone", word], &["b", "--reason", "a drill"]));
             // Told to some by now: it is killed in one round, stopped and woken after its term in the next.
             match round % 2 {
                 0 => fleet.suffer(&Fault::KillMember(leader)),
@@ -223,7 +212,7 @@
         widened(&file(&fleet, 2));
         fleet.gateways[2].hang_up();
         fleet.wait_until_all_follow();
-        let orders = vec![order(&fleet, &["zone", "out"], &["d", "--reason", "a drill", "--wait", "20"])];
+        let orders = vec![fleet.order(&["zone", "out"], &["d", "--reason", "a drill", "--wait", "20"])];
         // The epoch of the map's change stands between the first one and the order's.
         assert_eq!(orders[0].at, Some((1, 3)));
         audit(&fleet, &orders);
@@ -317,23 +306,6 @@
     assert_eq!(ended, Some(0));
 }
 
-/// What `why --json` finds of each zone.
-fn found(fleet: &Fleet) -> Vec<String> {
-    let output = fleet.group.command(&["why"], &["--json"]);
-    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
-    ZONES.iter().map(|zone| told["zones"][zone]["finding"].as_str().unwrap_or("-").to_string()).collect()
-}
-
-#[track_caller]
-fn wait_until_found(fleet: &Fleet, wanted: [&str; 3]) {
-    let until = Instant::now() + LIMIT;
-    while found(fleet) != wanted {
-        let all = fleet.group.command(&["why"], &[]);
-        assert!(Instant::now() < until, "{wanted:?}, found {}", String::from_utf8_lossy(&all.stdout));
-        pause(100);
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn what_is_wrong_with_a_zone_is_found_from_what_all_gateways_see() {
     let mut fleet = Fleet::start(Path::new(PROGRAM), &["a", "b", "c"], 6, 9, true).await;
@@ -341,7 +313,7 @@
     fleet.nodes.iter().for_each(|(_, node)| node.takes(80));
     fleet.load(120);
     tokio::task::block_in_place(|| {
-        wait_until_found(&fleet, ["well", "well", "well"]);
+        fleet.wait_until_found(["well", "well", "well"]);
         let cut = |fleet: &mut Fleet, pairs: &[(&str, &str)]| {
             for (from, to) in pairs {
                 fleet.suffer(&Fault::Cut((*from).into(), (*to).into()));
@@ -350,23 +322,23 @@
         };
         // Two zones do not see each other, and the third one sees both.
         cut(&mut fleet, &[("a", "b")]);
-        wait_until_found(&fleet, ["cut from b", "cut from a", "well"]);
+        fleet.wait_until_found(["cut from b", "cut from a", "well"]);
         // One is silent to both others; of these nobody can say more than that.
         cut(&mut fleet, &[("c", "b")]);
-        wait_until_found(&fleet, ["cut from b", "cut off", "cut from b"]);
+        fleet.wait_until_found(["cut from b", "cut off", "cut from b"]);
         fleet.suffer(&Fault::Heal);
-        wait_until_found(&fleet, ["well", "well", "well"]);
+        fleet.wait_until_found(["well", "well", "well"]);
         // Its servers fail, for all and for their own zone.
         let of_b = |fleet: &Fleet, fails: bool| {
             fleet.nodes.iter().filter(|(zone, _)| *zone == "b").for_each(|(_, node)| node.fail(fails));
         };
         of_b(&fleet, true);
-        wait_until_found(&fleet, ["well", "sick", "well"]);
+        fleet.wait_until_found(["well", "sick", "well"]);
         of_b(&fleet, false);
-        wait_until_found(&fleet, ["well", "well", "well"]);
+        fleet.wait_until_found(["well", "well", "well"]);
         // All fail: no zone is to blame.
         fleet.nodes.iter().for_each(|(_, node)| node.fail(true));
-        wait_until_found(&fleet, ["trouble everywhere", "trouble everywhere", "trouble everywhere"]);
+        fleet.wait_until_found(["trouble everywhere", "trouble everywhere", "trouble everywhere"]);
         let one = fleet.group.command(&["why"], &["b"]);
         let said = String::from_utf8_lossy(&one.stdout);
         assert!(said.contains("sees it sick") && said.contains("6 of 6 gateways say"), "{said}");
--- a/crates/starlinghill-rig/examples/failover.rs
+++ b/crates/starlinghill-rig/examples/failover.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use starlinghill_rig::failover::{Fault, Fleet, Step, Wrongs, ZONES};
 use starlinghill_rig::group::LIMIT;
-use starlinghill_rig::history::{told_since, wrongs, At, Ordered};
+use starlinghill_rig::history::{accepted, told_since, wrongs, Ordered};
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
@@ -147,10 +147,7 @@
         let output =
             Command::new(program).args(words).arg(file).args(more).args(["--id", id]).output().ok()?;
         let answered = Instant::now();
-        let said = String::from_utf8_lossy(&output.stdout).to_string();
-        let at = said.split("accepted at ").nth(1).and_then(|s| s.split(' ').next()?.split_once('.'));
-        if let Some((generation, epoch)) = at {
-            let at: At = (generation.parse().ok()?, epoch.parse().ok()?);
+        if let Some(at) = accepted(&output.stdout) {
             return Some(Ordered { given, answered, at: Some(at) });
         }
     }
--- a/crates/starlinghill-rig/src/failover.rs
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -2,7 +2,7 @@
 //! load through all of them; orders to the group; and faults by scripts, which are data and can be played again.
 
 use crate::group::{free_address, Group, LIMIT};
-use crate::history::Cold;
+use crate::history::{accepted, Cold, Ordered};
 use crate::load::{Load, Sent, WAITS};
 use crate::nodes::SaveNode;
 use crate::processes::Process;
@@ -302,6 +302,34 @@
         nodes.flat_map(|(_, node)| node.came()).map(|came| came.at).collect()
     }
 
+    /// Gives an order that has to be accepted.
+    pub fn order(&self, words: &[&str], more: &[&str]) -> Ordered {
+        let given = Instant::now();
+        let output = self.group.command(words, more);
+        let answered = Instant::now();
+        let at = accepted(&output.stdout);
+        assert!(output.status.success() && at.is_some(), "{output:?}");
+        Ordered { given, answered, at }
+    }
+
+    /// What is found of each zone by what all gateways see.
+    pub fn found(&self) -> Vec<String> {
+        let output = self.group.command(&["why"], &["--json"]);
+        let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let finding = |zone: &&str| told["zones"][zone]["finding"].as_str().unwrap_or("-").to_string();
+        ZONES.iter().map(finding).collect()
+    }
+
+    /// Waits until that is found of the zones.
+    pub fn wait_until_found(&self, wanted: [&str; 3]) {
+        let until = Instant::now() + LIMIT;
+        while self.found() != wanted {
+            let all = self.group.command(&["why"], &[]);
+            assert!(Instant::now() < until, "{wanted:?}, found {}", String::from_utf8_lossy(&all.stdout));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
     /// What each gateway has followed, from its log: position (generation, epoch), mode, when; by life.
     pub fn followed(&self) -> Vec<Vec<crate::history::Follows>> {
         self.gateways.iter().map(|g| crate::history::follows(&g.lines())).collect()
--- a/crates/starlinghill-rig/src/history.rs
+++ b/crates/starlinghill-rig/src/history.rs
@@ -32,6 +32,14 @@
     pub at: At,
 }
 
+/// From which position an order counts, by what its command printed.
+pub fn accepted(printed: &[u8]) -> Option<At> {
+    let said = String::from_utf8_lossy(printed);
+    let at = said.split("accepted at ").nth(1)?.split(' ').next()?;
+    let (generation, epoch) = at.split_once('.')?;
+    Some((generation.parse().ok()?, epoch.parse().ok()?))
+}
+
 /// What a gateway's log says of it.
 pub fn follows(lines: &[Line]) -> Vec<Follows> {
     let mut found = Vec::new();
