--- a/crates/starlinghill-rig/src/processes.rs
+++ b/crates/starlinghill-rig/src/processes.rs
@@ -18,6 +18,8 @@
     pub text: String,
 }
 
+/// Clock ticks a second in `/proc/PID/stat`, the same on every Linux that this runs on.
+const TICKS: f64 = 100.0;
 /// Bytes of a page, as in `/proc/PID/statm`.
 const PAGE: u64 = 4_096;
 
@@ -26,7 +28,7 @@
 pub struct Used {
     /// Resident memory, in bytes.
     pub memory: u64,
-    /// CPU time so far, in seconds, of the threads that there are.
+    /// CPU time so far, in seconds.
     pub cpu: f64,
     /// Threads.
     pub threads: usize,
@@ -38,12 +40,16 @@
 pub fn used(pid: u32) -> Option<Used> {
     let pages: u64 =
         std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
-    let mut cpu = 0.0;
+    // To the nanosecond, but without threads that have ended; these are in the whole, which comes by ticks.
+    let mut ran = 0.0;
     for task in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
-        // One that ends meanwhile is left out.
-        let ran = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
-        cpu += ran.split(' ').next()?.parse::<f64>().unwrap_or(0.0) / 1e9;
+        let told = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        ran += told.split(' ').next()?.parse::<f64>().unwrap_or(0.0) / 1e9;
     }
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let after: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let ticks = after.get(11)?.parse::<f64>().ok()? + after.get(12)?.parse::<f64>().ok()?;
+    let cpu = f64::max(ran, ticks / TICKS);
     let count = |what: &str| std::fs::read_dir(format!("/proc/{pid}/{what}")).map(Iterator::count).ok();
     Some(Used { memory: pages * PAGE, cpu, threads: count("task")?, descriptors: count("fd")? })
 }
