--- a/crates/starlinghill-control/src/program/why.rs
+++ b/crates/starlinghill-control/src/program/why.rs
@@ -65,7 +65,10 @@
         println!("cut off themselves, and not counted: {}", found.blind.join(", "));
     }
     if !found.left_out.is_empty() {
-        println!("too old or not usable: {}", found.left_out.join(", "));
+        println!(
+            "not counted, as too old, beyond bounds, or of a zone that is not on the map: {}",
+            found.left_out.join(", ")
+        );
     }
     println!("{} of {} gateways say what they see", observers.len(), followers.len());
     Ok(())
--- a/crates/starlinghill-control/tests/group.rs
+++ b/crates/starlinghill-control/tests/group.rs
@@ -339,7 +339,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn when_a_leader_dies_its_followers_come_to_the_others_spread_out_and_miss_nothing() {
-    const FOLLOWERS: usize = 300;
+    const FOLLOWERS: usize = 1_000;
     let mut group = group(&["a", "b", "c"]).await;
     let file = starlinghill_operators::read(&group.operators()).expect("a file").group.expect("a group");
     let mut views = Vec::new();
