--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -25,6 +25,8 @@
     ZoneId, u32);
 id!(/// A group of servers that share which keys they have seen.
     CellId, u64);
+id!(/// A service: its servers stand in for each other. Where nothing is said of services, all are of one.
+    ServiceId, u32);
 id!(/// A number kept by the counter service.
     CountName, u64);
 id!(/// A timer, chosen by the module.
@@ -143,6 +145,19 @@
     pub tip_after: Micros,
     /// The shortest gap between two calls of the module.
     pub tick: Micros,
+    /// The budget of further attempts, by service; `None`: the module's own.
+    pub retries: Option<Retries>,
+    /// What is added to the module's time for the windows of counts, so that all gateways have the same.
+    pub skew: Micros,
+}
+
+/// A budget of further attempts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    /// What each request earns.
+    pub share: f64,
+    /// The most that is saved up.
+    pub saved: f64,
 }
 
 /// Whether a server takes new work, as the list tells it.
@@ -161,6 +176,8 @@
 pub struct ServerEntry {
     /// The server.
     pub server: ServerId,
+    /// Its service.
+    pub service: ServiceId,
     /// Its zone.
     pub zone: ZoneId,
     /// Its cell.
@@ -230,6 +247,10 @@
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// Its service.
+    pub service: ServiceId,
+    /// The most attempts, where it has a bound of its own below that of the settings; 0: it has none.
+    pub tries: usize,
     /// Its customer's plan.
     pub plan: PlanId,
     /// Its customer.
@@ -332,6 +353,23 @@
     pub classes: Vec<Class>,
     /// The most attempts for one request.
     pub max_attempts: usize,
+    /// What all gateways have in common, where that may change.
+    pub common: Option<Common>,
+}
+
+/// What all gateways have in common.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// The plans; each keeps its place.
+    pub plans: Vec<Plan>,
+    /// Number of gateways.
+    pub gateways: u32,
+    /// This gateway's number among them.
+    pub me: u32,
+    /// The budget of further attempts.
+    pub retries: Option<Retries>,
+    /// See [`Settings::skew`].
+    pub skew: Micros,
 }
 
 /// What a gateway does.
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -6,12 +6,9 @@
 use crate::context::{Context, Timer};
 use crate::customer::FORGET;
 use crate::request::{Attempt, Request};
-use crate::roster::Fleet;
+use crate::services::Fleets;
 use std::collections::BTreeMap;
 
-/// Retry budget: further attempts earned by each request, and the most saved up.
-pub(crate) const RETRY_SHARE: f64 = 0.2;
-pub(crate) const RETRY_SAVED: f64 = 20.0;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
 /// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
@@ -25,11 +22,10 @@
 pub struct Gateway {
     pub(crate) cx: Context,
     pub(crate) admission: Admission,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Fleets,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) held: Vec<RequestId>,
     pub(crate) hold_timer: bool,
-    pub(crate) retries: f64,
 }
 
 impl Gateway {
@@ -53,10 +49,10 @@
             Event::Peer(from, message) => self.admission.on_peer(&mut self.cx, from, &message),
             Event::AttemptEnded(end) => self.on_attempt(end),
             Event::Whole(id) => self.came_whole(id),
-            Event::Broke(server) => self.fleet.broke(&self.cx, server),
+            Event::Broke(server) => self.fleet.with(server).broke(&self.cx, server),
             Event::Rules(rules) => self.on_rules(rules),
             Event::Zones(parts) => {
-                self.fleet.zones.follow(parts);
+                self.fleet.all().for_each(|fleet| fleet.zones.follow(parts.clone()));
                 self.serve_held();
             }
             Event::Learned(learned) => self.on_learned(learned),
@@ -92,12 +88,13 @@
         if a.class.0 >= self.cx.set.classes.len() || plan >= self.cx.set.plans.len() {
             return self.cx.out.push(Action::Refuse(id, None));
         }
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        self.fleet.earn(&self.cx, a.service);
         let a = self.cx.under_rules(a);
         // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
         self.cx.timer(Timer::Deadline(id), a.deadline - now - self.cx.set.tick - self.cx.set.tick);
         let resent = self.admission.note(&self.cx, &a);
-        let most = if a.once { 1 } else { self.cx.set.max_attempts };
+        let own = if a.tries > 0 { a.tries } else { usize::MAX };
+        let most = if a.once { 1 } else { self.cx.set.max_attempts.min(own) };
         let a = Arrival { resent, ..a };
         self.requests.insert(id, Request { a, arrived: now, most, ..Request::default() });
         self.admission.roll(&self.cx, customer);
@@ -111,7 +108,8 @@
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let power = self.admission.weigh(self.cx.worth(&r.a));
-        let pass = if self.fleet.sparse(&self.cx) { self.fleet.throttle.pass() } else { 1.0 };
+        let fleet = self.fleet.of(r.a.service);
+        let pass = if fleet.sparse(&self.cx) { fleet.throttle.pass() } else { 1.0 };
         pass < 1.0 && self.cx.rng.f64() > pass.powf(power)
     }
 
@@ -229,14 +227,14 @@
             && !class.stream
             && r.attempts.len() + 1 < r.most
             && (class.effect == Effect::Safe || class.group == Group::All)
-            && self.fleet.fail_share < CALM_SHARE;
+            && self.fleet.of(r.a.service).fail_share < CALM_SHARE;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
         r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
         r.held_since = None;
         r.counted = None;
         let (units, until) = (r.a.units, until.min(r.a.deadline));
-        self.fleet.sent(&self.cx, server, units);
+        self.fleet.with(server).sent(&self.cx, server, units);
         self.cx.out.push(Action::Send(id, server, until));
         self.still_comes(id, server);
     }
@@ -313,11 +311,11 @@
         if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
             self.admission.settled(&self.cx, r.a.customer, true_units - r.a.units);
         }
-        self.fleet.judge(&mut self.cx, end.server, outcome, end.took, aim);
+        let service = r.a.service;
+        self.fleet.with(end.server).judge(&mut self.cx, end.server, outcome, end.took, aim);
         if answered {
             self.let_go(id);
-        } else if in_time && self.may_repeat(id) && self.retries >= 1.0 {
-            self.retries -= 1.0;
+        } else if in_time && self.may_repeat(id) && self.fleet.spend(&self.cx, service, outcome) {
             self.dispatch(id);
         } else if self.requests.get(&id).is_some_and(|r| !r.is_out()) {
             self.refuse(id);
@@ -328,6 +326,6 @@
     }
 
     fn may_repeat(&self, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|r| self.fleet.may_repeat(&self.cx, r))
+        self.requests.get(&id).is_some_and(|r| self.fleet.of(r.a.service).may_repeat(&self.cx, r))
     }
 }
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -72,13 +72,13 @@
 /// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not all
 /// windows end at once.
 pub(crate) fn span(cx: &Context, customer: CustomerId, length: Micros) -> (u64, Micros) {
-    let shifted = cx.now.0 + mix(customer.0) % length.0;
+    let shifted = cx.now.0 + cx.set.skew.0 + mix(customer.0) % length.0;
     (shifted / length.0, Micros(length.0 - shifted % length.0))
 }
 
 /// The current span of a customer's demand, and how much of it has passed.
 pub(crate) fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
-    let shifted = cx.now.0 + mix(customer.0) % SPAN.0;
+    let shifted = cx.now.0 + cx.set.skew.0 + mix(customer.0) % SPAN.0;
     (shifted / SPAN.0, Micros(shifted % SPAN.0))
 }
 
--- a/crates/starlinghill-decision/src/fleet_view.rs
+++ b/crates/starlinghill-decision/src/fleet_view.rs
@@ -2,11 +2,12 @@
 //! decides nothing of its own: lists, health and cold starts are those of every gateway.
 
 use crate::api::*;
-use crate::attempts::{RETRY_SHARE, SPARE_PART};
+use crate::attempts::SPARE_PART;
 use crate::context::Context;
 use crate::fleet::FLEET_START;
 use crate::health::{EJECT_DOUBLINGS, EJECT_FIRST, EJECT_SHARE};
 use crate::roster::Fleet;
+use crate::services::RETRY_SHARE;
 use crate::server::warm_part;
 
 /// The module's own bounds, for who must write them into another program's configuration.
--- a/crates/starlinghill-decision/src/learned.rs
+++ b/crates/starlinghill-decision/src/learned.rs
@@ -14,9 +14,10 @@
 impl Gateway {
     /// What is known of the servers now.
     pub fn learned(&self) -> Learned {
-        let known = self.fleet.servers.iter().filter(|(_, s)| s.listed && s.latency > 0.0);
+        let fleet = self.fleet.of(ServiceId::default());
+        let known = fleet.servers.iter().filter(|(_, s)| s.listed && s.latency > 0.0);
         let servers = known.map(|(&id, s)| (id, s.limit, s.latency)).collect();
-        Learned { at: self.cx.now, per_weight: self.fleet.borne.rate(), servers }
+        Learned { at: self.cx.now, per_weight: fleet.borne.rate(), servers }
     }
 
     /// Takes over what an earlier process knew, by its age. Servers that are cold now, or that this process knows better, are left
@@ -29,10 +30,10 @@
         let trust = 1.0 - age.secs() / OLDEST.secs();
         let sound = |v: f64, most: f64| v.is_finite() && v > 0.0 && v <= most;
         if sound(learned.per_weight, MOST_RATE * self.cx.set.most_units.max(1.0)) {
-            self.fleet.borne = Borne::recalled(learned.per_weight * trust);
+            self.fleet.all().take(1).for_each(|fleet| fleet.borne = Borne::recalled(learned.per_weight * trust));
         }
         for (id, limit, latency) in learned.servers {
-            let server = self.fleet.servers.get_mut(&id);
+            let server = self.fleet.with(id).servers.get_mut(&id);
             let server = server.filter(|s| s.cold_since.is_none() && s.latency == 0.0 && s.out == 0.0);
             if let Some(s) = server.filter(|_| sound(limit, MOST_BOUND) && sound(latency, 60e6)) {
                 s.limit += (limit - s.limit) * trust;
--- a/crates/starlinghill-decision/src/lib.rs
+++ b/crates/starlinghill-decision/src/lib.rs
@@ -5,7 +5,7 @@
 //! Files that choose a server, a retry or a refusal, each on the policy list of the deploy file: `breaker`, `fleet`,
 //! `guards`, `health`, `zones`, `thin`, `choice`, `admission`, `sharing`, `scattered`, `attempts`. The others keep
 //! the books: `api` (the interface), `bucket`, `calls`, `repeats`, `server`, `context`, `customer`, `request`,
-//! `roster`, `counter`, `messages`, `lifecycle`, `learned`, `fleet_view`. Estimates stand in
+//! `roster`, `services`, `counter`, `messages`, `lifecycle`, `learned`, `fleet_view`. Estimates stand in
 //! `starlinghill_estimate`, quotas' stores, tallies and ceilings in `starlinghill_ledger`.
 
 pub mod api;
@@ -31,6 +31,7 @@
 mod roster;
 mod scattered;
 mod server;
+mod services;
 mod sharing;
 mod thin;
 mod zones;
--- a/crates/starlinghill-decision/src/lifecycle.rs
+++ b/crates/starlinghill-decision/src/lifecycle.rs
@@ -2,10 +2,11 @@
 
 use crate::admission::Admission;
 use crate::api::*;
-use crate::attempts::{Gateway, RETRY_SAVED};
+use crate::attempts::Gateway;
 use crate::context::{Context, Timer};
 use crate::customer::FORGET;
 use crate::roster::Fleet;
+use crate::services::Fleets;
 
 impl Context {
     /// A request as it stands under the rules of the moment: none waits beyond the gateway's end.
@@ -29,8 +30,8 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let cx = Context::new(seed, set);
-        let (admission, fleet) = (Admission::new(cx.set.gateways), Fleet::default());
-        let mut new = Gateway { cx, admission, fleet, retries: RETRY_SAVED, ..Gateway::default() };
+        let (admission, fleet) = (Admission::new(cx.set.gateways), Fleets::default());
+        let mut new = Gateway { cx, admission, fleet, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.cx.timer(Timer::Sweep, FORGET);
         new.cx.out.extend(new.cx.set.must_subscribe.then_some(Action::Subscribe));
@@ -39,7 +40,7 @@
 
     /// How many things it keeps in mind. Comes back down when traffic does.
     pub fn kept(&self) -> usize {
-        let told = self.fleet.servers.len() + self.requests.len() + self.admission.kept();
+        let told = self.fleet.kept() + self.requests.len() + self.admission.kept();
         told + self.cx.timers.len() + self.held.len()
     }
 
@@ -48,6 +49,10 @@
     pub(crate) fn on_rules(&mut self, rules: Rules) {
         let mut set =
             Settings { classes: rules.classes, max_attempts: rules.max_attempts, ..self.cx.set.clone() };
+        if let Some(common) = rules.common {
+            let Common { plans, gateways, me, retries, skew } = common;
+            set = Settings { plans, gateways, me, retries, skew, ..set };
+        }
         let open = self.requests.values().map(|r| r.a.class.0);
         let kept = open.max().map_or(0, |highest| highest + 1).min(self.cx.set.classes.len());
         for (place, class) in self.cx.set.classes[..kept].iter().enumerate() {
@@ -66,7 +71,7 @@
     pub(crate) fn still_comes(&mut self, id: RequestId, server: ServerId) {
         if let Some(r) = self.requests.get_mut(&id).filter(|r| r.a.once) {
             r.coming = true;
-            self.fleet.bears(server, -1.0);
+            self.fleet.with(server).bears(server, -1.0);
         }
     }
 
@@ -75,7 +80,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let out = r.attempts.iter().find(|a| a.out).map(|a| a.server);
         if let (true, Some(server)) = (std::mem::take(&mut r.coming), out) {
-            self.fleet.bears(server, 1.0);
+            self.fleet.with(server).bears(server, 1.0);
         }
     }
 
--- a/crates/starlinghill-decision/src/roster.rs
+++ b/crates/starlinghill-decision/src/roster.rs
@@ -29,6 +29,8 @@
     pub(crate) throttle: Throttle,
     pub(crate) borne: Borne,
     pub(crate) zones: Zones,
+    /// What is left of the budget of further attempts; `None` before the first request.
+    pub(crate) retries: Option<f64>,
 }
 
 impl Fleet {
--- a/crates/starlinghill-decision/tests/common/mod.rs
+++ b/crates/starlinghill-decision/tests/common/mod.rs
@@ -128,6 +128,7 @@
             units,
             resent: false,
             once: false,
+            ..Arrival::default()
         };
         (id, self.tell(Event::Request(arrival)))
     }
@@ -153,6 +154,7 @@
 pub fn entry(i: u32, listed: Listed, started: Option<u64>) -> ServerEntry {
     ServerEntry {
         server: ServerId(u64::from(i)),
+                service: ServiceId::default(),
         zone: ZoneId(0),
         cell: CellId(u64::from(i) / 2),
         listed,
--- a/crates/starlinghill-decision/tests/lifecycle.rs
+++ b/crates/starlinghill-decision/tests/lifecycle.rs
@@ -8,7 +8,7 @@
 }
 
 fn rules(classes: Vec<Class>, max_attempts: usize) -> Event {
-    Event::Rules(Rules { classes, max_attempts })
+    Event::Rules(Rules { classes, max_attempts, common: None })
 }
 
 #[test]
--- a/crates/starlinghill-decision/tests/scale.rs
+++ b/crates/starlinghill-decision/tests/scale.rs
@@ -25,6 +25,7 @@
         units: 2.0,
         resent,
         once: false,
+        ..Arrival::default()
     };
     (id, rig.tell(Event::Request(arrival)))
 }
--- /dev/null
+++ b/crates/starlinghill-dovetail/src/call.rs
@@ -0,0 +1,139 @@
+//! Calls between the system's own processes: a question, an answer, a time limit. Every call may be made again.
+
+use crate::frame::{self, Reader};
+use bitcode::{DecodeOwned, Encode};
+use snafu::Snafu;
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Peers that may be connected to one port.
+const MOST_PEERS: usize = 512;
+/// A connection on which nothing is asked for so long is ended by who serves it.
+const IDLE: Duration = Duration::from_secs(60);
+/// The pause after an accept that failed.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a call has no answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// Nothing came in time.
+    #[snafu(display("no answer in time"))]
+    Late,
+    /// The connection could not be made, or broke.
+    #[snafu(display("{source}"))]
+    Broken {
+        /// How.
+        source: io::Error,
+    },
+}
+
+/// The way to one port of another process; calls go one after the other.
+pub struct Caller {
+    address: SocketAddr,
+    line: Mutex<Option<(TcpStream, Reader)>>,
+}
+
+impl Caller {
+    /// To that address; nothing is connected yet.
+    pub fn new(address: SocketAddr) -> Caller {
+        Caller { address, line: Mutex::new(None) }
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks, and waits so long for the answer. A kept connection that turns out to be dead is replaced once.
+    pub async fn call<Q: Encode, A: DecodeOwned>(
+        &self,
+        question: &Q,
+        within: Duration,
+    ) -> Result<A, CallError> {
+        let asked = async {
+            let mut line = self.line.lock().await;
+            loop {
+                // Taken out for the time of the call: one that is given up ends its connection, so that its late answer
+                // meets no later question.
+                let (mut kept, reused) = match line.take() {
+                    Some(kept) => (kept, true),
+                    None => {
+                        let stream = TcpStream::connect(self.address).await?;
+                        frame::tune(&stream);
+                        ((stream, Reader::default()), false)
+                    }
+                };
+                let answer = match frame::write(&mut kept.0, question).await {
+                    Ok(()) => kept.1.read(&mut kept.0).await,
+                    Err(error) => Err(error),
+                };
+                match answer {
+                    Ok(Some(answer)) => {
+                        *line = Some(kept);
+                        return Ok(answer);
+                    }
+                    Ok(None) | Err(_) if reused => {}
+                    Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Err(error) => return Err(error),
+                }
+            }
+        };
+        match timeout(within, asked).await {
+            Ok(answer) => answer.map_err(|source| CallError::Broken { source }),
+            Err(_) => Err(CallError::Late),
+        }
+    }
+}
+
+/// Serves calls for ever, those of one connection one after the other.
+pub async fn serve<Q, A, F, W>(listener: TcpListener, answer: F)
+where
+    Q: DecodeOwned + 'static,
+    A: Encode + 'static,
+    F: Fn(Q, SocketAddr) -> W + 'static,
+    W: Future<Output = A> + 'static,
+{
+    let (answer, peers) = (Rc::new(answer), Rc::new(Cell::new(0usize)));
+    loop {
+        let (mut stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        // Guards descriptors: whoever comes beyond this is told so by the end of the connection.
+        if peers.get() >= MOST_PEERS {
+            continue;
+        }
+        frame::tune(&stream);
+        peers.set(peers.get() + 1);
+        let (answer, peers) = (answer.clone(), peers.clone());
+        spawn_local(async move {
+            let mut reader = Reader::default();
+            loop {
+                let question = match timeout(IDLE, reader.read(&mut stream)).await {
+                    Ok(Ok(Some(question))) => question,
+                    Ok(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
+                        log::warn!("event=nonsense from={from} error=\"{error}\"");
+                        break;
+                    }
+                    _ => break,
+                };
+                if frame::write(&mut stream, &answer(question, from).await).await.is_err() {
+                    break;
+                }
+            }
+            peers.set(peers.get() - 1);
+        });
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-dovetail/src/frame.rs
@@ -0,0 +1,86 @@
+//! Frames between the system's own processes: four bytes of length, one of the version, and a message in `bitcode`.
+
+use bitcode::{DecodeOwned, Encode};
+use bytes::{Buf, BytesMut};
+use socket2::SockRef;
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The version of all messages; another one is refused.
+pub const VERSION: u8 = 1;
+/// The longest message.
+pub const LONGEST: usize = 8 << 20;
+const HEAD: usize = 5;
+/// Guards against peers that vanish without a word: what they don't take for so long ends the connection.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Sets up a connection between the system's own processes. Where the machine can't, calls merely take longer to fail.
+pub fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE));
+}
+
+/// A message as it goes over the wire.
+pub fn encode<T: Encode>(message: &T) -> Vec<u8> {
+    let body = bitcode::encode(message);
+    let mut frame = Vec::with_capacity(HEAD + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    frame.push(VERSION);
+    frame.extend_from_slice(&body);
+    frame
+}
+
+/// Writes a message.
+pub async fn write<T: Encode>(stream: &mut (impl AsyncWrite + Unpin), message: &T) -> io::Result<()> {
+    stream.write_all(&encode(message)).await
+}
+
+/// Reads messages one after the other. It may be dropped between two of them, and while one is waited for.
+#[derive(Default)]
+pub struct Reader {
+    buffer: BytesMut,
+}
+
+impl Reader {
+    /// The next message; `None` where the peer ended between two.
+    pub async fn read<T: DecodeOwned>(
+        &mut self,
+        stream: &mut (impl AsyncRead + Unpin),
+    ) -> io::Result<Option<T>> {
+        loop {
+            if let Some(message) = self.take()? {
+                return Ok(Some(message));
+            }
+            if stream.read_buf(&mut self.buffer).await? == 0 {
+                return match self.buffer.is_empty() {
+                    true => Ok(None),
+                    false => Err(io::ErrorKind::UnexpectedEof.into()),
+                };
+            }
+        }
+    }
+
+    fn take<T: DecodeOwned>(&mut self) -> io::Result<Option<T>> {
+        let refuse = |what: String| Err(io::Error::new(io::ErrorKind::InvalidData, what));
+        let Some(head) = self.buffer.first_chunk::<HEAD>() else { return Ok(None) };
+        let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        if head[4] != VERSION {
+            return refuse(format!("version {}, allowed: {VERSION}", head[4]));
+        }
+        if length > LONGEST {
+            return refuse(format!("a message of {length} bytes, allowed: {LONGEST}"));
+        }
+        if self.buffer.len() < HEAD + length {
+            self.buffer.reserve(HEAD + length - self.buffer.len());
+            return Ok(None);
+        }
+        self.buffer.advance(HEAD);
+        let body = self.buffer.split_to(length);
+        match bitcode::decode(&body) {
+            Ok(message) => Ok(Some(message)),
+            Err(error) => refuse(format!("not a message: {error}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-dovetail/src/lib.rs
@@ -0,0 +1,16 @@
+//! Joinery: a dovetail holds two boards together without glue. Here it is what joins the system's processes: the settings
+//! that each is started with, framed calls between them, and the log lines that all of them write.
+
+pub mod call;
+pub mod check;
+pub mod frame;
+pub mod logs;
+pub mod program;
+pub mod settings;
+
+/// The port of the registry for the system's own processes, counted from the first of `local_ports`.
+pub const TOOLRACK: u16 = 0;
+/// The port of the store of configuration, counted likewise.
+pub const PATTERNBOOK: u16 = 1;
+/// The port on which proxies hear each other, counted likewise.
+pub const WORKBENCH: u16 = 2;
--- /dev/null
+++ b/crates/starlinghill-dovetail/src/settings.rs
@@ -0,0 +1,172 @@
+//! What a process is told at its start: the settings file that `STARLINGHILL_CONFIG` names.
+
+use crate::check::{At, Fault, Faults};
+use simd_json::OwnedValue;
+use snafu::{ResultExt, Snafu};
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "STARLINGHILL_CONFIG";
+
+/// Settings that a process can't start with.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The variable is not set.
+    #[snafu(display("{VARIABLE}: found nothing, allowed: the path of the settings file"))]
+    Unnamed,
+    /// The file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Unreadable {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It is no TOML.
+    #[snafu(display("{}: not TOML: {}", path.display(), problem))]
+    Unparsable {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        problem: String,
+    },
+    /// Values that may not stand there.
+    #[snafu(display("{}: {}", path.display(), faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("; ")))]
+    Faulty {
+        /// Which.
+        path: PathBuf,
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+}
+
+/// The rules' figures.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// A drain takes hold within this.
+    pub drain: Duration,
+    /// A configuration takes hold within this.
+    pub apply: Duration,
+    /// A process that was told to end is killed after this.
+    pub grace: Duration,
+    /// Further tries for each request.
+    pub retry_ratio: f64,
+    /// Further tries beyond that, all machines together.
+    pub retry_extra: f64,
+    /// The window of quotas.
+    pub quota_window: Duration,
+    /// What may go on beyond a quota, as a part of it.
+    pub quota_excess: f64,
+    /// What may go on beyond that.
+    pub quota_extra: f64,
+}
+
+/// A process's settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    /// The machine's name.
+    pub name: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its zone.
+    pub zone: String,
+    /// The whole system starts for the first time, with empty disks.
+    pub first_start: bool,
+    /// Where files are kept, if anywhere.
+    pub data_dir: Option<PathBuf>,
+    /// The memory that it may use.
+    pub memory_mb: u64,
+    /// The descriptors that it may hold.
+    pub open_files: u64,
+    /// The first and last port for the system's own traffic.
+    pub local_ports: (u16, u16),
+    /// `control` addresses of some machines.
+    pub seeds: Vec<SocketAddr>,
+    /// Where clients arrive.
+    pub front: Option<SocketAddr>,
+    /// Where the platform asks whether the gateway is ready.
+    pub ready: Option<SocketAddr>,
+    /// Where backends and the operator call.
+    pub control: Option<SocketAddr>,
+    /// The time between two beats of a backend.
+    pub beat: Duration,
+    /// The rules' figures.
+    pub bounds: Bounds,
+}
+
+impl Node {
+    /// Reads the file that the environment names.
+    pub fn from_environment() -> Result<Node, SettingsError> {
+        let path = std::env::var_os(VARIABLE).ok_or(SettingsError::Unnamed)?;
+        Node::from_file(Path::new(&path))
+    }
+
+    /// Reads a file.
+    pub fn from_file(path: &Path) -> Result<Node, SettingsError> {
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        let value: OwnedValue = toml::from_str(&text).map_err(|e| SettingsError::Unparsable {
+            path: path.into(),
+            problem: e.to_string().lines().collect::<Vec<_>>().join(" "),
+        })?;
+        Node::check(&value).map_err(|faults| SettingsError::Faulty { path: path.into(), faults })
+    }
+
+    /// Checks values; fields that are not known are ignored.
+    pub fn check(value: &OwnedValue) -> Result<Node, Vec<Fault>> {
+        let mut faults = Faults::default();
+        let f = &mut faults;
+        let root = At::root(value);
+        let (own, net, terms) = (root.at("self"), root.at("network"), root.at("terms"));
+        let (listen, bounds) = (net.at("listen"), terms.at("bounds"));
+        let optional = |at: At, f: &mut Faults| at.is_there().then(|| at.address(f)).flatten();
+        let ip = own.at("ip");
+        let address: Option<IpAddr> = ip.text(f).parse().ok();
+        if address.is_none() && ip.is_there() {
+            f.add(&ip.path, ip.value, "an IP address");
+        }
+        let ports: Vec<u64> = net.at("local_ports").list(f).iter().map(|at| at.count(f)).collect();
+        let port = |i: usize| ports.get(i).and_then(|p| u16::try_from(*p).ok());
+        let local_ports = match (port(0), port(1)) {
+            (Some(first), Some(last)) if first > 0 && first.saturating_add(2) <= last => (first, last),
+            _ => {
+                f.add("network.local_ports", net.at("local_ports").value, "two ports, three or more apart");
+                (0, 0)
+            }
+        };
+        let seeds = net.at("seeds").list(f).iter().filter_map(|at| at.address(f)).collect();
+        let data_dir = own.at("data_dir");
+        let node = Node {
+            name: own.at("node").text(f),
+            ip: address.unwrap_or(IpAddr::from([0, 0, 0, 0])),
+            zone: own.at("zone").text(f),
+            first_start: own.at("first_start").flag(f),
+            data_dir: data_dir.is_there().then(|| data_dir.text(f).into()),
+            memory_mb: own.at("limits").at("memory_mb").count(f),
+            open_files: own.at("limits").at("open_files").count(f),
+            local_ports,
+            seeds,
+            front: optional(listen.at("front"), f),
+            ready: optional(listen.at("ready"), f),
+            control: optional(listen.at("control"), f),
+            beat: root.at("provider").at("beat").time(f),
+            bounds: Bounds {
+                drain: bounds.at("drain").time(f),
+                apply: bounds.at("apply").time(f),
+                grace: bounds.at("grace").time(f),
+                retry_ratio: bounds.at("retry_ratio").number(f),
+                retry_extra: bounds.at("retry_extra").number(f),
+                quota_window: bounds.at("quota_window").time(f),
+                quota_excess: bounds.at("quota_excess").number(f),
+                quota_extra: bounds.at("quota_extra").number(f),
+            },
+        };
+        faults.settle(node)
+    }
+
+    /// The address of one of the system's own ports on a machine.
+    pub fn port(&self, ip: IpAddr, which: u16) -> SocketAddr {
+        SocketAddr::new(ip, self.local_ports.0.saturating_add(which))
+    }
+}
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -1,13 +1,13 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
+use crate::dialect::{Dialect, Reading};
 use crate::download::{Download, GiveBack};
-use crate::forward::{Ended, Forward, Payload, Served};
+use crate::forward::{Ended, Forward, Head, Payload, Served};
 use crate::http::{CallError, Connection};
 use crate::upload::{MAX_BODY, MAX_PASSING};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName};
-use hyper::StatusCode;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use starlinghill_decision::api::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -18,8 +18,6 @@
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, Instant};
 
-const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
-
 /// Removes what holds for one connection alone; framing is the next connection's own.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     const NAMES: [HeaderName; 7] = [
@@ -53,6 +51,8 @@
     pub address: SocketAddr,
     /// When it last started, as told; a change means that old connections are dead.
     pub up_since_ms: u64,
+    /// What it calls itself, where it is to be told whom a request is for.
+    pub name: Option<HeaderValue>,
     /// Cleared when the list says that it drains or is gone.
     pub open: Cell<bool>,
 }
@@ -64,22 +64,28 @@
     places: Arc<Semaphore>,
     dial_timeout: Duration,
     longest_idle: Duration,
+    dialect: Rc<dyn Dialect>,
 }
 
 impl Pool {
     /// A pool that holds at most so many connections, those in use included.
-    pub fn new(connections: usize, dial_timeout: Duration, conn_idle: Duration) -> Pool {
+    pub fn new(
+        connections: usize,
+        dial_timeout: Duration,
+        conn_idle: Duration,
+        dialect: Rc<dyn Dialect>,
+    ) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let longest_idle = conn_idle / 2;
         let (idle, backends, places) =
             (RefCell::default(), Cell::new(0), Arc::new(Semaphore::new(connections)));
-        Pool { idle, backends, places, dial_timeout, longest_idle }
+        Pool { idle, backends, places, dial_timeout, longest_idle, dialect }
     }
 
     /// A backend that takes work.
-    pub fn backend(&self, address: SocketAddr, up_since_ms: u64) -> Backend {
+    pub fn backend(&self, address: SocketAddr, up_since_ms: u64, name: Option<HeaderValue>) -> Backend {
         let serial = self.backends.replace(self.backends.get() + 1);
-        Backend { serial, address, up_since_ms, open: Cell::new(true) }
+        Backend { serial, address, up_since_ms, name, open: Cell::new(true) }
     }
 
     /// The connection used last is taken first, so that those not needed age and are retired.
@@ -88,13 +94,19 @@
         let stack = idle.get_mut(&backend.serial)?;
         while let Some(settled) = stack.iter().rposition(|c| c.idle_since.elapsed() >= SETTLE) {
             let mut connection = stack.remove(settled);
-            if connection.idle_since.elapsed() < self.longest_idle && connection.is_usable() {
+            if self.is_young(&connection) && connection.is_usable() {
                 return Some(connection);
             }
         }
         None
     }
 
+    /// Half of the time that the backend keeps it, as it said itself, is left.
+    fn is_young(&self, connection: &Connection) -> bool {
+        let longest = connection.kept_for.map_or(self.longest_idle, |kept| self.longest_idle.min(kept / 2));
+        connection.idle_since.elapsed() < longest
+    }
+
     pub(crate) fn give_back(&self, backend: &Backend, mut connection: Connection) {
         if backend.open.get() && connection.is_usable() {
             connection.idle_since = Instant::now();
@@ -105,7 +117,7 @@
     /// Closes idle connections that are old or were closed by the other side.
     pub fn retire(&self) {
         self.idle.borrow_mut().retain(|_, stack| {
-            stack.retain_mut(|c| c.idle_since.elapsed() < self.longest_idle && c.is_usable());
+            stack.retain_mut(|c| self.is_young(c) && c.is_usable());
             !stack.is_empty()
         });
     }
@@ -181,13 +193,18 @@
             if !backend.open.get() {
                 return Outcome::Moot.into();
             }
-            let Some(message) = request.request(until) else { return Outcome::Moot.into() };
+            let Some(message) = request.request(until, &*self.dialect, backend) else { return Outcome::Moot.into() };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
             match connection.begin(message, MAX_PASSING).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
-                    return self.answer(backend, outcome_of(&head), body, connection, place).await;
+                    let reading = self.dialect.read(&request.headers, &head);
+                    if !reading.own {
+                        return Outcome::Reset.into();
+                    }
+                    let head = Head { status: head.status, headers: head.headers };
+                    return self.answer(backend, reading, head, body, connection, place).await;
                 }
                 // Guards against a pooled connection that was closed just before it was written to.
                 Err(CallError::NotSent) if reused => wrote.set(false),
@@ -201,12 +218,15 @@
     async fn answer(
         self: &Rc<Self>,
         backend: &Rc<Backend>,
-        outcome: Outcome,
+        Reading { outcome, pass, .. }: Reading,
+        mut head: Head,
         mut body: Incoming,
         mut connection: Connection,
         place: OwnedSemaphorePermit,
     ) -> Ended {
         let length = body.size_hint().exact();
+        strip_hop_by_hop(&mut head.headers);
+        let head = pass.then(|| Box::new(head));
         let (mut held, mut size) = (VecDeque::new(), 0);
         let soon = sleep(HELD_BACK);
         tokio::pin!(soon);
@@ -218,7 +238,7 @@
                 let give_back: GiveBack = Box::new(move |connection| pool.give_back(&own, connection));
                 let download = Download::new(held, body, connection, length, give_back, place);
                 let body = Some(Served::Passing(Box::new(download)));
-                return Ended { outcome, body, refused: false };
+                return Ended { outcome, body, head, refused: false };
             }
             let frame = tokio::select! {
                 biased;
@@ -230,7 +250,7 @@
                     let Ok(bytes) = frame.into_data() else { continue };
                     size += bytes.len();
                     // Nobody reads an error's body, which may be as long as it likes.
-                    if outcome == Outcome::Ok {
+                    if pass && (outcome == Outcome::Ok || size <= MAX_BODY) {
                         held.push_back(bytes);
                     } else if size > MAX_BODY {
                         return outcome.into();
@@ -241,9 +261,9 @@
             }
         }
         self.give_back(backend, connection);
-        match outcome {
-            Outcome::Ok => Ended { body: Some(Served::Whole(joined(held, size))), ..outcome.into() },
-            _ => outcome.into(),
+        match pass {
+            true => Ended { body: Some(Served::Whole(joined(held, size))), head, ..outcome.into() },
+            false => outcome.into(),
         }
     }
 }
@@ -257,14 +277,3 @@
     parts.iter().for_each(|part| whole.extend_from_slice(part));
     whole.freeze()
 }
-
-/// What an answer's head says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
-/// the request never ran.
-fn outcome_of(head: &hyper::http::response::Parts) -> Outcome {
-    let rejected = head.headers.get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
-    match head.status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -8,7 +8,10 @@
 use starlinghill_decision::api::{CountName, Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::{timeout, Instant};
@@ -17,7 +20,29 @@
 /// An idle connection is closed after this; the counter closes it after 10 s or less.
 const LONGEST_IDLE: Duration = Duration::from_secs(4);
 
-/// The way to the counter.
+/// A call that is under way.
+pub type Counting = Pin<Box<dyn Future<Output = Counted>>>;
+
+/// A way to the counter, wherever that is.
+pub trait Count {
+    /// Makes one call; it ends by itself.
+    fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting;
+    /// Where the counter is, where it is at an address.
+    fn at(&self) -> Option<SocketAddr> {
+        None
+    }
+}
+
+impl Count for Counter {
+    fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting {
+        Box::pin(async move { self.add(name, amount, life).await })
+    }
+    fn at(&self) -> Option<SocketAddr> {
+        Some(self.address)
+    }
+}
+
+/// The way to the platform's counter.
 pub struct Counter {
     address: SocketAddr,
     timeout: Duration,
@@ -31,11 +56,6 @@
         Counter { address, timeout, idle: RefCell::default(), lines: Semaphore::new(connections) }
     }
 
-    /// Where it is.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Makes one call. An unanswered one closes its connection, so that a late answer meets no later call.
     pub async fn add(&self, name: CountName, amount: f64, life: Micros) -> Counted {
         let wrote = Cell::new(false);
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -3,10 +3,11 @@
 
 use crate::backend::{Backend, Pool};
 use crate::config::{Config, ConfigError, Upstreams};
-use crate::counter::{Calls, Counter};
-use crate::forward::{Ended, Forward, Served};
+use crate::counter::{Calls, Count, Counter};
+use crate::dialect::Platform;
+use crate::forward::{Ended, Forward, Head, Served};
 use crate::handover::Handover;
-use crate::inbox::{Answer, Clock, Inbox, Input, Ordered, Post, Taken};
+use crate::inbox::{Answer, Clock, Inbox, Input, Listing, Ordered, Post, Taken};
 use crate::orders::Orders;
 use crate::watched::{Watched, Watcher};
 use starlinghill_decision::api::*;
@@ -40,6 +41,8 @@
     reply: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
     attempts: Vec<Attempt>,
+    /// A backend's whole answer that is no success: the client's, if nothing better comes.
+    spare: Option<(Served, Option<Box<Head>>)>,
 }
 
 struct Attempt {
@@ -73,9 +76,9 @@
     inbox: Inbox,
     inputs: mpsc::Receiver<Input>,
     pool: Rc<Pool>,
-    counter: Option<Rc<Counter>>,
+    counter: Option<Rc<dyn Count>>,
     /// The way to the counter at another address.
-    counter_at: Box<dyn Fn(SocketAddr) -> Rc<Counter>>,
+    counter_at: Box<dyn Fn(SocketAddr) -> Rc<dyn Count>>,
     calls: Calls,
     /// The way to the other gateways.
     post: Option<Rc<dyn Post>>,
@@ -119,7 +122,8 @@
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
         let (timeout, lines) = (duration(site.settings.count_timeout), sockets.counter);
-        let counter_at = Box::new(move |address| Rc::new(Counter::new(address, timeout, lines)));
+        let counter_at: Box<dyn Fn(SocketAddr) -> Rc<dyn Count>> =
+            Box::new(move |address| Rc::new(Counter::new(address, timeout, lines)));
         let mut driver = Driver {
             gateway,
             clock,
@@ -128,7 +132,7 @@
             site,
             inbox,
             inputs,
-            pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle)),
+            pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle, Rc::new(Platform))),
             counter: counter.map(&counter_at),
             counter_at,
             calls: Calls::default(),
@@ -157,6 +161,46 @@
         Ok(driver)
     }
 
+    /// A driver of a process that is told of backends, plans and classes as they come, and by itself says when it is
+    /// ready.
+    pub fn hosted(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        pool: Pool,
+        counter: Rc<dyn Count>,
+    ) -> Result<Driver, ConfigError> {
+        let gateway = Gateway::new(seed, settings.clone()).map_err(ConfigError::from)?;
+        let (inbox, inputs) = mpsc::channel(INBOX);
+        let fixed = counter.clone();
+        Ok(Driver {
+            gateway,
+            clock,
+            tick: duration(settings.tick).max(Duration::from_millis(1)),
+            site: Site::of(settings),
+            inbox,
+            inputs,
+            pool: Rc::new(pool),
+            counter: Some(counter),
+            counter_at: Box::new(move |_| fixed.clone()),
+            calls: Calls::default(),
+            post: None,
+            backends: HashMap::new(),
+            roster: Roster::default(),
+            book: Book::default(),
+            orders: None,
+            handover: None,
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            batch: Vec::new(),
+            actions: Vec::new(),
+            ready: watch::channel(false).0,
+            ready_at: None,
+            closing: false,
+            watched: None,
+        })
+    }
+
     /// The way in.
     pub fn inbox(&self) -> Inbox {
         self.inbox.clone()
@@ -234,7 +278,7 @@
             Input::Taken(taken) => {
                 let Taken { arrival, forward, reply } = *taken;
                 let (class, forward) = (arrival.class, Rc::new(forward));
-                let open = Open { class, reply: Some(reply), forward, attempts: Vec::new() };
+                let open = Open { class, reply: Some(reply), forward, attempts: Vec::new(), spare: None };
                 self.requests.insert(arrival.id, open);
                 self.batch.push(Event::Request(arrival));
             }
@@ -248,8 +292,9 @@
                 self.told(list);
                 self.become_ready();
             }
+            Input::Backends(scope, listings) => self.backends(scope, listings),
             Input::Counter(address) => {
-                let held = self.counter.as_ref().map(|counter| counter.address());
+                let held = self.counter.as_ref().and_then(|counter| counter.at());
                 if address.is_some() && address != held {
                     // Calls under way keep the old one until they end; its idle connections end with it.
                     self.counter = address.map(&self.counter_at);
@@ -271,7 +316,7 @@
                 let nth = self.calls.answered(name, serial);
                 self.batch.extend(nth.map(|nth| Event::Counted(name, nth, counted.outcome, counted.total)));
             }
-            Input::Began(id, attempt, server, mut download, took) => {
+            Input::Began(id, attempt, server, mut download, head, took) => {
                 let inbox = self.inbox.clone();
                 download.when_ended(move |outcome| {
                     if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
@@ -280,7 +325,7 @@
                     }
                 });
                 // From here on it is the client's, and its server has done its work.
-                let ended = Ended { body: Some(Served::Passing(download)), ..Outcome::Ok.into() };
+                let ended = Ended { body: Some(Served::Passing(download)), head, ..Outcome::Ok.into() };
                 self.take(Input::Ended(id, attempt, server, ended, took));
             }
             Input::Whole(id) => self.batch.push(Event::Whole(id)),
@@ -292,9 +337,16 @@
                     let class = self.site.settings.classes.get(open.class.0);
                     watched.ended(server, ended.outcome, ended.refused, class.is_some_and(|c| took > c.aim));
                 }
-                // The first 200 is the client's at once and ends the request; the module hears of it.
-                if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
-                    let _ = reply.send(Answer::Served(body));
+                // The first success is the client's at once and ends the request; the module hears of it. Another whole
+                // answer is kept in case that nothing better comes.
+                match (ended.outcome, ended.body) {
+                    (Outcome::Ok, Some(body)) => {
+                        if let Some(reply) = open.reply.take() {
+                            let _ = reply.send(Answer::Served(body, ended.head));
+                        }
+                    }
+                    (_, Some(body)) => open.spare = Some((body, ended.head)),
+                    (_, None) => {}
                 }
                 self.ended(id, attempt, server, ended.outcome, took);
             }
@@ -385,11 +437,12 @@
             if listed != Listed::InService {
                 self.backends.remove(&server).into_iter().for_each(|b| self.pool.close(&b));
             } else if !self.backends.get(&server).is_some_and(stays) {
-                let new = Rc::new(self.pool.backend(address, up_since_ms));
+                let new = Rc::new(self.pool.backend(address, up_since_ms, None));
                 self.backends.insert(server, new).into_iter().for_each(|b| self.pool.close(&b));
             }
             entries.push(ServerEntry {
                 server,
+                service: ServiceId::default(),
                 zone: self.site.zone(&member.locality),
                 cell: CellId(member.cell),
                 listed,
@@ -413,6 +466,22 @@
         self.batch.push(Event::Servers(scope, entries));
     }
 
+    /// Backends by entries of their own: who stands at an address is told apart by name.
+    fn backends(&mut self, scope: ListScope, listings: Vec<Listing>) {
+        let mut entries = Vec::with_capacity(listings.len());
+        for Listing { entry, address, name } in listings {
+            let stays = |b: &Rc<Backend>| b.address == address && b.name.as_ref() == Some(&name);
+            if entry.listed != Listed::InService {
+                self.backends.remove(&entry.server).into_iter().for_each(|b| self.pool.close(&b));
+            } else if !self.backends.get(&entry.server).is_some_and(stays) {
+                let new = Rc::new(self.pool.backend(address, 0, Some(name)));
+                self.backends.insert(entry.server, new).into_iter().for_each(|b| self.pool.close(&b));
+            }
+            entries.push(entry);
+        }
+        self.batch.push(Event::Servers(scope, entries));
+    }
+
     fn become_ready(&mut self) {
         self.ready_at = None;
         if !self.ready.send_replace(true) {
@@ -441,7 +510,9 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
+        let open = self.requests.get_mut(&id);
+        if let Some((reply, spare)) = open.and_then(|open| Some((open.reply.take()?, open.spare.take()))) {
+            let answer = spare.map_or(answer, |(body, head)| Answer::Served(body, head));
             // A client that has just gone needs no answer.
             let _ = reply.send(answer);
             self.tidy(id);
@@ -486,7 +557,9 @@
             let from = forward.whole_at().map_or(now, |at| clock.at(at));
             let took = clock.now() - from;
             let input = match ended.body {
-                Some(Served::Passing(download)) => Input::Began(id, attempt, server, download, took),
+                Some(Served::Passing(download)) => {
+                    Input::Began(id, attempt, server, download, ended.head, took)
+                }
                 _ => Input::Ended(id, attempt, server, ended, took),
             };
             // The driver outlives every attempt but for the exit of the process.
@@ -499,7 +572,7 @@
         let (counter, inbox) = (self.counter.clone(), self.inbox.clone());
         tokio::task::spawn_local(async move {
             let counted = match counter {
-                Some(counter) => counter.add(name, amount, life).await,
+                Some(counter) => counter.count(name, amount, life).await,
                 None => Outcome::ConnectFailed.into(),
             };
             let _ = inbox.send(Input::Counted(name, serial, counted)).await;
--- a/crates/starlinghill-gateway/src/forward.rs
+++ b/crates/starlinghill-gateway/src/forward.rs
@@ -1,21 +1,20 @@
 //! A client's request as it goes on to backends, and what comes of an attempt.
 
+use crate::backend::Backend;
+use crate::dialect::Dialect;
 use crate::download::Download;
 use crate::http::Outgoing;
 use crate::upload::{Upload, Whole};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Uri};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, StatusCode, Uri};
 use starlinghill_decision::api::Outcome;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
-/// How long the client waits; to a backend: how long this gateway does.
-pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
-
 /// A client's body as it goes on to backends.
 pub enum Payload {
     /// Held whole, so that it can go out again.
@@ -71,7 +70,12 @@
     }
 
     /// `None` where its body went out before.
-    pub(crate) fn request(&self, until: Instant) -> Option<Request<Outgoing>> {
+    pub(crate) fn request(
+        &self,
+        until: Instant,
+        dialect: &dyn Dialect,
+        backend: &Backend,
+    ) -> Option<Request<Outgoing>> {
         let body = match &self.body {
             Payload::Whole(body) => Outgoing::Left(Full::new(body.clone())),
             Payload::Passing { upload, .. } => Outgoing::Right(upload.take()?),
@@ -84,12 +88,21 @@
             Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
             Payload::Passing { budget, .. } => *budget,
         };
-        request.headers_mut().insert(BUDGET, HeaderValue::from(left.as_millis() as u64));
+        dialect.address(request.headers_mut(), backend, left.as_millis() as u64);
         Some(request)
     }
 }
 
-/// A 200's body.
+/// The head of a backend's answer, where that is the client's as well.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, without those that hold for the backend's connection alone.
+    pub headers: HeaderMap,
+}
+
+/// The body of an answer that is the client's.
 pub enum Served {
     /// Whole.
     Whole(Bytes),
@@ -101,14 +114,16 @@
 pub struct Ended {
     /// The outcome.
     pub outcome: Outcome,
-    /// A 200's body.
+    /// The body, where it may be the client's.
     pub body: Option<Served>,
+    /// The answer's head, likewise.
+    pub head: Option<Box<Head>>,
     /// The connection was refused: nothing listens there.
     pub refused: bool,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None, refused: false }
+        Ended { outcome, body: None, head: None, refused: false }
     }
 }
--- a/crates/starlinghill-gateway/src/http.rs
+++ b/crates/starlinghill-gateway/src/http.rs
@@ -15,6 +15,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::io::InspectWriter;
@@ -43,6 +44,8 @@
     closed: bool,
     /// When it was last given back unused.
     pub idle_since: Instant,
+    /// How long the other side keeps it open unused, where it said so.
+    pub kept_for: Option<Duration>,
 }
 
 impl Connection {
@@ -66,6 +69,7 @@
             wrote,
             closed: false,
             idle_since: Instant::now(),
+            kept_for: None,
         })
     }
 
@@ -137,6 +141,7 @@
         let head = self.drive(sending).await;
         let failed = if self.wrote.get() { CallError::Broken } else { CallError::NotSent };
         let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
+        self.kept_for = head.headers.get("keep-alive").and_then(|v| kept_for(v.to_str().ok()?));
         // Guards against spoilt answers, of which a part would pass for the whole: two lengths, none (so that any
         // end of the connection looks like its own), or more than any answer has, which may keep coming for long.
         let (length, chunked) = (header::CONTENT_LENGTH, header::TRANSFER_ENCODING);
@@ -152,3 +157,9 @@
         Ok(Response::from_parts(head, body))
     }
 }
+
+/// What `Keep-Alive` says: `timeout=5, max=100`.
+fn kept_for(text: &str) -> Option<Duration> {
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/starlinghill-gateway/src/inbox.rs
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -2,7 +2,8 @@
 //! through it, so that each of them can stand beside the others.
 
 use crate::download::Download;
-use crate::forward::{Ended, Forward, Served};
+use crate::forward::{Ended, Forward, Head, Served};
+use hyper::header::HeaderValue;
 use starlinghill_decision::api::*;
 use starlinghill_settings::members::MemberList;
 use std::net::SocketAddr;
@@ -16,8 +17,8 @@
 
 /// The final answer to a client.
 pub enum Answer {
-    /// A backend's 200.
-    Served(Served),
+    /// A backend's answer, with its head where that is the client's as well.
+    Served(Served, Option<Box<Head>>),
     /// Refused: trying again is harmless, best after this time.
     Refused(Option<Micros>),
     /// Failed, with no promise.
@@ -42,6 +43,8 @@
     Gone(RequestId),
     /// News of the backends.
     Members(MemberList),
+    /// News of the backends, where no list but entries come.
+    Backends(ListScope, Vec<Listing>),
     /// The counter is somewhere else.
     Counter(Option<SocketAddr>),
     /// A message from another gateway, by its number.
@@ -66,7 +69,7 @@
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
     /// An attempt's answer has begun and goes on: its request, number and backend, and how long it took to begin.
-    Began(RequestId, usize, ServerId, Box<Download>, Micros),
+    Began(RequestId, usize, ServerId, Box<Download>, Option<Box<Head>>, Micros),
     /// The last byte came of a request whose body is passed on.
     Whole(RequestId),
     /// An answer that had begun broke off at this backend.
@@ -75,6 +78,16 @@
     Ended(RequestId, usize, ServerId, Ended, Micros),
 }
 
+/// A backend as it is listed.
+pub struct Listing {
+    /// What the module is told.
+    pub entry: ServerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it calls itself.
+    pub name: HeaderValue,
+}
+
 impl From<MemberList> for Input {
     fn from(list: MemberList) -> Input {
         Input::Members(list)
@@ -98,6 +111,10 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
     }
+    /// One that shows that time now, for a process that is told elsewhere what others have in common.
+    pub fn from(base: Micros) -> Clock {
+        Clock { base, start: Instant::now() }
+    }
     /// Now.
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
--- a/crates/starlinghill-gateway/src/lib.rs
+++ b/crates/starlinghill-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod config;
 pub mod counter;
+pub mod dialect;
 pub mod discovery;
 pub mod download;
 pub mod driver;
@@ -30,7 +31,7 @@
 use names::Names;
 use ops::Door;
 use peers::{Peers, Socket};
-use server::Front;
+use server::{Front, Intake};
 use starlinghill_decision::api::{Micros, PlanId, ZonePart};
 use starlinghill_settings::classes::Classes;
 use starlinghill_settings::Site;
@@ -145,16 +146,18 @@
     }
     let driving = spawn_local(driver.run());
     let front = Rc::new(Front {
-        inbox: inbox.clone(),
-        clock,
+        intake: Intake {
+            inbox: inbox.clone(),
+            clock,
+            bodies: Semaphore::new(bodies),
+            last: Default::default(),
+        },
         ready: is_ready.clone(),
         names: RefCell::new(Names::new(&classes)),
         plans,
         most_units,
         gateways,
         open: Default::default(),
-        bodies: Semaphore::new(bodies),
-        last: Default::default(),
         stopping: stopping.clone(),
         shared,
     });
@@ -205,7 +208,7 @@
         let Some(new) = site.borrow_and_update().clone() else { continue };
         match classes.follow(&new) {
             Ok(rules) => {
-                if front.inbox.send(Input::Rules(rules)).await.is_err() {
+                if front.intake.inbox.send(Input::Rules(rules)).await.is_err() {
                     return;
                 }
                 front.names.borrow_mut().follow(&classes);
@@ -229,8 +232,8 @@
 async fn tell_end(mut stopping: watch::Receiver<bool>, front: Rc<Front>) {
     if stopping.wait_for(|stop| *stop).await.is_ok() {
         let left = front.names.borrow().last_answer().saturating_sub(WRITING);
-        let by = front.clock.now() + Micros(left.as_micros() as u64);
+        let by = front.intake.clock.now() + Micros(left.as_micros() as u64);
         // The driver may have ended.
-        let _ = front.inbox.send(Input::Closing(by)).await;
+        let _ = front.intake.inbox.send(Input::Closing(by)).await;
     }
 }
--- a/crates/starlinghill-gateway/src/lines.rs
+++ b/crates/starlinghill-gateway/src/lines.rs
@@ -46,7 +46,8 @@
     /// Of the body that is being received: how many bytes came, and since when its client is waited for.
     pub(crate) came: Cell<u64>,
     pub(crate) waits_since: Cell<Option<Instant>>,
-    pub(crate) head: Rc<Head>,
+    /// What the present head said of its body's length.
+    pub head: Rc<Head>,
     /// It is to end with the answer to what it is at.
     pub(crate) closing: Cell<bool>,
     /// It is to end at once.
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -2,7 +2,8 @@
 
 use crate::answer::{AnswerBody, Passing};
 use crate::backend::{joined, strip_hop_by_hop};
-use crate::forward::{Forward, Payload, Served, BUDGET};
+use crate::dialect::BUDGET;
+use crate::forward::{Forward, Payload, Served};
 use crate::head::{seen, Head};
 use crate::inbox::{Answer, Clock, Inbox, Input, Taken};
 use crate::lines::{Line, Lines, Phase, ACCEPT_PAUSE, BODY_RATE, RECEIVE_TIME};
@@ -20,6 +21,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::convert::Infallible;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -50,12 +52,40 @@
 /// Where other processes accept, a connection that was not used since SIGTERM is closed so long before the end.
 const LAST_USE: Duration = Duration::from_millis(800);
 
-/// What all connections of clients share.
-pub struct Front {
+/// Who answers clients: what differs between the platform's protocol and that of the whole system.
+pub trait Desk {
+    /// Answers one request.
+    fn respond(
+        &self,
+        request: Request<Incoming>,
+        line: &Rc<Line>,
+    ) -> impl Future<Output = Response<AnswerBody>>;
+    /// Set by SIGTERM.
+    fn stopping(&self) -> watch::Receiver<bool>;
+    /// Other processes accept from the same socket.
+    fn is_shared(&self) -> bool;
+    /// So long after SIGTERM new connections are taken, where no other process does.
+    fn last_call(&self) -> Duration;
+    /// So long after SIGTERM all must be answered.
+    fn last_answer(&self) -> Duration;
+}
+
+/// What takes a request from its head to its answer.
+pub struct Intake {
     /// The way to the driver.
     pub inbox: Inbox,
     /// The module's clock.
     pub clock: Clock,
+    /// Room for bodies, in bytes.
+    pub bodies: Semaphore,
+    /// The number of the last request.
+    pub last: Cell<u64>,
+}
+
+/// What all connections of the platform's clients share.
+pub struct Front {
+    /// What takes their requests.
+    pub intake: Intake,
     /// The list of backends is in hand.
     pub ready: watch::Receiver<bool>,
     /// The names of classes.
@@ -68,10 +98,6 @@
     pub gateways: u32,
     /// What the clients call the requests that are open here.
     pub open: RefCell<HashSet<HeaderValue>>,
-    /// Room for bodies, in bytes.
-    pub bodies: Semaphore,
-    /// The number of the last request.
-    pub last: Cell<u64>,
     /// Set by SIGTERM.
     pub stopping: watch::Receiver<bool>,
     /// Other processes accept from the same socket.
@@ -84,16 +110,44 @@
     }
 }
 
+impl Desk for Front {
+    async fn respond(&self, request: Request<Incoming>, line: &Rc<Line>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            "/_health" => match *self.ready.borrow() && !self.is_stopping() {
+                true => plain(StatusCode::OK, "ready\n").map(AnswerBody::Left),
+                false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n").map(AnswerBody::Left),
+            },
+            "/api" => match take(request, self, line).await {
+                Ok(answer) => answer,
+                Err((status, problem)) => last(plain(status, problem).map(AnswerBody::Left)),
+            },
+            _ => last(plain(StatusCode::NOT_FOUND, "no such path\n").map(AnswerBody::Left)),
+        }
+    }
+    fn stopping(&self) -> watch::Receiver<bool> {
+        self.stopping.clone()
+    }
+    fn is_shared(&self) -> bool {
+        self.shared
+    }
+    fn last_call(&self) -> Duration {
+        LAST_CALL
+    }
+    fn last_answer(&self) -> Duration {
+        self.names.borrow().last_answer()
+    }
+}
+
 /// Takes clients until SIGTERM, answers what was taken, and returns.
-pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
+pub async fn serve<D: Desk + 'static>(listener: TcpListener, front: Rc<D>, connections: usize) {
     let lines = Rc::new(Lines { open: RefCell::default(), most: connections, ended: Notify::new() });
-    let mut stopping = front.stopping.clone();
+    let (mut stopping, shared) = (front.stopping(), front.is_shared());
     let mut last_call: Option<Instant> = None;
     let mut sweep = interval(SWEEP_EVERY);
     let mut waiting = None;
     let mut serial = 0;
-    let last_answer = front.names.borrow().last_answer();
-    let last_use = if front.shared { last_answer.saturating_sub(LAST_USE) } else { LAST_CALL };
+    let last_answer = front.last_answer();
+    let last_use = if shared { last_answer.saturating_sub(LAST_USE) } else { front.last_call() };
     loop {
         tokio::select! {
             biased;
@@ -111,7 +165,7 @@
                     lines.ended.notify_one();
                 });
             }
-            stream = accept(&listener), if waiting.is_none() && last_call.is_none_or(|_| !front.shared) => {
+            stream = accept(&listener), if waiting.is_none() && last_call.is_none_or(|_| !shared) => {
                 waiting = Some(stream);
             }
             _ = sweep.tick() => lines.sweep(),
@@ -121,11 +175,11 @@
                 // on one of them. What is being received is answered and then closed.
                 // Where other processes accept, each ends with the next answer on it instead: guards against a request
                 // that crosses the closing, which then nobody reads.
-                let past = |line: &Rc<Line>| line.phase.get() != Phase::Receiving && !front.shared;
+                let past = |line: &Rc<Line>| line.phase.get() != Phase::Receiving && !shared;
                 lines.all().into_iter().filter(past).for_each(|line| line.close());
             }
             () = sleep_until(last_call.unwrap_or_else(Instant::now) + last_use), if last_call.is_some() => break,
-            () = lines.ended.notified(), if last_call.is_some() && front.shared && lines.open.borrow().is_empty() => break,
+            () = lines.ended.notified(), if last_call.is_some() && shared && lines.open.borrow().is_empty() => break,
         }
     }
     drop(listener);
@@ -158,10 +212,10 @@
 }
 
 /// Serves one connection to its end.
-async fn connection(stream: TcpStream, line: &Rc<Line>, front: Rc<Front>) {
+async fn connection<D: Desk>(stream: TcpStream, line: &Rc<Line>, front: Rc<D>) {
     let service = service_fn(|request| {
         let (front, line) = (front.clone(), line.clone());
-        async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
+        async move { Ok::<_, Infallible>(respond(request, &*front, &line).await) }
     });
     let seen = seen(stream, line.head.clone());
     let connection =
@@ -185,24 +239,14 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, front: &Front, line: &Rc<Line>) -> Response<AnswerBody> {
+async fn respond<D: Desk>(request: Request<Incoming>, front: &D, line: &Rc<Line>) -> Response<AnswerBody> {
     line.turn(Phase::Receiving);
     line.came.set(0);
     line.waits_since.set(None);
     // Guards against what stands behind a body of which there may be two readings.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = match request.uri().path() {
-        "/_health" => match *front.ready.borrow() && !front.is_stopping() {
-            true => plain(StatusCode::OK, "ready\n").map(AnswerBody::Left),
-            false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n").map(AnswerBody::Left),
-        },
-        "/api" => match take(request, front, line).await {
-            Ok(answer) => answer,
-            Err((status, problem)) => last(plain(status, problem).map(AnswerBody::Left)),
-        },
-        _ => last(plain(StatusCode::NOT_FOUND, "no such path\n").map(AnswerBody::Left)),
-    };
-    if front.is_stopping() || chunked {
+    let mut response = front.respond(request, line).await;
+    if *front.stopping().borrow() || chunked {
         response = last(response);
     }
     if line.phase.get() != Phase::Passing {
@@ -214,18 +258,20 @@
 
 /// Ends the connection with this answer. Guards against what follows a request that can't be believed, such as
 /// a body of 60 MB, which then is not read.
-fn last(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+pub fn last(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-pub(crate) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+/// A short answer of our own.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
-type Malformed = (StatusCode, &'static str);
+/// Why a request is not taken.
+pub type Malformed = (StatusCode, &'static str);
 
 /// Tells the driver that the client is gone, unless it was answered.
 struct Watch<'a> {
@@ -299,6 +345,91 @@
     Ok(Received::Passing(held, body))
 }
 
+/// What a request's head has come to.
+pub struct Wanted {
+    /// What the module is told of it.
+    pub arrival: Arrival,
+    /// How long the client waits.
+    pub budget: Micros,
+    /// Its headers, as they go on.
+    pub headers: HeaderMap,
+}
+
+impl Intake {
+    /// Reads a body to its end, or its first part, and has the request decided and made. `read` is called once the body is
+    /// there: what it returns lives as long as the request.
+    pub async fn take<T>(
+        &self,
+        (method, uri): (Method, Uri),
+        body: Incoming,
+        wanted: Wanted,
+        line: &Rc<Line>,
+        read: impl FnOnce() -> Result<T, Malformed>,
+    ) -> Result<Answer, Malformed> {
+        // Guards memory: where its length is known, that is before any of it is read.
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > MAX_PASSING) {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 32 MiB\n"));
+        }
+        let most = length.map_or(MAX_BODY, |length| length.min(MAX_BODY as u64) as usize);
+        let Ok(_room) = self.bodies.try_acquire_many(most as u32) else {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
+        };
+        let received = receive(body, line).await?;
+        let _open = read()?;
+        let mut headers = wanted.headers;
+        strip_hop_by_hop(&mut headers);
+        let budget = Duration::from_micros(wanted.budget.0);
+        let (body, once, upload) = match received {
+            Received::Whole(body) => {
+                line.turn(Phase::Busy);
+                (Payload::Whole(body), false, Duration::ZERO)
+            }
+            Received::Passing(held, rest) => {
+                let whole = Rc::new(Whole::default());
+                let upload =
+                    RefCell::new(Some(Upload::new(held, rest, length, line.clone(), whole.clone())));
+                (Payload::Passing { upload, whole, budget }, true, longest_upload(length))
+            }
+        };
+        // The request's time runs from its last byte.
+        let deadline = self.clock.now() + Micros(upload.as_micros() as u64) + wanted.budget;
+        let id = RequestId(self.last.replace(self.last.get() + 1) + 1);
+        // Only path and query are the request's own; the rest of an absolute form names this gateway.
+        let uri = uri.path_and_query().cloned().map(Uri::from).unwrap_or(uri);
+        let forward = Forward { method, uri, headers, body };
+        let (reply, answer) = oneshot::channel();
+        let taken = Taken { arrival: Arrival { id, deadline, once, ..wanted.arrival }, forward, reply };
+        let mut watch = Watch { inbox: &self.inbox, id, answered: false };
+        let told = self.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
+        let answer = if told { answer.await.unwrap_or(Answer::Failed) } else { Answer::Failed };
+        watch.answered = true;
+        Ok(answer)
+    }
+}
+
+/// Says when to come back.
+pub fn come_back(headers: &mut HeaderMap, wait: Option<Micros>) {
+    let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
+    wait.into_iter().for_each(|w| drop(headers.insert(header::RETRY_AFTER, w)));
+}
+
+/// Answered before its body was read to the end: what still comes of it is nobody's.
+pub fn unless_read(response: Response<AnswerBody>, line: &Rc<Line>) -> Response<AnswerBody> {
+    if line.phase.get() == Phase::Receiving {
+        return last(response);
+    }
+    response
+}
+
+/// The body that a client gets.
+pub fn body_of(served: Served, line: &Rc<Line>) -> AnswerBody {
+    match served {
+        Served::Whole(body) => AnswerBody::Left(Full::new(body)),
+        Served::Passing(download) => AnswerBody::Right(Passing::new(download, line.clone())),
+    }
+}
+
 async fn take(
     request: Request<Incoming>,
     front: &Front,
@@ -306,61 +437,18 @@
 ) -> Result<Response<AnswerBody>, Malformed> {
     let (head, body) = request.into_parts();
     let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front, &line.head)?;
-    // Guards memory: where its length is known, that is before any of it is read.
-    let length = body.size_hint().exact();
-    if length.is_some_and(|length| length > MAX_PASSING) {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 32 MiB\n"));
-    }
-    let most = length.map_or(MAX_BODY, |length| length.min(MAX_BODY as u64) as usize);
-    let Ok(_room) = front.bodies.try_acquire_many(most as u32) else {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
-    };
-    let received = receive(body, line).await?;
-    let _open = OpenCall::new(&front.open, asked.call)?;
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
-    let budget = Duration::from_micros(asked.budget.0);
-    let (body, once, upload) = match received {
-        Received::Whole(body) => {
-            line.turn(Phase::Busy);
-            (Payload::Whole(body), false, Duration::ZERO)
-        }
-        Received::Passing(held, rest) => {
-            let whole = Rc::new(Whole::default());
-            let upload = RefCell::new(Some(Upload::new(held, rest, length, line.clone(), whole.clone())));
-            (Payload::Passing { upload, whole, budget }, true, longest_upload(length))
-        }
-    };
-    // The request's time runs from its last byte.
-    let deadline = front.clock.now() + Micros(upload.as_micros() as u64) + asked.budget;
-    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
-    // Only path and query are the request's own; the rest of an absolute form names this gateway.
-    let uri = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or(head.uri);
-    let forward = Forward { method: head.method, uri, headers, body };
-    let (reply, answer) = oneshot::channel();
-    let taken = Taken { arrival: Arrival { id, deadline, once, ..asked.arrival }, forward, reply };
-    let mut watch = Watch { inbox: &front.inbox, id, answered: false };
-    let told = front.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
-    let answer = if told { answer.await.unwrap_or(Answer::Failed) } else { Answer::Failed };
-    watch.answered = true;
-    let mut response = match answer {
-        Answer::Served(Served::Whole(body)) => Response::new(AnswerBody::Left(Full::new(body))),
-        Answer::Served(Served::Passing(download)) => {
-            Response::new(AnswerBody::Right(Passing::new(download, line.clone())))
-        }
+    let wanted = Wanted { arrival: asked.arrival, budget: asked.budget, headers: head.headers };
+    let open = || OpenCall::new(&front.open, asked.call);
+    let response = match front.intake.take((head.method, head.uri), body, wanted, line, open).await? {
+        Answer::Served(served, _) => Response::new(body_of(served, line)),
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n").map(AnswerBody::Left);
-            let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
-            wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
+            come_back(response.headers_mut(), wait);
             response
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n").map(AnswerBody::Left),
     };
-    if line.phase.get() == Phase::Receiving {
-        // Answered before its body was read to the end: what still comes of it is nobody's.
-        response = last(response);
-    }
-    Ok(response)
+    Ok(unless_read(response, line))
 }
 
 /// What a request's head says of it.
--- /dev/null
+++ b/crates/starlinghill-patternbook/src/agree.rs
@@ -0,0 +1,292 @@
+//! Rounds over all stores: changes, reads, settling what was left half done, and the way back of a store that lost its disk.
+
+use crate::keeper::{Command, Keeper};
+use crate::wire::{Answer, Outcome, Question, Value};
+use starlinghill_clamp::{Ask, Ballot, Lives, Round, Step, Tell};
+use starlinghill_dovetail::call::Caller;
+use starlinghill_template::{Book, Change, Refusal};
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch, Mutex};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// A voter that says nothing for so long is gone on without. The disk takes some 5 ms, and stalls for seconds.
+const PATIENCE: Duration = Duration::from_millis(350);
+/// The operator goes elsewhere after a second of silence.
+const CHANGE: Duration = Duration::from_millis(850);
+/// How often the other stores are looked at, and how long such a look counts: well within what a configuration may take
+/// to be in force.
+const LOOK: Duration = Duration::from_millis(250);
+const FRESH: Duration = Duration::from_millis(900);
+/// The pause before a round is tried again, times the tries so far.
+const BACK_OFF_MS: u64 = 12;
+
+/// Where a voter is.
+enum Place {
+    Here(Keeper),
+    There(Caller),
+}
+
+/// All stores, as this one sees them.
+pub struct Stores {
+    places: Vec<Rc<Place>>,
+    /// The numbers of the other voters.
+    others: Vec<usize>,
+    me: u32,
+    /// Rounds of one store go one after the other: they would only be in each other's way.
+    turn: Mutex<()>,
+    seen: Cell<Ballot>,
+    lives: RefCell<Lives>,
+    /// The highest ballot known to be agreed on, with its value.
+    chosen: watch::Sender<(Ballot, Rc<Value>)>,
+    fresh_until: Cell<Option<Instant>>,
+}
+
+impl Stores {
+    /// The voters at their addresses; `here` is one of them, where this store votes.
+    pub fn new(voters: &[IpAddr], here: Option<(usize, Keeper)>, port: u16, by: u32) -> Stores {
+        let place = |(i, ip): (usize, &IpAddr)| match &here {
+            Some((me, keeper)) if *me == i => Rc::new(Place::Here(keeper.clone())),
+            _ => Rc::new(Place::There(Caller::new(SocketAddr::new(*ip, port)))),
+        };
+        let places: Vec<_> = voters.iter().enumerate().map(place).collect();
+        let mine = here.as_ref().map(|(me, _)| *me);
+        Stores {
+            others: (0..places.len()).filter(|i| Some(*i) != mine).collect(),
+            lives: RefCell::new(vec![0; places.len()]),
+            places,
+            me: by,
+            turn: Mutex::new(()),
+            seen: Cell::default(),
+            chosen: watch::channel(Default::default()).0,
+            fresh_until: Cell::new(None),
+        }
+    }
+
+    /// What was agreed on, as it becomes known.
+    pub fn chosen(&self) -> watch::Receiver<(Ballot, Rc<Value>)> {
+        self.chosen.subscribe()
+    }
+
+    /// A majority said a moment ago that nothing newer was agreed on.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    fn learn(&self, ballot: Ballot, value: Rc<Value>) {
+        self.chosen.send_if_modified(|known| {
+            let newer = ballot > known.0;
+            if newer {
+                *known = (ballot, value);
+            }
+            newer
+        });
+    }
+
+    /// Asks all voters at once; answers come as they come.
+    fn ask_all(&self, ask: Ask<Value>) -> mpsc::UnboundedReceiver<(usize, Tell<Value>)> {
+        let (tell, told) = mpsc::unbounded_channel();
+        for (i, place) in self.places.iter().enumerate() {
+            let (place, ask, tell) = (place.clone(), ask.clone(), tell.clone());
+            spawn_local(async move {
+                if let Some(answer) = put(&place, ask).await {
+                    // The round may be over.
+                    let _ = tell.send((i, answer));
+                }
+            });
+        }
+        told
+    }
+
+    /// Makes a new value from what was agreed on, and has that agreed on. `None`: no majority in time.
+    async fn agree<T>(
+        &self,
+        by: Instant,
+        mut make: impl FnMut(&Value) -> (Option<Value>, T),
+    ) -> Option<T> {
+        let _turn = timeout_at(by, self.turn.lock()).await.ok()?;
+        let mut tries = 0;
+        while Instant::now() < by {
+            let round = self.seen.get().round + 1;
+            let ballot = Ballot { round, by: self.me };
+            self.seen.set(ballot);
+            let have = {
+                let known = self.chosen.borrow();
+                (known.0, known.1.as_ref().clone())
+            };
+            let mut round = Round::new(ballot, self.lives.borrow().clone(), have);
+            let mut told = self.ask_all(round.ask());
+            let until = by.min(Instant::now() + PATIENCE + PATIENCE);
+            let mut made = None;
+            loop {
+                let Ok(Some((from, tell))) = timeout_at(until, told.recv()).await else { break };
+                match round.told(from, tell) {
+                    Step::Wait => {}
+                    Step::Base(base, known) => {
+                        let (next, came) = make(&base);
+                        // What is known to be agreed on needs no second word.
+                        if next.is_none() && known {
+                            return Some(came);
+                        }
+                        let next = next.unwrap_or(base);
+                        told = self.ask_all(round.propose(next.clone()));
+                        made = Some((next, came));
+                    }
+                    Step::Chosen => {
+                        let (next, came) = made?;
+                        self.learn(ballot, Rc::new(next));
+                        drop(self.ask_all(Ask::Chosen(ballot)));
+                        return Some(came);
+                    }
+                    Step::Lost(higher, lives) => {
+                        self.seen.set(self.seen.get().max(higher));
+                        *self.lives.borrow_mut() = lives;
+                        break;
+                    }
+                }
+            }
+            tries += 1;
+            sleep(Duration::from_millis(fastrand::u64(0..BACK_OFF_MS * tries) + 1)).await;
+        }
+        None
+    }
+
+    /// Takes an operator's change, or says why not.
+    pub async fn change(&self, body: &[u8]) -> Outcome {
+        let change = match Change::read(body) {
+            Ok(change) => change,
+            Err(refusal) => return refused(refusal),
+        };
+        let by = Instant::now() + CHANGE;
+        let made = self.agree(by, |base| {
+            let book = Book::of(base.iter().cloned());
+            match book.with(&change) {
+                Err(refusal) => (None, refused(refusal)),
+                Ok(next) => {
+                    let new = !next.beyond(&book).is_empty();
+                    let items = || next.items().map(|held| held.item.clone()).collect();
+                    (new.then(items), Outcome::Taken)
+                }
+            }
+        });
+        made.await.unwrap_or(Outcome::Unclear)
+    }
+
+    /// All that was agreed on before this was asked.
+    pub async fn read(&self) -> Option<Value> {
+        self.agree(Instant::now() + CHANGE, |base| (None, base.clone())).await
+    }
+
+    /// Looks at the other stores again and again: learns what was agreed on, and ends what was left half done.
+    pub async fn follow(self: Rc<Self>, keeper: Option<Keeper>) {
+        let mut half_done = false;
+        loop {
+            let asked = Instant::now();
+            let have = self.chosen.borrow().0;
+            let mut told = self.ask_all(Ask::Look(have));
+            let (mut heard, mut unsettled, mut newest) = (0, false, Ballot::default());
+            while let Ok(Some((_, tell))) = timeout_at(asked + PATIENCE, told.recv()).await {
+                let Tell::Has { promised, accepted, chosen, value, .. } = tell else { continue };
+                heard += 1;
+                self.seen.set(self.seen.get().max(promised));
+                newest = newest.max(chosen);
+                unsettled |= accepted > chosen.max(self.chosen.borrow().0);
+                if let Some(value) = value.filter(|_| accepted == chosen) {
+                    self.learn(chosen, Rc::new(value));
+                }
+                if heard == self.places.len() {
+                    break;
+                }
+            }
+            let majority = heard > self.places.len() / 2;
+            // What is newer and not had here, or not known to be agreed on: guards against telling of the old.
+            if majority && !unsettled && newest <= self.chosen.borrow().0 {
+                self.fresh_until.set(Some(asked + FRESH));
+            }
+            if majority && unsettled && std::mem::replace(&mut half_done, true) {
+                let settled = self.agree(Instant::now() + CHANGE, |_| (None, ())).await;
+                log::info!("event=settled_half_done_change ok={}", settled.is_some());
+                half_done = false;
+            } else if !unsettled {
+                half_done = false;
+            }
+            self.lend(&keeper).await;
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The own voter learns what was agreed on while it was away: as an acceptance, under the ballot that it had.
+    async fn lend(&self, keeper: &Option<Keeper>) {
+        let Some(keeper) = keeper else { return };
+        let (ballot, value) = {
+            let known = self.chosen.borrow();
+            (known.0, known.1.clone())
+        };
+        let view = keeper.view.borrow().clone();
+        if view.lost || ballot <= view.accepted || ballot < view.promised {
+            if !view.lost && ballot == view.accepted && ballot > view.chosen {
+                keeper.ask(Ask::Chosen(ballot)).await;
+            }
+            return;
+        }
+        let lives = view.lives.clone();
+        keeper.ask(Ask::Accept { ballot, lives, value: value.as_ref().clone() }).await;
+        keeper.ask(Ask::Chosen(ballot)).await;
+    }
+
+    /// A store that lost its disk votes again once every other one has noted its new life.
+    pub async fn enrol(&self, me: usize, keeper: &Keeper) {
+        let mut looked = vec![false; self.places.len()];
+        log::info!("event=disk_lost action=enrol voter={me}");
+        loop {
+            for i in &self.others {
+                match put(&self.places[*i], Ask::Look(Ballot::default())).await {
+                    Some(Tell::Has { lives, .. }) => {
+                        keeper.tell(Command::Looked(lives)).await;
+                        looked[*i] = true;
+                    }
+                    // It has lost its own: two at once are more than may be lost.
+                    Some(_) | None => {}
+                }
+            }
+            if self.others.iter().all(|i| looked[*i]) {
+                break;
+            }
+            sleep(LOOK).await;
+        }
+        let (reply, begun) = tokio::sync::oneshot::channel();
+        keeper.tell(Command::Begin(reply)).await;
+        let Ok(life) = begun.await else { return };
+        loop {
+            for i in &self.others {
+                let Some(told) = put(&self.places[*i], Ask::Enrol { voter: me, life }).await else { continue };
+                let (reply, whole) = tokio::sync::oneshot::channel();
+                keeper.tell(Command::Enrolled(*i, Box::new(told), reply)).await;
+                if whole.await == Ok(true) {
+                    return;
+                }
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
+
+async fn put(place: &Place, ask: Ask<Value>) -> Option<Tell<Value>> {
+    match place {
+        Place::Here(keeper) => tokio::time::timeout(PATIENCE, keeper.ask(ask)).await.ok()?,
+        Place::There(caller) => match caller.call(&Question::Vote(ask), PATIENCE).await {
+            Ok(Answer::Vote(tell)) => Some(tell),
+            _ => None,
+        },
+    }
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::Invalid { problem } => Outcome::Invalid(problem),
+        taken => Outcome::Conflict(taken.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -0,0 +1,155 @@
+//! The store as a process.
+
+use crate::agree::Stores;
+use crate::keeper::Keeper;
+use crate::shelf::{self, Shelf, ShelfError};
+use crate::wire::{Answer, Question};
+use snafu::{ResultExt, Snafu};
+use starlinghill_clamp::Voter;
+use starlinghill_dovetail::call::{serve, Caller};
+use starlinghill_dovetail::settings::{Node, SettingsError};
+use starlinghill_dovetail::PATTERNBOOK;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+/// How long a question for news waits for some.
+const HOLD: Duration = Duration::from_millis(400);
+const ASK: Duration = Duration::from_millis(400);
+
+/// Why a store can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// Its settings.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong.
+        source: SettingsError,
+    },
+    /// No disk was given.
+    #[snafu(display("self.data_dir: found nothing, allowed: a folder on a disk"))]
+    Diskless,
+    /// Its disk.
+    #[snafu(display("{source}"))]
+    Disk {
+        /// What is wrong.
+        source: ShelfError,
+    },
+    /// It can't listen, or there is no runtime.
+    #[snafu(display("{what}: {source}"))]
+    System {
+        /// What failed.
+        what: String,
+        /// How.
+        source: std::io::Error,
+    },
+}
+
+/// Runs until SIGTERM.
+pub async fn run() -> Result<(), StartError> {
+    let node = Node::from_environment().context(SettingsSnafu)?;
+    let folder = node.data_dir.clone().ok_or(StartError::Diskless)?;
+    let address = node.port(node.ip, PATTERNBOOK);
+    let listener =
+        TcpListener::bind(address).await.context(SystemSnafu { what: format!("listen on {address}") })?;
+    std::fs::create_dir_all(&folder).context(SystemSnafu { what: folder.display().to_string() })?;
+    let (mut shelf, found) = Shelf::open(&folder).context(DiskSnafu)?;
+    let mut seeds: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
+    seeds.sort_unstable();
+    seeds.dedup();
+    let was_there = found.is_some();
+    let (voters, voter) = match found {
+        Some(found) => {
+            let me = found.voters.iter().position(|ip| *ip == node.ip);
+            (found.voters, me.map(|me| (me, Voter::again(me, found.kept, found.value))))
+        }
+        None => {
+            let voters = match node.first_start {
+                true => seeds,
+                false => ask_who_votes(&node, &seeds).await,
+            };
+            let me = voters.iter().position(|ip| *ip == node.ip);
+            let new = |me| match node.first_start {
+                true => (me, Voter::first(me, voters.len())),
+                false => (me, Voter::lost(me, voters.len())),
+            };
+            let voter = me.map(new);
+            (voters, voter)
+        }
+    };
+    if let Some((_, voter)) = voter.as_ref().filter(|(_, voter)| !was_there && !voter.is_lost()) {
+        // Before it votes: a voter without a file must be one that lost it.
+        shelf.save(&voters, voter.kept(), Some(voter.value())).context(DiskSnafu)?;
+    }
+    let me = voter.as_ref().map(|(me, _)| *me);
+    let lost = voter.as_ref().is_some_and(|(_, voter)| voter.is_lost());
+    log::info!(
+        "event=start program=patternbook node={} voter={me:?} voters={} lost={lost} first={}",
+        node.name,
+        voters.len(),
+        node.first_start
+    );
+    let disk = shelf::run(shelf, voters.clone());
+    let keeper = voter.map(|(_, voter)| Keeper::start(voter, disk));
+    let here = me.zip(keeper.clone());
+    let by = fastrand::u32(1..);
+    let stores = Rc::new(Stores::new(&voters, here.clone(), address.port(), by));
+    tokio::task::spawn_local(stores.clone().follow(keeper.clone()));
+    if let Some((me, keeper)) = here.filter(|_| lost) {
+        let stores = stores.clone();
+        tokio::task::spawn_local(async move { stores.enrol(me, &keeper).await });
+    }
+    let voters = Rc::new(voters);
+    serve(listener, move |question, _| {
+        let (stores, keeper, voters) = (stores.clone(), keeper.clone(), voters.clone());
+        async move { answer(question, &stores, keeper, &voters).await }
+    })
+    .await;
+    Ok(())
+}
+
+async fn answer(
+    question: Question,
+    stores: &Rc<Stores>,
+    keeper: Option<Keeper>,
+    voters: &[IpAddr],
+) -> Answer {
+    match question {
+        Question::Vote(ask) => match keeper {
+            Some(keeper) => keeper.ask(ask).await.map_or(Answer::NotNow, Answer::Vote),
+            None => Answer::NotNow,
+        },
+        Question::Voters => Answer::Voters(voters.to_vec()),
+        Question::Change(body) => Answer::Changed(stores.change(&body).await),
+        Question::Read => stores.read().await.map_or(Answer::NotNow, Answer::Whole),
+        Question::News(have) => {
+            let mut chosen = stores.chosen();
+            // Without news it says after a while that there is none.
+            let _ = timeout(HOLD, chosen.wait_for(|known| known.0 != have)).await;
+            let (ballot, value) = chosen.borrow().clone();
+            let items = (ballot != have).then(|| value.as_ref().clone());
+            Answer::News { ballot, fresh: stores.is_fresh(), items }
+        }
+    }
+}
+
+/// Who votes, by those who know: this store has lost what it knew.
+async fn ask_who_votes(node: &Node, seeds: &[IpAddr]) -> Vec<IpAddr> {
+    let others: Vec<Caller> = seeds
+        .iter()
+        .filter(|ip| **ip != node.ip)
+        .map(|ip| Caller::new(node.port(*ip, PATTERNBOOK)))
+        .collect();
+    loop {
+        for other in &others {
+            if let Ok(Answer::Voters(voters)) = other.call(&Question::Voters, ASK).await {
+                if !voters.is_empty() {
+                    return voters;
+                }
+            }
+        }
+        sleep(ASK).await;
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-patternbook/src/shelf.rs
@@ -0,0 +1,157 @@
+//! What is on disk: a thread of its own waits for it, so that a disk that hangs holds up nobody but who needs it.
+
+use crate::wire::Value;
+use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use snafu::{ResultExt, Snafu};
+use starlinghill_clamp::Kept;
+use starlinghill_template::{Item, Kind};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Sizes in bytes: the items are few, and the disk is small.
+const CACHE: u64 = 1 << 20;
+const MEMTABLE: u64 = 2 << 20;
+const JOURNALS: u64 = 64 << 20;
+
+/// Why the disk can't be used.
+#[derive(Debug, Snafu)]
+pub enum ShelfError {
+    /// The database failed.
+    #[snafu(display("{}: {source}", path.display()))]
+    Disk {
+        /// Where.
+        path: PathBuf,
+        /// How.
+        source: fjall::Error,
+    },
+    /// A record can't be read.
+    #[snafu(display("{}: record {key} can't be read", path.display()))]
+    Spoilt {
+        /// Where.
+        path: PathBuf,
+        /// Which.
+        key: String,
+    },
+}
+
+/// What stood on disk.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Found {
+    /// The voters, in their order.
+    pub voters: Vec<IpAddr>,
+    /// What this one, if it is a voter, has to keep.
+    pub kept: Kept,
+    /// Its value.
+    pub value: Value,
+}
+
+/// The disk of a store.
+pub struct Shelf {
+    path: PathBuf,
+    _database: Database,
+    records: Keyspace,
+    database: Database,
+    written: BTreeMap<(Kind, String), Item>,
+}
+
+impl Shelf {
+    /// Opens what is there, or begins anew.
+    pub fn open(folder: &Path) -> Result<(Shelf, Option<Found>), ShelfError> {
+        let path = folder.join("patternbook");
+        let disk = || DiskSnafu { path: path.clone() };
+        let database = Database::builder(&path)
+            .cache_size(CACHE)
+            .worker_threads(1)
+            .max_journaling_size(JOURNALS)
+            .open()
+            .context(disk())?;
+        let options = || KeyspaceCreateOptions::default().max_memtable_size(MEMTABLE);
+        let records = database.keyspace("records", options).context(disk())?;
+        let spoilt = |key: &str| SpoiltSnafu { path: path.clone(), key }.build();
+        let (mut kept, mut voters, mut written) = (None, None, BTreeMap::new());
+        for record in records.iter() {
+            let (key, value) = record.into_inner().context(disk())?;
+            match &key[..] {
+                b"kept" => kept = Some(bitcode::decode::<Kept>(&value).map_err(|_| spoilt("kept"))?),
+                b"voters" => {
+                    let list = bitcode::decode::<Vec<IpAddr>>(&value).map_err(|_| spoilt("voters"))?;
+                    voters = Some(list);
+                }
+                key => {
+                    let name = String::from_utf8_lossy(key).into_owned();
+                    let item: Item = bitcode::decode(&value).map_err(|_| spoilt(&name))?;
+                    written.insert((item.kind, item.name.clone()), item);
+                }
+            }
+        }
+        let found = match (kept, voters) {
+            (Some(kept), Some(voters)) => {
+                Some(Found { voters, kept, value: written.values().cloned().collect() })
+            }
+            _ => None,
+        };
+        Ok((Shelf { path, _database: database.clone(), records, database, written }, found))
+    }
+
+    /// Writes and syncs. All of it is on disk when this returns, or none of it counts.
+    pub fn save(
+        &mut self,
+        voters: &[IpAddr],
+        kept: &Kept,
+        value: Option<&Value>,
+    ) -> Result<(), ShelfError> {
+        let disk = || DiskSnafu { path: self.path.clone() };
+        let mut batch = self.database.batch().durability(Some(PersistMode::SyncAll));
+        batch.insert(&self.records, "voters", bitcode::encode(&voters.to_vec()));
+        batch.insert(&self.records, "kept", bitcode::encode(kept));
+        let mut next = None;
+        if let Some(value) = value {
+            let items: BTreeMap<_, _> =
+                value.iter().map(|item| ((item.kind, item.name.clone()), item.clone())).collect();
+            for (key, item) in &items {
+                if self.written.get(key) != Some(item) {
+                    batch.insert(&self.records, record(key), bitcode::encode(item));
+                }
+            }
+            for key in self.written.keys().filter(|key| !items.contains_key(key)) {
+                batch.remove(&self.records, record(key));
+            }
+            next = Some(items);
+        }
+        batch.commit().context(disk())?;
+        if let Some(next) = next {
+            self.written = next;
+        }
+        Ok(())
+    }
+}
+
+fn record((kind, name): &(Kind, String)) -> String {
+    format!("item/{kind:?}/{name}")
+}
+
+/// What has to be written, and who waits for it.
+pub struct Order {
+    /// The voter's own.
+    pub kept: Kept,
+    /// Its value, where that is new.
+    pub value: Option<Value>,
+    /// Told when it is on disk.
+    pub done: oneshot::Sender<Result<(), ShelfError>>,
+}
+
+/// Runs the thread that writes.
+pub fn run(mut shelf: Shelf, voters: Vec<IpAddr>) -> mpsc::Sender<Order> {
+    let (orders, queue) = mpsc::channel::<Order>();
+    std::thread::spawn(move || {
+        for order in queue {
+            let saved = shelf.save(&voters, &order.kept, order.value.as_ref());
+            // Whoever waited may have gone.
+            let _ = order.done.send(saved);
+        }
+    });
+    orders
+}
--- /dev/null
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -0,0 +1,191 @@
+//! A registry's own list.
+
+use crate::{Gateway, Peg, State, Told};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// The most backends and gateways that are kept. Guards memory: anybody may call.
+const MOST: usize = 20_000;
+/// A backend is silent when so many beats were missed, and lost after so many more.
+const SILENT_BEATS: f64 = 2.5;
+const LOST: Duration = Duration::from_secs(25);
+/// How long it is remembered that a backend is gone: longer than any beat of it may be on its way.
+const TOMB: Duration = Duration::from_secs(180);
+/// A gateway that has not asked for so long is one no more. Long: a count that is too small doubles shares.
+const AWAY: Duration = Duration::from_secs(12);
+
+#[derive(Debug)]
+struct Entry {
+    peg: Peg,
+    heard: Duration,
+    silent: bool,
+    changed: u64,
+}
+
+/// A registry's list.
+#[derive(Debug)]
+pub struct Board {
+    beat: Duration,
+    backends: BTreeMap<String, Entry>,
+    gateways: BTreeMap<IpAddr, (Gateway, Duration)>,
+    /// When the set of gateways last changed.
+    gateways_changed: u64,
+    seq: u64,
+}
+
+/// What is new since a number.
+#[derive(Debug, Default)]
+pub struct News {
+    /// Backends.
+    pub backends: Vec<Told>,
+    /// All gateways, where that set has changed.
+    pub gateways: Option<Vec<Gateway>>,
+}
+
+impl Board {
+    /// An empty one.
+    pub fn new(beat: Duration) -> Board {
+        let (backends, gateways) = (BTreeMap::new(), BTreeMap::new());
+        Board { beat, backends, gateways, gateways_changed: 0, seq: 0 }
+    }
+
+    /// The number of the last change. Callers number changes of their own with [`Board::next`].
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// A number for a change.
+    pub fn next(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    /// A backend has said something, here or at another registry, so long ago. Returns whether that is news.
+    pub fn heard(&mut self, now: Duration, peg: Peg, ago: Duration) -> bool {
+        let heard = now.saturating_sub(ago);
+        match self.backends.get_mut(&peg.id) {
+            None => {
+                if self.backends.len() >= MOST {
+                    return false;
+                }
+                let changed = self.next();
+                let id = peg.id.clone();
+                self.backends.insert(id, Entry { peg, heard, silent: false, changed });
+                true
+            }
+            Some(entry) => {
+                entry.heard = entry.heard.max(heard);
+                let state = entry.peg.state.max(peg.state);
+                let newer = peg.calls > entry.peg.calls;
+                let news = state != entry.peg.state || entry.silent && newer;
+                let moved = newer && (peg.address, &peg.service) != (entry.peg.address, &entry.peg.service);
+                if newer {
+                    // What a beat says of warmth is reckoned anew each time and shifts a little; that is no news.
+                    let warm_at = entry.peg.warm_at;
+                    entry.peg = Peg { warm_at, ..peg };
+                }
+                entry.peg.state = state;
+                if newer {
+                    entry.silent = false;
+                }
+                if news || moved {
+                    self.seq += 1;
+                    entry.changed = self.seq;
+                }
+                news || moved
+            }
+        }
+    }
+
+    /// A backend has left. Returns what is to be told to the others, if it was known.
+    pub fn left(&mut self, now: Duration, id: &str) -> Option<Peg> {
+        let peg = Peg { state: State::Gone, ..self.backends.get(id)?.peg.clone() };
+        self.heard(now, peg.clone(), Duration::ZERO);
+        Some(peg)
+    }
+
+    /// A backend by its id.
+    pub fn get(&self, id: &str) -> Option<&Peg> {
+        self.backends.get(id).map(|entry| &entry.peg)
+    }
+
+    /// A gateway asks, or another registry says that it did so long ago.
+    pub fn asks(&mut self, now: Duration, gateway: Gateway, ago: Duration) {
+        let heard = now.saturating_sub(ago);
+        let room = self.gateways.len() < MOST;
+        let new = match self.gateways.get_mut(&gateway.ip) {
+            None => room,
+            Some((known, at)) if *known == gateway => {
+                *at = (*at).max(heard);
+                return;
+            }
+            // Of two lives, the one heard of last.
+            Some((_, at)) => *at <= heard,
+        };
+        if new {
+            self.gateways.insert(gateway.ip, (gateway, heard));
+            self.gateways_changed = self.next();
+        }
+    }
+
+    /// A gateway says that it leaves.
+    pub fn leaves(&mut self, gateway: &Gateway) {
+        if self.gateways.get(&gateway.ip).is_some_and(|(known, _)| known.life == gateway.life) {
+            self.gateways.remove(&gateway.ip);
+            self.gateways_changed = self.next();
+        }
+    }
+
+    /// Notes who was not heard of for long.
+    pub fn tick(&mut self, now: Duration) {
+        let silence = self.beat.mul_f64(SILENT_BEATS);
+        let mut seq = self.seq;
+        for entry in self.backends.values_mut() {
+            let since = now.saturating_sub(entry.heard);
+            let lost = entry.peg.state != State::Gone && since > LOST;
+            if lost {
+                entry.peg.state = State::Gone;
+            }
+            if lost || !entry.silent && entry.peg.state == State::Ready && since > silence {
+                entry.silent = true;
+                seq += 1;
+                entry.changed = seq;
+            }
+        }
+        self.backends.retain(|_, entry| now.saturating_sub(entry.heard) < TOMB);
+        let before = self.gateways.len();
+        self.gateways.retain(|_, (_, heard)| now.saturating_sub(*heard) < AWAY);
+        if self.gateways.len() != before {
+            seq += 1;
+            self.gateways_changed = seq;
+        }
+        self.seq = seq;
+    }
+
+    /// What has changed since that number.
+    pub fn since(&self, seq: u64) -> News {
+        let new = self.backends.values().filter(|entry| entry.changed > seq);
+        let backends = new.map(|entry| Told { peg: entry.peg.clone(), silent: entry.silent }).collect();
+        let gateways = (self.gateways_changed > seq).then(|| self.gateways().cloned().collect());
+        News { backends, gateways }
+    }
+
+    /// The gateways, in the order of their addresses.
+    pub fn gateways(&self) -> impl Iterator<Item = &Gateway> {
+        self.gateways.values().map(|(gateway, _)| gateway)
+    }
+
+    /// All backends that were heard of within that time, and how long ago: for another registry.
+    pub fn heard_within(&self, now: Duration, within: Duration) -> Vec<(Peg, u64)> {
+        let ago = |entry: &Entry| now.saturating_sub(entry.heard);
+        let recent = self.backends.values().filter(|entry| ago(entry) <= within);
+        recent.map(|entry| (entry.peg.clone(), ago(entry).as_millis() as u64)).collect()
+    }
+
+    /// All gateways that asked within that time, likewise.
+    pub fn asked_within(&self, now: Duration, within: Duration) -> Vec<(Gateway, u64)> {
+        let recent = self.gateways.values().filter(|(_, at)| now.saturating_sub(*at) <= within);
+        recent.map(|(g, at)| (g.clone(), now.saturating_sub(*at).as_millis() as u64)).collect()
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-pegboard/src/lib.rs
@@ -0,0 +1,72 @@
+//! Workshop: a pegboard has a peg for each tool, and shows at a glance which one is missing. Here it is who there is:
+//! backends by what they say of themselves, gateways by what they ask.
+//!
+//! [`Board`] is a registry's own; [`Wall`] is what a gateway makes of several registries' boards.
+//!
+//! A backend's id is one life. What was once said to drain or to be gone never serves again, whoever says so later: beats
+//! may come late, out of order, and at three registries. No I/O and no clock.
+
+mod board;
+mod wall;
+
+pub use board::{Board, News};
+pub use wall::{Change, Wall};
+
+use bitcode::{Decode, Encode};
+use std::net::{IpAddr, SocketAddr};
+
+/// Whether a backend takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It has left, or was lost.
+    Gone,
+}
+
+/// A backend, as it last said.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Peg {
+    /// Its id: one life.
+    pub id: String,
+    /// The service that it is of.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// The version of its software.
+    pub version: String,
+    /// Requests that it works on at once.
+    pub capacity: u32,
+    /// Whether it takes work.
+    pub state: State,
+    /// Rises with each of its calls.
+    pub calls: u64,
+    /// When it is warm, in microseconds of the system's time.
+    pub warm_at: u64,
+}
+
+/// A backend as a registry tells of it.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Told {
+    /// The backend.
+    pub peg: Peg,
+    /// Nothing was heard of it for several beats.
+    pub silent: bool,
+}
+
+/// A gateway that carries traffic.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct Gateway {
+    /// Its address.
+    pub ip: IpAddr,
+    /// The life of its process.
+    pub life: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Its name.
+    pub node: String,
+}
--- a/crates/starlinghill-settings/src/classes.rs
+++ b/crates/starlinghill-settings/src/classes.rs
@@ -40,7 +40,7 @@
             return Err(SettingsError(text));
         }
         (self.places, self.names) = (places.clone(), names);
-        Ok(Rules { classes: places, max_attempts: new.settings.max_attempts })
+        Ok(Rules { classes: places, max_attempts: new.settings.max_attempts, common: None })
     }
 
     /// The classes by name.
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -113,6 +113,11 @@
 }
 
 impl Site {
+    /// Settings without names: the one who uses them numbers things by itself.
+    pub fn of(settings: Settings) -> Site {
+        let (classes, plans, zones, servers) = Default::default();
+        Site { settings, classes, plans, zones, servers }
+    }
     /// Reads settings as nested JSON.
     pub fn from_json(settings: &serde_json::Value) -> Result<Site> {
         let mut names = BTreeMap::new();
@@ -203,6 +208,8 @@
             cold: f.micros_or("rules.cold", 0)?,
             fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
             tip_after: f.micros_or("rules.tip_after", 0)?,
+            retries: None,
+            skew: Micros(0),
             tick: f.micros_or("tick", 0)?,
         };
         Ok(Site { settings, classes, plans, zones, servers: HashMap::new() })
--- a/crates/starlinghill-simhost/src/lib.rs
+++ b/crates/starlinghill-simhost/src/lib.rs
@@ -59,6 +59,7 @@
     fn entry(&mut self, f: &Fields) -> Result<ServerEntry> {
         Ok(ServerEntry {
             server: self.site.server(f.text("backend")?),
+                service: ServiceId::default(),
             zone: self.site.zone(f.pairs.get("rack_zone").copied().unwrap_or("")),
             cell: CellId(f.whole_or("pod", 0)?),
             listed: match f.text("status")? {
--- /dev/null
+++ b/crates/starlinghill-template/src/book.rs
@@ -0,0 +1,234 @@
+//! The items as they stand. Copies merge item by item: of one name the highest version prevails, set or dropped.
+
+use crate::change::Change;
+use crate::table::{self, Parsed};
+use bitcode::{Decode, Encode};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use snafu::Snafu;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// The most items that are kept, dropped ones included. Guards memory and the size of messages.
+pub const MOST_ITEMS: usize = 20_000;
+
+/// What an item is of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Kind {
+    /// A route.
+    Route,
+    /// A tenant.
+    Customer,
+    /// A service.
+    Service,
+    /// The limits on what clients may send.
+    Limits,
+}
+
+/// One item in one version, as it goes between processes and onto disks.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Item {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub name: String,
+    /// Its version.
+    pub version: u64,
+    /// The host of a route.
+    pub host: String,
+    /// What the operator sent, as JSON; `None`: dropped.
+    pub body: Option<String>,
+}
+
+/// Why a change is not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Refusal {
+    /// It makes no sense.
+    #[snafu(display("{problem}"))]
+    Invalid {
+        /// What is wrong.
+        problem: String,
+    },
+    /// That version of an item stands already, with another content.
+    #[snafu(display("{kind:?} {name}: version r{version} stands with another content"))]
+    Taken {
+        /// The item's kind.
+        kind: Kind,
+        /// Its name.
+        name: String,
+        /// The version.
+        version: u64,
+    },
+}
+
+/// An item that was read: what was sent, and what it means.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// As it was sent.
+    pub item: Item,
+    /// As a value, where it stands.
+    pub value: Option<OwnedValue>,
+    /// What it means.
+    pub parsed: Option<Parsed>,
+}
+
+impl Held {
+    /// Reads an item.
+    pub fn read(item: Item) -> Result<Held, Refusal> {
+        let Some(body) = &item.body else { return Ok(Held { item, value: None, parsed: None }) };
+        let invalid = |problem| Refusal::Invalid { problem };
+        let value = simd_json::to_owned_value(&mut body.clone().into_bytes())
+            .map_err(|e| invalid(format!("{}: {e}", item.name)))?;
+        let parsed = table::parse(item.kind, &item.name, &item.host, &value).map_err(invalid)?;
+        Ok(Held { value: Some(value), parsed: Some(parsed), item })
+    }
+
+    fn same_content(&self, other: &Held) -> bool {
+        self.value == other.value && self.item.host == other.item.host
+    }
+}
+
+/// All items.
+#[derive(Debug, Clone, Default)]
+pub struct Book {
+    items: BTreeMap<(Kind, String), Rc<Held>>,
+}
+
+impl Book {
+    /// From copies of items; what can't be read is left out, as nothing of it was ever taken.
+    pub fn of(items: impl IntoIterator<Item = Item>) -> Book {
+        let mut book = Book::default();
+        book.merge(items);
+        book
+    }
+
+    /// Takes in copies that were agreed on; returns those that were new. An older version changes nothing.
+    pub fn merge(&mut self, items: impl IntoIterator<Item = Item>) -> Vec<Rc<Held>> {
+        let mut news = Vec::new();
+        for held in items.into_iter().filter_map(|item| Held::read(item).ok()) {
+            let held = Rc::new(held);
+            match self.items.entry((held.item.kind, held.item.name.clone())) {
+                Entry::Vacant(place) => {
+                    place.insert(held.clone());
+                }
+                Entry::Occupied(mut place) if place.get().item.version < held.item.version => {
+                    place.insert(held.clone());
+                }
+                Entry::Occupied(_) => continue,
+            }
+            news.push(held);
+        }
+        news
+    }
+
+    /// The book with a change taken in, or why it can't be. Nothing of a change is taken that is refused.
+    pub fn with(&self, change: &Change) -> Result<Book, Refusal> {
+        let mut next = self.clone();
+        for held in &change.items {
+            let (kind, name) = (held.item.kind, held.item.name.clone());
+            match next.items.entry((kind, name)) {
+                Entry::Vacant(place) => {
+                    place.insert(held.clone());
+                }
+                Entry::Occupied(mut place) => {
+                    let stands = place.get();
+                    if stands.item.version < held.item.version {
+                        place.insert(held.clone());
+                    } else if stands.item.version == held.item.version && !stands.same_content(held) {
+                        let (kind, name, version) = (kind, held.item.name.clone(), held.item.version);
+                        return Err(Refusal::Taken { kind, name, version });
+                    }
+                }
+            }
+        }
+        next.check()?;
+        Ok(next)
+    }
+
+    /// Whether all items make sense together.
+    pub fn check(&self) -> Result<(), Refusal> {
+        let refuse = |problem: String| Err(Refusal::Invalid { problem });
+        if self.items.len() > MOST_ITEMS {
+            return refuse(format!("{} items, allowed: {MOST_ITEMS}", self.items.len()));
+        }
+        let stands = |name: &str| {
+            let service = self.items.get(&(Kind::Service, name.to_string()));
+            service.is_some_and(|held| held.parsed.is_some())
+        };
+        let (mut places, mut keys) = (BTreeSet::new(), BTreeMap::new());
+        for held in self.items.values() {
+            match &held.parsed {
+                Some(Parsed::Route(route)) => {
+                    if let Some((service, _)) = route.to.iter().find(|(service, _)| !stands(service)) {
+                        return refuse(format!("route {}: no service {service}", route.name));
+                    }
+                    if !places.insert((&route.host, &route.prefix)) {
+                        return refuse(format!(
+                            "route {}: another route has host {} and prefix {}",
+                            route.name, route.host, route.prefix
+                        ));
+                    }
+                }
+                Some(Parsed::Customer(tenant)) => {
+                    for key in &tenant.keys {
+                        if keys.insert(key, &tenant.name).is_some_and(|other| *other != tenant.name) {
+                            return refuse(format!("customer {}: another has one of its keys", tenant.name));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// All items, dropped ones included.
+    pub fn items(&self) -> impl Iterator<Item = &Rc<Held>> {
+        self.items.values()
+    }
+
+    /// Those that differ from another book's: what has to be written where that one stands.
+    pub fn beyond(&self, other: &Book) -> Vec<Item> {
+        let new = |held: &&Rc<Held>| {
+            let key = (held.item.kind, held.item.name.clone());
+            other.items.get(&key).is_none_or(|old| old.item != held.item)
+        };
+        self.items.values().filter(new).map(|held| held.item.clone()).collect()
+    }
+
+    /// Whether anything was ever configured.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// All that stands, laid out as an operator sends it.
+    pub fn layout(&self) -> OwnedValue {
+        let mut hosts: BTreeMap<&str, Vec<OwnedValue>> = BTreeMap::new();
+        let (mut customers, mut groups, mut limits) = (Vec::new(), Vec::new(), None);
+        for held in self.items.values() {
+            let Some(value) = held.value.clone() else { continue };
+            match held.item.kind {
+                Kind::Route => hosts.entry(&held.item.host).or_default().push(value),
+                Kind::Customer => customers.push(value),
+                Kind::Service => groups.push(value),
+                Kind::Limits => limits = Some(value),
+            }
+        }
+        let port = |(host, rules): (&str, Vec<OwnedValue>)| {
+            let mut port = OwnedValue::object();
+            let _ = port.insert("hostname", host);
+            let _ = port.insert("policy", OwnedValue::from(rules));
+            port
+        };
+        let ports: Vec<OwnedValue> = hosts.into_iter().map(port).collect();
+        let mut all = OwnedValue::object();
+        let _ = all.insert("customers", OwnedValue::from(customers));
+        if let Some(limits) = limits {
+            let _ = all.insert("limits", limits);
+        }
+        let _ = all.insert("ports", OwnedValue::from(ports));
+        let _ = all.insert("groups", OwnedValue::from(groups));
+        all
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-template/src/change.rs
@@ -0,0 +1,117 @@
+//! What an operator sends: items to set and items to drop, all or none of them.
+
+use crate::book::{Held, Item, Kind, Refusal};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// A change that makes sense by itself.
+#[derive(Debug, Clone, Default)]
+pub struct Change {
+    /// Its items, each once.
+    pub items: Vec<Rc<Held>>,
+}
+
+/// A version as it is written: `r` and a number.
+pub fn version(value: Option<&OwnedValue>) -> Option<u64> {
+    value?.as_str()?.strip_prefix('r')?.parse().ok()
+}
+
+fn invalid<T>(problem: impl Into<String>) -> Result<T, Refusal> {
+    Err(Refusal::Invalid { problem: problem.into() })
+}
+
+fn list<'a>(of: &'a OwnedValue, key: &str) -> Result<&'a [OwnedValue], Refusal> {
+    match of.get(key) {
+        None => Ok(&[]),
+        Some(value) if value.is_null() => Ok(&[]),
+        Some(value) => match value.as_array() {
+            Some(list) => Ok(list),
+            None => invalid(format!("{key}: found {}, allowed: a list", short(value))),
+        },
+    }
+}
+
+fn short(value: &OwnedValue) -> String {
+    value.encode().chars().take(60).collect()
+}
+
+impl Change {
+    /// Reads the body of a call.
+    pub fn read(body: &[u8]) -> Result<Change, Refusal> {
+        let value = match simd_json::to_owned_value(&mut body.to_vec()) {
+            Ok(value) => value,
+            Err(error) => return invalid(format!("not JSON: {error}")),
+        };
+        if !value.is_object() {
+            return invalid("found no object, allowed: {\"upsert\": ..., \"remove\": ...}");
+        }
+        let mut items = Vec::new();
+        let empty = OwnedValue::object();
+        let part = |key: &str| match value.get(key) {
+            None => Ok(&empty),
+            Some(part) if part.is_object() => Ok(part),
+            Some(part) => invalid(format!("{key}: found {}, allowed: an object", short(part))),
+        };
+        let (upsert, remove) = (part("upsert")?, part("remove")?);
+        for port in list(upsert, "ports")? {
+            let Some(host) = port.get("hostname").and_then(|v| v.as_str()).filter(|v| !v.is_empty()) else {
+                return invalid(format!(
+                    "ports.hostname: found {}, allowed: a text that is not empty",
+                    port.get("hostname").map_or_else(|| "nothing".into(), short)
+                ));
+            };
+            for rule in list(port, "policy")? {
+                items.push(set(Kind::Route, host, rule)?);
+            }
+        }
+        for (key, kind) in [("customers", Kind::Customer), ("groups", Kind::Service)] {
+            for value in list(upsert, key)? {
+                items.push(set(kind, "", value)?);
+            }
+        }
+        if let Some(limits) = upsert.get("limits").filter(|v| !v.is_null()) {
+            items.push(set(Kind::Limits, "", limits)?);
+        }
+        let named = [
+            ("routes", Kind::Route),
+            ("customers", Kind::Customer),
+            ("services", Kind::Service),
+            ("groups", Kind::Service),
+        ];
+        for (key, kind) in named {
+            for value in list(remove, key)? {
+                items.push(Held::read(Item { body: None, ..item(kind, "", value)? })?);
+            }
+        }
+        let mut seen = BTreeSet::new();
+        for held in &items {
+            if !seen.insert((held.item.kind, &held.item.name)) {
+                return invalid(format!("{:?} {}: stands twice", held.item.kind, held.item.name));
+            }
+        }
+        Ok(Change { items: items.into_iter().map(Rc::new).collect() })
+    }
+}
+
+fn item(kind: Kind, host: &str, value: &OwnedValue) -> Result<Item, Refusal> {
+    let name = match kind {
+        Kind::Limits => "limits",
+        _ => match value.get("name").and_then(|v| v.as_str()).filter(|v| !v.is_empty()) {
+            Some(name) => name,
+            None => return invalid(format!("{kind:?}.name: allowed: a text that is not empty")),
+        },
+    };
+    let Some(version) = version(value.get("version")) else {
+        return invalid(format!(
+            "{kind:?} {name}.version: found {}, allowed: r and a number",
+            value.get("version").map_or_else(|| "nothing".into(), short)
+        ));
+    };
+    Ok(Item { kind, name: name.into(), version, host: host.into(), body: None })
+}
+
+fn set(kind: Kind, host: &str, value: &OwnedValue) -> Result<Held, Refusal> {
+    Held::read(Item { body: Some(value.encode()), ..item(kind, host, value)? })
+}
--- /dev/null
+++ b/crates/starlinghill-template/src/lib.rs
@@ -0,0 +1,13 @@
+//! Joinery: a template is the pattern that every piece is cut by. Here it is the configuration: named items, each with a
+//! version of its own, and what they come to once they are merged: routes, tenants, services, limits.
+//!
+//! No I/O and no clock. [`change`] reads what an operator sends, [`book`] holds the items and says whether they make sense
+//! together, [`table`] is what a proxy decides by.
+
+pub mod book;
+pub mod change;
+pub mod table;
+
+pub use book::{Book, Item, Kind, Refusal};
+pub use change::Change;
+pub use table::Table;
--- /dev/null
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -0,0 +1,314 @@
+//! The owner of the registry's tables: one task, which works through a queue of commands. Nothing here waits.
+
+use crate::wire::{Answer, Have, Heard, News, Question};
+use starlinghill_gauge::Gauge;
+use starlinghill_holdfast::{self as holdfast, Holdfast};
+use starlinghill_patternbook::wire::Value;
+use starlinghill_pegboard::{Board, Peg, State};
+use starlinghill_template::{Item, Kind};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// How many commands may wait; whoever has one more waits with it.
+const QUEUE: usize = 1024;
+/// How long a gateway's question waits for news.
+const HOLD: Duration = Duration::from_millis(500);
+/// The most questions that wait at once; one more is answered at once.
+const MOST_WAITING: usize = 4_096;
+/// What the store said of a majority counts for so long.
+const FRESH: Duration = Duration::from_millis(1_500);
+/// The system's time begins here, in microseconds: windows of quotas must not begin at nothing.
+const EPOCH: u64 = 1_000_000_000;
+
+/// What the owner is told.
+pub enum Command {
+    /// A question over the wire.
+    Ask(Question, oneshot::Sender<Answer>),
+    /// A backend's beat, with what it says of warmth in microseconds.
+    Beat(Peg, u64, oneshot::Sender<Peg>),
+    /// A backend leaves.
+    Leave(String, oneshot::Sender<Option<Peg>>),
+    /// The store beside it says what was agreed on.
+    Store(Option<Value>, bool),
+    /// Time passes: answered with what to ask other registries.
+    Tick(oneshot::Sender<Due>),
+    /// Another registry has answered on the duty.
+    Duty(usize, Duration, holdfast::Ask, holdfast::Tell),
+    /// The process ends: answered with whom to tell what.
+    End(oneshot::Sender<Option<(usize, holdfast::Ask)>>),
+}
+
+/// What other registries are to be asked now.
+pub struct Due {
+    /// On the duty, asked at that moment.
+    pub duty: Option<(Duration, holdfast::Ask)>,
+    /// What was heard since the last word.
+    pub heard: Option<Heard>,
+}
+
+/// The way to the owner.
+pub type Owner = mpsc::Sender<Command>;
+
+struct Tables {
+    life: u64,
+    start: Instant,
+    /// The system's time at that moment. Only ever moves forward: the highest that anybody tells counts.
+    base: u64,
+    board: Board,
+    /// The items with the number of their last change.
+    items: BTreeMap<(Kind, String), (Item, u64)>,
+    fresh: Option<Instant>,
+    racks: Vec<IpAddr>,
+    duty: Holdfast,
+    gauge: Option<Gauge>,
+    told_holder: Option<(u64, usize)>,
+    /// The number of the news of the last change of the holder.
+    holder_changed: u64,
+    waiting: Vec<(Have, Instant, oneshot::Sender<Answer>)>,
+    relayed: Duration,
+    rounds: u32,
+}
+
+/// Runs the owner of a registry, which is one of those at these addresses.
+pub fn start(racks: Vec<IpAddr>, me: usize, beat: Duration) -> Owner {
+    let (queue, mut commands) = mpsc::channel(QUEUE);
+    let mut tables = Tables {
+        life: fastrand::u64(1..),
+        start: Instant::now(),
+        base: EPOCH,
+        board: Board::new(beat),
+        items: BTreeMap::new(),
+        fresh: None,
+        duty: Holdfast::new(me, racks.len(), Duration::ZERO),
+        racks,
+        gauge: None,
+        told_holder: None,
+        holder_changed: 0,
+        waiting: Vec::new(),
+        relayed: Duration::ZERO,
+        rounds: 0,
+    };
+    tokio::task::spawn_local(async move {
+        while let Some(command) = commands.recv().await {
+            tables.take(command);
+        }
+    });
+    queue
+}
+
+impl Tables {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn time(&self) -> u64 {
+        self.base + self.now().as_micros() as u64
+    }
+
+    fn hear_time(&mut self, time: u64) {
+        self.base = self.base.max(time.saturating_sub(self.now().as_micros() as u64));
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = self.now();
+        let before = self.board.seq();
+        match command {
+            Command::Ask(question, reply) => return self.asked(now, question, reply),
+            Command::Beat(peg, warmup, reply) => {
+                let peg = Peg { warm_at: self.time() + warmup, ..peg };
+                let id = peg.id.clone();
+                if self.board.heard(now, peg.clone(), Duration::ZERO) {
+                    let state = self.board.get(&id).map_or(peg.state, |known| known.state);
+                    log::info!(
+                        "event=backend id={id} service={} address={} state={state:?}",
+                        peg.service,
+                        peg.address
+                    );
+                }
+                let _ = reply.send(self.board.get(&id).cloned().unwrap_or(peg));
+            }
+            Command::Leave(id, reply) => {
+                let peg = self.board.left(now, &id);
+                log::info!("event=backend_left id={id} known={}", peg.is_some());
+                let _ = reply.send(peg);
+            }
+            Command::Store(items, fresh) => {
+                if fresh {
+                    self.fresh = Some(Instant::now());
+                }
+                self.store(items.unwrap_or_default());
+            }
+            Command::Tick(reply) => {
+                let due = self.tick(now);
+                let _ = reply.send(due);
+            }
+            Command::Duty(from, asked, ask, tell) => self.duty.told(from, asked, ask, tell),
+            Command::End(reply) => {
+                let me = self.duty.holder().map(|(_, holder)| holder);
+                let next = (0..self.racks.len()).find(|i| Some(*i) != me);
+                self.gauge = None;
+                let _ = reply.send(next.and_then(|next| self.duty.leave(now, next)));
+            }
+        }
+        self.look_at_duty(now);
+        if self.board.seq() != before {
+            self.answer_waiting(true);
+        }
+    }
+
+    fn store(&mut self, items: Vec<Item>) {
+        for item in items {
+            let key = (item.kind, item.name.clone());
+            let stands = self.items.get(&key).map(|(known, _)| known.version);
+            if stands.is_none_or(|version| version < item.version) {
+                let seq = self.board.next();
+                log::info!("event=item kind={:?} name={} version=r{}", item.kind, item.name, item.version);
+                self.items.insert(key, (item, seq));
+            }
+        }
+    }
+
+    fn asked(&mut self, now: Duration, question: Question, reply: oneshot::Sender<Answer>) {
+        let before = self.board.seq();
+        // Whoever asked may have gone.
+        let answer = |reply: oneshot::Sender<Answer>, answer| drop(reply.send(answer));
+        match question {
+            Question::News(have) => {
+                self.hear_time(have.time);
+                self.duty.seen(have.term);
+                if have.leaving {
+                    self.board.leaves(&have.gateway);
+                } else {
+                    self.board.asks(now, have.gateway.clone(), Duration::ZERO);
+                }
+                let nothing_new = have.rack == self.life && have.seq >= self.board.seq();
+                if nothing_new && self.waiting.len() < MOST_WAITING {
+                    self.waiting.push((have, Instant::now() + HOLD, reply));
+                } else {
+                    let news = self.news(&have);
+                    answer(reply, Answer::News(Box::new(news)));
+                }
+            }
+            Question::Count { term, from, sums } => {
+                let totals = match (&mut self.gauge, self.duty.holds(now)) {
+                    (Some(gauge), Some(held)) if held == term && gauge.term == term => {
+                        gauge.add(now, from, &sums)
+                    }
+                    _ => None,
+                };
+                let time = self.time();
+                let term = self.duty.holder().map_or(0, |(term, _)| term);
+                answer(reply, totals.map_or(Answer::NotMine(term), |totals| Answer::Totals(totals, time)));
+            }
+            Question::Recall { term, from, sums } => match &mut self.gauge {
+                Some(gauge) if gauge.term == term => {
+                    gauge.recall(now, from, &sums);
+                    answer(reply, Answer::Noted);
+                }
+                _ => answer(reply, Answer::NotMine(self.duty.holder().map_or(0, |(term, _)| term))),
+            },
+            Question::Duty(ask) => {
+                let tell = self.duty.asked(now, ask);
+                answer(reply, Answer::Duty(tell));
+            }
+            Question::Heard(heard) => {
+                self.heard(now, heard);
+                answer(reply, Answer::Noted);
+            }
+            Question::Left(id) => {
+                self.board.left(now, &id);
+                answer(reply, Answer::Noted);
+            }
+            Question::All => answer(reply, Answer::All(Heard {
+                backends: self.board.heard_within(now, Duration::MAX),
+                gateways: self.board.asked_within(now, Duration::MAX),
+                time: self.time(),
+            })),
+        }
+        self.look_at_duty(now);
+        if self.board.seq() != before {
+            self.answer_waiting(true);
+        }
+    }
+
+    fn heard(&mut self, now: Duration, heard: Heard) {
+        self.hear_time(heard.time);
+        for (peg, ago) in heard.backends {
+            self.board.heard(now, peg, Duration::from_millis(ago));
+        }
+        for (gateway, ago) in heard.gateways {
+            self.board.asks(now, gateway, Duration::from_millis(ago));
+        }
+    }
+
+    fn news(&self, have: &Have) -> News {
+        let since = if have.rack == self.life { have.seq } else { 0 };
+        let new = self.board.since(since);
+        let items = self.items.values().filter(|(_, seq)| *seq > since);
+        let holder = self.duty.holder().and_then(|(term, i)| Some((term, *self.racks.get(i)?)));
+        News {
+            rack: self.life,
+            seq: self.board.seq(),
+            fresh: self.fresh.is_some_and(|at| at.elapsed() < FRESH),
+            items: items.map(|(item, _)| item.clone()).collect(),
+            backends: new.backends,
+            gateways: new.gateways,
+            holder: holder.filter(|_| self.holder_changed > since),
+            time: self.time(),
+        }
+    }
+
+    /// Answers the questions that have waited long enough, or all.
+    fn answer_waiting(&mut self, all: bool) {
+        let now = Instant::now();
+        let (due, waiting) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|(_, until, _)| all || now >= *until);
+        self.waiting = waiting;
+        let due: Vec<(Have, Instant, oneshot::Sender<Answer>)> = due;
+        for (have, _, reply) in due {
+            let _ = reply.send(Answer::News(Box::new(self.news(&have))));
+        }
+    }
+
+    fn tick(&mut self, now: Duration) -> Due {
+        self.board.tick(now);
+        self.gauge.iter_mut().for_each(|gauge| gauge.tick(now));
+        self.answer_waiting(false);
+        self.rounds += 1;
+        let duty = self.duty.tick(now).map(|ask| (now, ask));
+        // What others may know a little later: beats that say nothing new.
+        let heard = self.rounds.is_multiple_of(RELAY_ROUNDS).then(|| {
+            let since = now.saturating_sub(std::mem::replace(&mut self.relayed, now));
+            Heard {
+                backends: self.board.heard_within(now, since),
+                gateways: self.board.asked_within(now, since),
+                time: self.time(),
+            }
+        });
+        Due { duty, heard }
+    }
+
+    fn look_at_duty(&mut self, now: Duration) {
+        let holds = self.duty.holds(now);
+        if let Some(term) = holds.filter(|term| self.gauge.as_ref().is_none_or(|g| g.term != *term)) {
+            let gateways: Vec<u64> = self.board.gateways().map(|gateway| gateway.life).collect();
+            log::info!("event=count_held term={term} gateways={}", gateways.len());
+            self.gauge = Some(Gauge::begin(now, term, gateways));
+        }
+        if self.duty.holder() != self.told_holder {
+            self.told_holder = self.duty.holder();
+            self.holder_changed = self.board.next();
+        }
+    }
+}
+
+/// Every so many ticks what was heard goes to the other registries.
+const RELAY_ROUNDS: u32 = 5;
+
+/// A backend says that it takes no new work.
+pub fn is_last_word(peg: &Peg) -> bool {
+    peg.state != State::Ready
+}
--- /dev/null
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -0,0 +1,171 @@
+//! The other registries, and the store beside this one.
+
+use crate::owner::{Command, Due, Owner};
+use crate::wire::{Answer, Heard, Question};
+use starlinghill_clamp::Ballot;
+use starlinghill_dovetail::call::Caller;
+use starlinghill_patternbook::wire as store;
+use starlinghill_pegboard::Peg;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+/// How often the tables are told that time passes.
+const TICK: Duration = Duration::from_millis(100);
+/// How long another registry may take. A backend waits a second for its answer.
+const PATIENCE: Duration = Duration::from_millis(350);
+const STORE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The others, by their numbers.
+pub struct Peers {
+    racks: Vec<(usize, Rc<Caller>, Rc<Caller>)>,
+    /// How many registries there are in all.
+    all: usize,
+}
+
+impl Peers {
+    /// At these addresses, without this one.
+    pub fn new(addresses: &[SocketAddr], me: usize) -> Peers {
+        let others = addresses.iter().enumerate().filter(|(i, _)| *i != me);
+        // Two ways to each: the duty must not wait behind lists.
+        let racks = others.map(|(i, at)| (i, Rc::new(Caller::new(*at)), Rc::new(Caller::new(*at)))).collect();
+        Peers { racks, all: addresses.len() }
+    }
+
+    /// Tells all; returns whether a majority, this one included, has noted it.
+    pub async fn tell_most(&self, question: Question) -> bool {
+        let (told, mut noted) = mpsc::unbounded_channel();
+        for (_, _, caller) in &self.racks {
+            let (caller, question, told) = (caller.clone(), question.clone(), told.clone());
+            spawn_local(async move {
+                if let Ok(Answer::Noted) = caller.call(&question, PATIENCE).await {
+                    let _ = told.send(());
+                }
+            });
+        }
+        drop(told);
+        let mut have = 1;
+        while have <= self.all / 2 {
+            if noted.recv().await.is_none() {
+                return false;
+            }
+            have += 1;
+        }
+        true
+    }
+
+    /// What a backend said last goes to the others.
+    pub async fn tell_peg(&self, peg: Peg) -> bool {
+        let heard = Heard { backends: vec![(peg, 0)], ..Heard::default() };
+        self.tell_most(Question::Heard(heard)).await
+    }
+
+    /// Lets time pass: duty, and what was heard.
+    pub async fn run(self: Rc<Self>, owner: Owner) {
+        self.learn_all(&owner).await;
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            let (reply, due) = oneshot::channel();
+            if owner.send(Command::Tick(reply)).await.is_err() {
+                return;
+            }
+            let Ok(Due { duty, heard }) = due.await else { return };
+            for (i, quick, caller) in &self.racks {
+                if let Some((asked, ask)) = duty {
+                    let (i, quick, owner) = (*i, quick.clone(), owner.clone());
+                    spawn_local(async move {
+                        if let Ok(Answer::Duty(tell)) = quick.call(&Question::Duty(ask), PATIENCE).await {
+                            let _ = owner.send(Command::Duty(i, asked, ask, tell)).await;
+                        }
+                    });
+                }
+                if let Some(heard) = heard.clone() {
+                    let caller = caller.clone();
+                    spawn_local(async move {
+                        // What is lost is heard again with the next beat.
+                        let _ = caller.call::<_, Answer>(&Question::Heard(heard), PATIENCE).await;
+                    });
+                }
+            }
+        }
+    }
+
+    /// One that has just started asks the others first: knowing none is not the same as there being none.
+    async fn learn_all(&self, owner: &Owner) {
+        for (i, _, caller) in &self.racks {
+            if let Ok(Answer::All(heard)) = caller.call(&Question::All, PATIENCE).await {
+                log::info!(
+                    "event=learned from={i} backends={} gateways={}",
+                    heard.backends.len(),
+                    heard.gateways.len()
+                );
+                let (reply, noted) = oneshot::channel();
+                let _ = owner.send(Command::Ask(Question::Heard(heard), reply)).await;
+                let _ = noted.await;
+            }
+        }
+    }
+
+    /// The holder of the count leaves: tells its successor.
+    pub async fn hand_over(&self, to: usize, ask: starlinghill_holdfast::Ask) {
+        for (i, quick, _) in &self.racks {
+            if *i == to {
+                let told = quick.call::<_, Answer>(&Question::Duty(ask), PATIENCE).await;
+                log::info!("event=count_handed_over to={to} ok={}", told.is_ok());
+            }
+        }
+    }
+}
+
+/// Follows the store on this machine.
+pub async fn follow_store(address: SocketAddr, owner: Owner) {
+    let caller = Caller::new(address);
+    let (mut have, mut silent) = (Ballot::default(), false);
+    loop {
+        match caller.call(&store::Question::News(have), STORE).await {
+            Ok(store::Answer::News { ballot, fresh, items }) => {
+                silent = false;
+                // A store that begins anew may know less than it did: nothing of that is news.
+                let items = items.filter(|_| ballot > have);
+                have = if items.is_some() { ballot } else { have };
+                if (items.is_some() || fresh) && owner.send(Command::Store(items, fresh)).await.is_err() {
+                    return;
+                }
+                if ballot < have {
+                    sleep(PAUSE).await;
+                }
+            }
+            Ok(_) => sleep(PAUSE).await,
+            Err(error) => {
+                if !std::mem::replace(&mut silent, true) {
+                    log::warn!("event=store_silent address={address} error=\"{error}\"");
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks the stores, the one on this machine first: one that is not there is passed over.
+pub async fn ask_store(
+    stores: &[SocketAddr],
+    question: store::Question,
+    within: Duration,
+) -> Option<store::Answer> {
+    let asked = async {
+        for address in stores {
+            match Caller::new(*address).call(&question, within).await {
+                Ok(answer) => return Some(answer),
+                Err(error) => log::warn!("event=store_failed address={address} error=\"{error}\""),
+            }
+        }
+        None
+    };
+    timeout(within, asked).await.ok()?
+}
--- /dev/null
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -0,0 +1,103 @@
+//! The registry as a process.
+
+use crate::calls::Place;
+use crate::owner::{self, Command};
+use crate::peers::{follow_store, Peers};
+use crate::serve::{self, Desk};
+use crate::wire::Answer;
+use snafu::{OptionExt, ResultExt, Snafu};
+use starlinghill_dovetail::call;
+use starlinghill_dovetail::settings::{Node, SettingsError};
+use starlinghill_dovetail::{PATTERNBOOK, TOOLRACK};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// What is under way at the end has so long to be answered.
+const LAST_WORDS: Duration = Duration::from_millis(400);
+
+/// Why a registry can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// Its settings.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong.
+        source: SettingsError,
+    },
+    /// Nobody could call it.
+    #[snafu(display("network.listen.control: found nothing, allowed: an IP address with a port"))]
+    Unreachable,
+    /// It can't listen, or hear signals.
+    #[snafu(display("{what}: {source}"))]
+    System {
+        /// What failed.
+        what: String,
+        /// How.
+        source: std::io::Error,
+    },
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(SystemSnafu { what: format!("listen on {address}") })
+}
+
+/// Runs until SIGTERM.
+pub async fn run() -> Result<(), StartError> {
+    let node = Node::from_environment().context(SettingsSnafu)?;
+    let control = listen(node.control.context(UnreachableSnafu)?).await?;
+    let own = listen(node.port(node.ip, TOOLRACK)).await?;
+    let mut terminate =
+        signal(SignalKind::terminate()).context(SystemSnafu { what: "SIGTERM".to_string() })?;
+    let mut hang_up = signal(SignalKind::hangup()).context(SystemSnafu { what: "SIGHUP".to_string() })?;
+    let mut racks: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
+    racks.push(node.ip);
+    racks.sort_unstable();
+    racks.dedup();
+    let me = racks.iter().position(|ip| *ip == node.ip).unwrap_or_default();
+    log::info!("event=start program=toolrack node={} rack={me} racks={}", node.name, racks.len());
+    let addresses: Vec<SocketAddr> = racks.iter().map(|ip| node.port(*ip, TOOLRACK)).collect();
+    let peers = Rc::new(Peers::new(&addresses, me));
+    let mut stores = vec![node.port(node.ip, PATTERNBOOK)];
+    stores.extend(racks.iter().filter(|ip| **ip != node.ip).map(|ip| node.port(*ip, PATTERNBOOK)));
+    let owner = owner::start(racks, me, node.beat);
+    let (stop, stopping) = watch::channel(false);
+    spawn_local(peers.clone().run(owner.clone()));
+    spawn_local(follow_store(stores[0], owner.clone()));
+    let desk = Desk { owner: owner.clone(), peers: peers.clone(), stores, tree: Place::tree(), stopping };
+    spawn_local(serve::serve(control, Rc::new(desk)));
+    let asked = owner.clone();
+    spawn_local(call::serve(own, move |question, _| {
+        let owner = asked.clone();
+        async move {
+            let (reply, answer) = oneshot::channel();
+            let _ = owner.send(Command::Ask(question, reply)).await;
+            answer.await.unwrap_or(Answer::NotMine(0))
+        }
+    }));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => match Node::from_environment() {
+                // All that may change while it runs is who else there is, which it hears from them.
+                Ok(node) => log::info!("event=settings_read node={}", node.name),
+                Err(error) => log::warn!("event=settings_unusable error=\"{error}\" action=kept_old"),
+            },
+        }
+    }
+    log::info!("event=stopping node={}", node.name);
+    // Nobody may be left to hear it.
+    let _ = stop.send(true);
+    let (reply, end) = oneshot::channel();
+    let _ = owner.send(Command::End(reply)).await;
+    if let Ok(Some((to, ask))) = end.await {
+        peers.hand_over(to, ask).await;
+    }
+    sleep(LAST_WORDS).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -0,0 +1,107 @@
+//! What a registry is asked by gateways and by other registries.
+
+use bitcode::{Decode, Encode};
+use starlinghill_gauge::Sum;
+use starlinghill_holdfast as holdfast;
+use starlinghill_pegboard::{Gateway, Peg, Told};
+use starlinghill_template::Item;
+use std::net::IpAddr;
+
+/// A question.
+#[derive(Debug, Clone, Encode, Decode)]
+pub enum Question {
+    /// By a gateway: what is new?
+    News(Have),
+    /// By a gateway: it has added to the count.
+    Count {
+        /// The term of the counter that is meant.
+        term: u64,
+        /// The life of the gateway's process.
+        from: u64,
+        /// What it has added, and under which names.
+        sums: Vec<Sum>,
+    },
+    /// By a gateway: what it had added in earlier terms.
+    Recall {
+        /// The term of the counter that is meant.
+        term: u64,
+        /// The life of the gateway's process.
+        from: u64,
+        /// All that still counts.
+        sums: Vec<Sum>,
+    },
+    /// By a registry, on who keeps the count.
+    Duty(holdfast::Ask),
+    /// By a registry: what it heard of backends and gateways, each so many milliseconds ago.
+    Heard(Heard),
+    /// By a registry: that backend has left.
+    Left(String),
+    /// By a registry that has just started: all that is known.
+    All,
+}
+
+/// What a gateway has.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Have {
+    /// Who it is.
+    pub gateway: Gateway,
+    /// The life of the registry that it was last answered by here, and the number of the news that it has.
+    pub rack: u64,
+    /// The same.
+    pub seq: u64,
+    /// The system's time, in microseconds, as it knows it.
+    pub time: u64,
+    /// The highest term of the counter that it knows.
+    pub term: u64,
+    /// It is about to end.
+    pub leaving: bool,
+}
+
+/// What a registry heard.
+#[derive(Debug, Clone, Default, Encode, Decode)]
+pub struct Heard {
+    /// Backends.
+    pub backends: Vec<(Peg, u64)>,
+    /// Gateways.
+    pub gateways: Vec<(Gateway, u64)>,
+    /// The system's time.
+    pub time: u64,
+}
+
+/// News for a gateway.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct News {
+    /// The registry's life.
+    pub rack: u64,
+    /// The number of these news.
+    pub seq: u64,
+    /// The store beside it heard a majority of stores a moment ago.
+    pub fresh: bool,
+    /// Items that changed.
+    pub items: Vec<Item>,
+    /// Backends that changed.
+    pub backends: Vec<Told>,
+    /// All gateways, where that set has changed.
+    pub gateways: Option<Vec<Gateway>>,
+    /// Who keeps the count, and its term.
+    pub holder: Option<(u64, IpAddr)>,
+    /// The system's time.
+    pub time: u64,
+}
+
+/// An answer.
+#[derive(Debug, Clone, Encode, Decode)]
+pub enum Answer {
+    /// What is new.
+    News(Box<News>),
+    /// The totals, in the order of the sums, and the system's time.
+    Totals(Vec<f64>, u64),
+    /// This registry does not keep the count in that term, or can't yet; the term that it knows.
+    NotMine(u64),
+    /// On the duty.
+    Duty(holdfast::Tell),
+    /// All that is known.
+    All(Heard),
+    /// It was noted.
+    Noted,
+}
--- a/crates/starlinghill-view/src/fleet.rs
+++ b/crates/starlinghill-view/src/fleet.rs
@@ -169,6 +169,7 @@
             .iter()
             .map(|m| ServerEntry {
                 server: self.site.server(&m.id),
+                service: ServiceId::default(),
                 zone: self.site.zone(&m.locality),
                 cell: CellId(m.cell),
                 listed: match m.phase {
--- /dev/null
+++ b/crates/starlinghill-workbench/src/answers.rs
@@ -0,0 +1,49 @@
+//! How backends of the system are spoken to, and what their answers say.
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_ENCODING};
+use hyper::http::response::Parts;
+use hyper::StatusCode;
+use starlinghill_decision::api::Outcome;
+use starlinghill_gateway::backend::Backend;
+use starlinghill_gateway::dialect::{Dialect, Reading};
+
+/// A try's own id.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("attempt-id");
+/// How many milliseconds the one who asks will wait.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("time-left");
+/// The backend that a request is for.
+pub const TARGET: HeaderName = HeaderName::from_static("target-backend");
+/// The tenant that a request is of.
+pub const CUSTOMER: HeaderName = HeaderName::from_static("customer");
+const SEAL: HeaderName = HeaderName::from_static("backend-seal");
+const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
+
+/// The system's own protocol.
+pub struct System;
+
+impl Dialect for System {
+    fn address(&self, headers: &mut HeaderMap, backend: &Backend, left_ms: u64) {
+        headers.insert(TIME_LEFT, HeaderValue::from(left_ms));
+        if let Some(name) = &backend.name {
+            headers.insert(TARGET, name.clone());
+        }
+    }
+
+    fn read(&self, asked: &HeaderMap, head: &Parts) -> Reading {
+        let (told, refused) = (head.headers.get(ATTEMPT), head.headers.contains_key(NOT_RUN));
+        let refused = refused || head.status == StatusCode::MISDIRECTED_REQUEST;
+        // A surplus answer stands where the next one is due: only the id tells. A turn-away may come without.
+        let own = told.map_or(refused, |told| asked.get(ATTEMPT) == Some(told));
+        if refused {
+            // Another one has the address: this backend is not there any more.
+            let elsewhere = head.status == StatusCode::MISDIRECTED_REQUEST;
+            let outcome = if elsewhere { Outcome::ConnectFailed } else { Outcome::Full };
+            return Reading { outcome, pass: false, own };
+        }
+        // A success without its stamp, or encoded, is not what the backend made.
+        let sound = head.headers.contains_key(SEAL) && !head.headers.contains_key(CONTENT_ENCODING);
+        let success = head.status.is_success();
+        let outcome = if head.status.is_server_error() { Outcome::Error } else { Outcome::Ok };
+        Reading { outcome, pass: true, own: own && (sound || !success) }
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -0,0 +1,211 @@
+//! The way to the shared count: sums go to whoever keeps it, many calls in one message, and totals come back.
+
+use starlinghill_decision::api::{CountName, Micros, Outcome};
+use starlinghill_dovetail::frame::{self, Reader};
+use starlinghill_gateway::counter::{Count, Counting};
+use starlinghill_gateway::inbox::Counted;
+use starlinghill_gauge::{Sum, Sums};
+use starlinghill_toolrack::wire::{Answer, Question};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout, Instant};
+
+/// A call that is not answered by then is decided here. A round trip takes some 3 ms, and a core machine has a third of a
+/// core, so that it may stand still for some time.
+pub const PATIENCE: Duration = Duration::from_millis(90);
+const CONNECT: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_millis(60);
+/// Calls that may wait to be sent, and that go in one message.
+const QUEUE: usize = 4_096;
+const BATCH: usize = 512;
+/// A counter that says nothing for so long, with calls under way, is gone.
+const SILENCE: Duration = Duration::from_millis(600);
+
+struct Waiting {
+    sum: Sum,
+    amount: f64,
+    reply: oneshot::Sender<Counted>,
+}
+
+/// The count, as a gateway reaches it.
+pub struct Counter {
+    start: Instant,
+    sums: RefCell<Sums>,
+    calls: mpsc::Sender<Waiting>,
+    reached: Cell<bool>,
+    /// The system's time, the highest that was heard.
+    pub time: watch::Sender<u64>,
+}
+
+/// Who keeps the count: its term and where it is.
+pub type Holder = Option<(u64, SocketAddr)>;
+
+impl Counter {
+    /// The count, for the gateway process of that life.
+    pub fn start(life: u64, holder: watch::Receiver<Holder>) -> Rc<Counter> {
+        let (calls, queue) = mpsc::channel(QUEUE);
+        let counter = Rc::new(Counter {
+            start: Instant::now(),
+            sums: RefCell::default(),
+            calls,
+            reached: Cell::new(false),
+            time: watch::channel(0).0,
+        });
+        tokio::task::spawn_local(counter.clone().run(life, holder, queue));
+        counter
+    }
+
+    async fn run(
+        self: Rc<Self>,
+        life: u64,
+        mut holder: watch::Receiver<Holder>,
+        mut queue: mpsc::Receiver<Waiting>,
+    ) {
+        loop {
+            let Some((term, address)) = *holder.borrow_and_update() else {
+                if holder.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            let kept = self.keep(life, (term, address), &mut holder, &mut queue).await;
+            if self.reached.replace(false) {
+                log::info!("event=count_lost term={term} at={address} why={kept}");
+            }
+            // Nothing that waits still goes out: a call that fails is decided here.
+            while let Ok(call) = queue.try_recv() {
+                self.failed(call, Outcome::ConnectFailed);
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Calls one holder until it is one no more; returns why.
+    async fn keep(
+        &self,
+        life: u64,
+        (term, address): (u64, SocketAddr),
+        holder: &mut watch::Receiver<Holder>,
+        queue: &mut mpsc::Receiver<Waiting>,
+    ) -> &'static str {
+        let Ok(Ok(mut stream)) = timeout(CONNECT, TcpStream::connect(address)).await else {
+            return "no_connection";
+        };
+        frame::tune(&stream);
+        let mut reader = Reader::default();
+        // First what was added before: a counter that begins must know of it.
+        let sums = self.sums.borrow_mut().all(self.start.elapsed());
+        let recall = Question::Recall { term, from: life, sums };
+        if frame::write(&mut stream, &recall).await.is_err() {
+            return "broken";
+        }
+        match timeout(CONNECT, reader.read::<Answer>(&mut stream)).await {
+            Ok(Ok(Some(Answer::Noted))) => {}
+            Ok(Ok(Some(_))) => return "not_the_holder",
+            _ => return "silent",
+        }
+        if !self.reached.replace(true) {
+            log::info!("event=count_reached term={term} at={address}");
+        }
+        let (mut from, mut to) = stream.into_split();
+        let mut out: VecDeque<Vec<Waiting>> = VecDeque::new();
+        let mut last_word = Instant::now();
+        let mut batch = Vec::new();
+        let why = loop {
+            let silent = last_word + SILENCE;
+            tokio::select! {
+                biased;
+                answer = reader.read::<Answer>(&mut from) => {
+                    last_word = Instant::now();
+                    let Ok(Some(answer)) = answer else { break "broken" };
+                    let Some(calls) = out.pop_front() else { break "nonsense" };
+                    match answer {
+                        Answer::Totals(totals, time) if totals.len() == calls.len() => {
+                            self.hear_time(time);
+                            for (call, total) in calls.into_iter().zip(totals) {
+                                self.sums.borrow_mut().heard(call.sum.name, total);
+                                // Whoever asked may have stopped waiting.
+                                let _ = call.reply.send(Counted { outcome: Outcome::Ok, total });
+                            }
+                        }
+                        Answer::NotMine(known) => {
+                            calls.into_iter().for_each(|call| self.failed(call, Outcome::Full));
+                            if known > term {
+                                break "another_term";
+                            }
+                        }
+                        _ => break "nonsense",
+                    }
+                }
+                count = queue.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        break "ended";
+                    }
+                    if out.is_empty() {
+                        last_word = Instant::now();
+                    }
+                    let sums = batch.iter().map(|call| call.sum).collect();
+                    let question = Question::Count { term, from: life, sums };
+                    out.push_back(std::mem::take(&mut batch));
+                    match timeout(SILENCE, frame::write(&mut to, &question)).await {
+                        Ok(Ok(())) => {}
+                        _ => break "broken",
+                    }
+                }
+                changed = holder.changed() => {
+                    let known = *holder.borrow_and_update();
+                    if changed.is_err() || known != Some((term, address)) {
+                        break "another_holder";
+                    }
+                }
+                () = tokio::time::sleep_until(silent), if !out.is_empty() => break "silent",
+            }
+        };
+        // What was sent may have been added, and is told again in any case.
+        for call in out.into_iter().flatten() {
+            let _ = call.reply.send(Outcome::Reset.into());
+        }
+        why
+    }
+
+    /// It was not added.
+    fn failed(&self, call: Waiting, outcome: Outcome) {
+        self.sums.borrow_mut().take_back(call.sum.name, call.amount);
+        let _ = call.reply.send(outcome.into());
+    }
+
+    /// Somebody has told the system's time.
+    pub fn hear_time(&self, time: u64) {
+        self.time.send_if_modified(|known| {
+            let later = time > *known;
+            *known = (*known).max(time);
+            later
+        });
+    }
+}
+
+impl Count for Counter {
+    fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting {
+        if !self.reached.get() {
+            return Box::pin(async { Outcome::ConnectFailed.into() });
+        }
+        let life = Duration::from_micros(life.0);
+        let sum = self.sums.borrow_mut().add(self.start.elapsed(), name.0, amount, life);
+        let (reply, answer) = oneshot::channel();
+        if let Err(refused) = self.calls.try_send(Waiting { sum, amount, reply }) {
+            self.failed(refused.into_inner(), Outcome::ConnectFailed);
+        }
+        Box::pin(async move {
+            match timeout(PATIENCE, answer).await {
+                Ok(Ok(counted)) => counted,
+                Ok(Err(_)) => Outcome::Reset.into(),
+                Err(_) => Outcome::Timeout.into(),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-workbench/src/lib.rs
@@ -0,0 +1,10 @@
+//! Workshop: the workbench is where the work is done. Here it is the proxy: the gateway's sockets and the decision module,
+//! with routes, keys and tenants round them, and news from the registries that all of it goes by.
+
+pub mod answers;
+pub mod count;
+pub mod desk;
+pub mod news;
+pub mod program;
+pub mod ready;
+pub mod rules;
--- /dev/null
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -0,0 +1,318 @@
+//! What the registries tell, and the owner of what this gateway makes of it: one task, which works through a queue.
+
+use crate::count::{Counter, Holder};
+use crate::rules::{Fleet, Places, COLD};
+use hyper::header::HeaderValue;
+use starlinghill_decision::api::*;
+use starlinghill_dovetail::call::Caller;
+use starlinghill_dovetail::settings::Node;
+use starlinghill_dovetail::TOOLRACK;
+use starlinghill_gateway::inbox::{Clock, Inbox, Input, Listing};
+use starlinghill_pegboard::{Change, Gateway, State, Wall};
+use starlinghill_template::{Book, Table};
+use starlinghill_toolrack::wire::{Answer, Have, News, Question};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A registry answers within half a second, news or not; one that takes longer is asked anew.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(120);
+/// News that wait to be taken in.
+const QUEUE: usize = 64;
+/// The most gateways of the last so many seconds count: guards against a side of a cut that sees half of them, and takes
+/// twice its share.
+const REMEMBERED: Duration = Duration::from_secs(30);
+/// Where a service has no backend, a new process is not kept from being ready for longer than this.
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
+/// A difference of the system's time that is not worth a word to the module.
+const SKEW_STEP: u64 = 2_000;
+
+/// What a request is decided by.
+pub struct View {
+    /// Routes, keys, tenants.
+    pub table: Table,
+    /// Their places in the module.
+    pub places: Places,
+    /// Through how many gateways a tenant's traffic can come.
+    pub gateways: u32,
+}
+
+/// What this gateway goes by.
+pub struct Shared {
+    /// It changes as a whole, between two requests.
+    pub view: RefCell<View>,
+    /// It can serve.
+    pub ready: watch::Sender<bool>,
+    /// It is to end.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// The number of a name, the same at every gateway.
+pub fn number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// The number of a service.
+pub fn service(name: &str) -> ServiceId {
+    ServiceId(number(name) as u32 | 1)
+}
+
+/// The number of a zone.
+pub fn zone(name: &str) -> ZoneId {
+    ZoneId(number(name) as u32)
+}
+
+/// Asks all registries, again and again, and takes in what they tell.
+pub fn start(
+    node: &Node,
+    shared: Rc<Shared>,
+    driver: Inbox,
+    clock: Clock,
+    counter: Rc<Counter>,
+    holder: watch::Sender<Holder>,
+    life: u64,
+) {
+    let (tell, told) = mpsc::channel(QUEUE);
+    let mut racks: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
+    racks.sort_unstable();
+    racks.dedup();
+    let me = Gateway { ip: node.ip, life, zone: node.zone.clone(), node: node.name.clone() };
+    let term = Rc::new(std::cell::Cell::new(0));
+    for (i, ip) in racks.iter().enumerate() {
+        let asking = Asking {
+            rack: i,
+            caller: Caller::new(node.port(*ip, TOOLRACK)),
+            me: me.clone(),
+            term: term.clone(),
+            clock: counter.clone(),
+            tell: tell.clone(),
+            stopping: shared.stopping.clone(),
+        };
+        spawn_local(asking.run());
+    }
+    let owner = Owner {
+        node: node.clone(),
+        shared,
+        driver,
+        clock,
+        counter,
+        holder,
+        term,
+        start: Instant::now(),
+        book: Book::default(),
+        wall: Wall::default(),
+        lists: BTreeMap::new(),
+        counts: VecDeque::new(),
+        fleet: Fleet::default(),
+        first_news: None,
+    };
+    spawn_local(owner.run(told));
+}
+
+struct Asking {
+    rack: usize,
+    caller: Caller,
+    me: Gateway,
+    term: Rc<std::cell::Cell<u64>>,
+    clock: Rc<Counter>,
+    tell: mpsc::Sender<(usize, News)>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Asking {
+    async fn run(self) {
+        let (mut rack, mut seq, mut silent) = (0, 0, false);
+        loop {
+            let have = Have {
+                gateway: self.me.clone(),
+                rack,
+                seq,
+                time: *self.clock.time.borrow(),
+                term: self.term.get(),
+                leaving: *self.stopping.borrow(),
+            };
+            match self.caller.call(&Question::News(have), PATIENCE).await {
+                Ok(Answer::News(news)) => {
+                    (rack, seq, silent) = (news.rack, news.seq, false);
+                    if self.tell.send((self.rack, *news)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(_) => sleep(PAUSE).await,
+                Err(error) => {
+                    if !std::mem::replace(&mut silent, true) {
+                        log::warn!("event=rack_silent at={} error=\"{error}\"", self.caller.address());
+                    }
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+struct Owner {
+    node: Node,
+    shared: Rc<Shared>,
+    driver: Inbox,
+    clock: Clock,
+    counter: Rc<Counter>,
+    holder: watch::Sender<Holder>,
+    term: Rc<std::cell::Cell<u64>>,
+    start: Instant,
+    book: Book,
+    wall: Wall,
+    /// The gateways as each registry last told them.
+    lists: BTreeMap<usize, Vec<Gateway>>,
+    /// How many there were, and when that was last so.
+    counts: VecDeque<(Instant, u32)>,
+    fleet: Fleet,
+    /// When a registry that hears a majority first told of a configuration.
+    first_news: Option<Instant>,
+}
+
+impl Owner {
+    async fn run(mut self, mut told: mpsc::Receiver<(usize, News)>) {
+        let mut tick = interval(Duration::from_secs(1));
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                news = told.recv() => match news {
+                    Some((rack, news)) => self.take(rack, news).await,
+                    None => return,
+                },
+                _ = tick.tick() => {
+                    let gone = self.wall.tick(self.start.elapsed());
+                    self.backends(gone).await;
+                    self.count_gateways();
+                    self.tell_rules(false).await;
+                }
+            }
+            self.look_ready();
+        }
+    }
+
+    async fn take(&mut self, rack: usize, news: News) {
+        self.counter.hear_time(news.time);
+        let changed = !self.book.merge(news.items).is_empty();
+        if changed {
+            self.follow_items().await;
+        }
+        if news.fresh && !self.book.is_empty() {
+            self.first_news.get_or_insert_with(Instant::now);
+        }
+        let changes = self.wall.told(self.start.elapsed(), rack, news.rack, news.backends);
+        self.backends(changes).await;
+        if let Some(gateways) = news.gateways {
+            self.lists.insert(rack, gateways);
+            self.count_gateways();
+        }
+        if let Some((term, ip)) = news.holder.filter(|(term, _)| *term >= self.term.get()) {
+            self.term.set(term);
+            let at = Some((term, self.node.port(ip, TOOLRACK)));
+            self.holder.send_if_modified(|known| std::mem::replace(known, at) != at);
+        }
+        self.tell_rules(false).await;
+    }
+
+    /// The module is told before a request can come under the new items.
+    async fn follow_items(&mut self) {
+        let table = Table::of(&self.book);
+        self.shared.view.borrow_mut().places.follow(&table);
+        self.tell_rules(true).await;
+        let routes = table.routes().count();
+        log::info!("event=configuration routes={routes} tenants={}", table.tenants.len());
+        self.shared.view.borrow_mut().table = table;
+    }
+
+    async fn tell_rules(&mut self, changed: bool) {
+        let now = self.clock.now();
+        let ahead = Micros(self.counter.time.borrow().saturating_sub(now.0));
+        let skew = self.fleet.skew.max(ahead);
+        let gateways = self.counts.iter().map(|(_, count)| *count).max().unwrap_or(1).max(1);
+        let mut all: BTreeSet<IpAddr> = self.lists.values().flatten().map(|gateway| gateway.ip).collect();
+        all.insert(self.node.ip);
+        let me = all.iter().position(|ip| *ip == self.node.ip).unwrap_or_default() as u32;
+        let fleet = Fleet { gateways, me, skew };
+        let same = fleet.gateways == self.fleet.gateways
+            && fleet.me == self.fleet.me
+            && skew.0 < self.fleet.skew.0 + SKEW_STEP;
+        if same && !changed {
+            return;
+        }
+        self.fleet = fleet;
+        let rules = {
+            let mut view = self.shared.view.borrow_mut();
+            view.gateways = gateways;
+            view.places.rules(&fleet, &self.node.bounds)
+        };
+        // Without a driver nothing is decided any more.
+        let _ = self.driver.send(Input::Rules(rules)).await;
+    }
+
+    async fn backends(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        let (now, time) = (self.clock.now(), *self.counter.time.borrow());
+        let listing = |change: Change| {
+            let Change { peg, silent } = change;
+            let listed = match peg.state {
+                State::Ready if silent => Listed::Draining,
+                State::Ready => Listed::InService,
+                State::Draining => Listed::Draining,
+                State::Gone => Listed::Gone,
+            };
+            let warm_in = peg.warm_at.saturating_sub(time);
+            let started = (warm_in > 0).then(|| now + Micros(warm_in.min(COLD.0)) - COLD);
+            let entry = ServerEntry {
+                server: ServerId(number(&peg.id)),
+                service: service(&peg.service),
+                zone: zone(&peg.zone),
+                cell: CellId(0),
+                listed,
+                weight: f64::from(peg.capacity),
+                started,
+            };
+            Some(Listing { entry, address: peg.address, name: HeaderValue::from_str(&peg.id).ok()? })
+        };
+        let listings = changes.into_iter().filter_map(listing).collect();
+        let _ = self.driver.send(Input::Backends(ListScope::Changes, listings)).await;
+    }
+
+    fn count_gateways(&mut self) {
+        let mut all: BTreeSet<IpAddr> = self.lists.values().flatten().map(|gateway| gateway.ip).collect();
+        all.insert(self.node.ip);
+        let (now, count) = (Instant::now(), all.len() as u32);
+        self.counts.retain(|(at, _)| now.duration_since(*at) < REMEMBERED);
+        match self.counts.back_mut() {
+            Some((at, known)) if *known == count => *at = now,
+            _ => self.counts.push_back((now, count)),
+        }
+    }
+
+    fn look_ready(&mut self) {
+        if *self.shared.ready.borrow() {
+            return;
+        }
+        let Some(since) = self.first_news else { return };
+        let served = self.wall.served();
+        let view = self.shared.view.borrow();
+        let all = view.table.routes().flat_map(|route| &route.to).all(|(to, _)| served.contains(to.as_str()));
+        if all || since.elapsed() > LONGEST_WAIT {
+            log::info!("event=ready served={} all={all} gateways={}", served.len(), view.gateways);
+            self.shared.ready.send_replace(true);
+        }
+    }
+}
+
+/// Where the count is said to be, before anybody has said so.
+pub fn nowhere() -> (watch::Sender<Holder>, watch::Receiver<Holder>) {
+    watch::channel::<Option<(u64, SocketAddr)>>(None)
+}
--- /dev/null
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -0,0 +1,139 @@
+//! The proxy as a process.
+
+use crate::answers::System;
+use crate::count::Counter;
+use crate::desk::Front;
+use crate::news::{self, Shared, View};
+use crate::rules::{self, Places};
+use snafu::{OptionExt, ResultExt, Snafu};
+use starlinghill_decision::api::Micros;
+use starlinghill_dovetail::settings::{Node, SettingsError};
+use starlinghill_gateway::backend::Pool;
+use starlinghill_gateway::config::ConfigError;
+use starlinghill_gateway::driver::Driver;
+use starlinghill_gateway::inbox::{Clock, Input};
+use starlinghill_gateway::server::{serve, Desk, Intake};
+use starlinghill_template::Table;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Semaphore};
+use tokio::task::spawn_local;
+
+/// The module's time begins here: long after nothing, so that what was before has a time as well.
+const BEGINNING: Micros = Micros(100_000_000);
+/// A connection to a backend must be up in this time. Guards against machines that vanished.
+const DIAL: Duration = Duration::from_millis(250);
+/// Where a backend does not say how long it keeps a connection.
+const KEPT: Duration = Duration::from_secs(6);
+/// Descriptors that are neither clients' nor backends'.
+const OTHERS: u64 = 300;
+/// The part of the memory that clients' bodies may fill.
+const BODIES_PART: u64 = 8;
+/// So long before the last answer the module gives up what is open.
+const GIVE_UP: Duration = Duration::from_millis(150);
+
+/// Why a proxy can't start or go on.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// Its settings.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong.
+        source: SettingsError,
+    },
+    /// No address for clients.
+    #[snafu(display("network.listen.{which}: found nothing, allowed: an IP address with a port"))]
+    Unreachable {
+        /// Which key.
+        which: &'static str,
+    },
+    /// The module does not take its settings.
+    #[snafu(display("{source}"))]
+    Module {
+        /// Why.
+        source: ConfigError,
+    },
+    /// It can't listen, or hear signals.
+    #[snafu(display("{what}: {source}"))]
+    System {
+        /// What failed.
+        what: String,
+        /// How.
+        source: std::io::Error,
+    },
+    /// The driver ended.
+    #[snafu(display("the driver ended"))]
+    Driver,
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    starlinghill_gateway::listen::bind(address)
+        .await
+        .context(SystemSnafu { what: format!("listen on {address}") })
+}
+
+/// Runs until SIGTERM and until all that was taken is answered.
+pub async fn run() -> Result<(), StartError> {
+    let node = Node::from_environment().context(SettingsSnafu)?;
+    let front_at = node.front.context(UnreachableSnafu { which: "front" })?;
+    let ready_at = node.ready.context(UnreachableSnafu { which: "ready" })?;
+    let mut terminate =
+        signal(SignalKind::terminate()).context(SystemSnafu { what: "SIGTERM".to_string() })?;
+    let mut hang_up = signal(SignalKind::hangup()).context(SystemSnafu { what: "SIGHUP".to_string() })?;
+    let (clients, asked) = (listen(front_at).await?, listen(ready_at).await?);
+    log::info!("event=start program=workbench node={} zone={}", node.name, node.zone);
+    let (stop, stopping) = watch::channel(false);
+    let (ready, _) = watch::channel(false);
+    let view = View { table: Table::default(), places: Places::default(), gateways: 1 };
+    let shared = Rc::new(Shared { view: RefCell::new(view), ready, stopping });
+    let life = fastrand::u64(1..);
+    let (holder, held) = news::nowhere();
+    let counter = Counter::start(life, held);
+    let clock = Clock::from(BEGINNING);
+    let sockets = node.open_files.saturating_sub(OTHERS).max(16) as usize;
+    let pool = Pool::new(sockets / 3, DIAL, KEPT, Rc::new(System));
+    let settings = rules::settings(news::zone(&node.zone), &node.bounds);
+    let driver = Driver::hosted(settings, life, clock, pool, counter.clone()).context(ModuleSnafu)?;
+    let inbox = driver.inbox();
+    news::start(&node, shared.clone(), inbox.clone(), clock, counter, holder, life);
+    spawn_local(crate::ready::serve(asked, shared.clone()));
+    let bodies = (node.memory_mb << 20) / BODIES_PART;
+    let intake = Intake {
+        inbox: inbox.clone(),
+        clock,
+        bodies: Semaphore::new(bodies as usize),
+        last: Default::default(),
+    };
+    let draw = RefCell::new(fastrand::Rng::with_seed(life));
+    let front = Rc::new(Front { intake, shared, grace: node.bounds.grace, draw });
+    let last_answer = front.last_answer();
+    spawn_local(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = hang_up.recv() => match Node::from_environment() {
+                    // All that may change while it runs is who else there is, which the registries tell.
+                    Ok(node) => log::info!("event=settings_read node={}", node.name),
+                    Err(error) => log::warn!("event=settings_unusable error=\"{error}\" action=kept_old"),
+                },
+            }
+        }
+        log::info!("event=stopping");
+        // It may have ended by itself.
+        let _ = stop.send(true);
+        let left = last_answer.saturating_sub(GIVE_UP);
+        let by = clock.now() + Micros(left.as_micros() as u64);
+        let _ = inbox.send(Input::Closing(by)).await;
+        std::future::pending::<()>().await;
+    });
+    let driving = spawn_local(driver.run());
+    // Guards against living on without a driver, taking requests that nobody decides.
+    tokio::select! {
+        () = serve(clients, front, sockets * 2 / 3) => Ok(()),
+        _ = driving => Err(StartError::Driver),
+    }
+}
