Names twice in a call merge by version; attempts last as long as their request

Cause: an operator's call may name a route twice, as it moves between hosts; it was refused with 400 (Route ..: stands twice).

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -147,6 +147,8 @@
     pub tick: Micros,
     /// The budget of further attempts, by service; `None`: the module's own.
     pub retries: Option<Retries>,
+    /// An attempt is given up no sooner than its request.
+    pub patient: bool,
     /// What is added to the module's time for the windows of counts, so that all gateways have the same.
     pub skew: Micros,
 }
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -223,7 +223,8 @@
         let class = &self.cx.set.classes[r.a.class.0];
         // An attempt is given up while another could still meet the aim. Guards against servers that fall
         // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
-        let again = class.effect != Effect::Unsafe
+        let again = !self.cx.set.patient
+            && class.effect != Effect::Unsafe
             && !class.stream
             && r.attempts.len() + 1 < r.most
             && (class.effect == Effect::Safe || class.group == Group::All)
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -209,6 +209,7 @@
             fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
             tip_after: f.micros_or("rules.tip_after", 0)?,
             retries: None,
+            patient: false,
             skew: Micros(0),
             tick: f.micros_or("tick", 0)?,
         };
--- a/crates/starlinghill-template/src/book.rs
+++ b/crates/starlinghill-template/src/book.rs
@@ -84,7 +84,7 @@
         Ok(Held { value: Some(value), parsed: Some(parsed), item })
     }
 
-    fn same_content(&self, other: &Held) -> bool {
+    pub(crate) fn same_content(&self, other: &Held) -> bool {
         self.value == other.value && self.item.host == other.item.host
     }
 }
--- a/crates/starlinghill-template/src/change.rs
+++ b/crates/starlinghill-template/src/change.rs
@@ -3,7 +3,8 @@
 use crate::book::{Held, Item, Kind, Refusal};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
-use std::collections::BTreeSet;
+use std::collections::btree_map::Entry;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A change that makes sense by itself.
@@ -85,13 +86,26 @@
                 items.push(Held::read(Item { body: None, ..item(kind, "", value)? })?);
             }
         }
-        let mut seen = BTreeSet::new();
-        for held in &items {
-            if !seen.insert((held.item.kind, &held.item.name)) {
-                return invalid(format!("{:?} {}: stands twice", held.item.kind, held.item.name));
+        // Of a name that stands twice the higher version prevails, as anywhere.
+        let mut by_name: BTreeMap<(Kind, String), Held> = BTreeMap::new();
+        for held in items {
+            match by_name.entry((held.item.kind, held.item.name.clone())) {
+                Entry::Vacant(place) => drop(place.insert(held)),
+                Entry::Occupied(mut place) if place.get().item.version < held.item.version => {
+                    place.insert(held);
+                }
+                Entry::Occupied(place) => {
+                    let stands = place.get();
+                    if stands.item.version == held.item.version && !stands.same_content(&held) {
+                        return invalid(format!(
+                            "{:?} {}: stands twice with one version, r{}",
+                            held.item.kind, held.item.name, held.item.version
+                        ));
+                    }
+                }
             }
         }
-        Ok(Change { items: items.into_iter().map(Rc::new).collect() })
+        Ok(Change { items: by_name.into_values().map(Rc::new).collect() })
     }
 }
 
