The counter keeps the tenants' stores itself; what gateways decide alone is left to them

Cause: QUOTA broke where the holder of the count was cut off or killed: totals of 25 s windows were followed from outside, local shares began with what was left, and a counter that began granted again. Change: a draw takes from the tenant's store at the counter, or nothing; shares while silent are the rate over the gateways and start empty; the counter leaves silent gateways their share; one that begins goes by what was last heard.

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -147,6 +147,8 @@
     pub tick: Micros,
     /// The budget of further attempts, by service; `None`: the module's own.
     pub retries: Option<Retries>,
+    /// The counter keeps the quotas' stores itself: a request is drawn, and what its store has left is heard.
+    pub levels: bool,
     /// An attempt is given up no sooner than its request.
     pub patient: bool,
     /// What is added to the module's time for the windows of counts, so that all gateways have the same.
@@ -389,6 +391,9 @@
     Probe(ServerId),
     /// Add to a count that lives that long, and hear the total.
     Count(CountName, f64, Micros),
+    /// Where the counter keeps the stores: take from one what is owed in any case, and so many units if it holds them. What
+    /// it holds then is heard, below nothing where it did not hold them.
+    Draw(CountName, f64, f64),
     /// Send a message of up to 256 bytes to another gateway.
     Tell(u32, Vec<u8>),
     /// Wake the module after this time.
--- a/crates/starlinghill-decision/src/counter.rs
+++ b/crates/starlinghill-decision/src/counter.rs
@@ -6,7 +6,7 @@
 use crate::bucket::mix;
 use crate::calls::{fate, Call, Purpose};
 use crate::context::Context;
-use crate::customer::{demand_span, quota_of, span, split, EPOCH, WINDOW};
+use crate::customer::{demand_span, quota_of, span, split, store_name, window, EPOCH, WINDOW};
 use starlinghill_ledger::account::Total;
 
 /// A gateway that heard nothing of a customer for this long is one of those that let it through unasked.
@@ -21,7 +21,7 @@
 
     /// Brings a customer's counts to the present window and epoch.
     pub(crate) fn roll(&mut self, cx: &Context, id: CustomerId) {
-        let ((window, rest), epoch) = (span(cx, id, WINDOW), span(cx, id, EPOCH).0);
+        let ((window, rest), epoch) = (window(cx, id), span(cx, id, EPOCH).0);
         let silent = self.silent(cx, id);
         self.roll_shares(cx, id, window, rest);
         let Some(c) = self.customers.get_mut(&id) else { return };
@@ -47,7 +47,10 @@
         let probe = request.is_some() && (self.breaker.probing || c.breaker.probing);
         let length = if places { EPOCH } else { WINDOW };
         let tag = post.span << 1 | u64::from(places);
-        let name = CountName(mix(mix(id.0) ^ mix(tag)) >> 1);
+        let name = match cx.set.levels {
+            true => store_name(id),
+            false => CountName(mix(mix(id.0) ^ mix(tag)) >> 1),
+        };
         let call = Call { at: cx.now, purpose, customer: id, request, units, post, probe };
         self.made(cx, name, (length + length).min(Micros(60_000_000)), call);
     }
@@ -60,7 +63,10 @@
     }
 
     fn made(&mut self, cx: &mut Context, name: CountName, life: Micros, call: Call) {
-        cx.out.push(Action::Count(name, call.post.amount, life));
+        cx.out.push(match cx.set.levels {
+            true => Action::Draw(name, call.post.extra, call.post.fresh()),
+            false => Action::Count(name, call.post.amount, life),
+        });
         self.calls.entry(name).or_default().push_back(call);
     }
 
@@ -115,9 +121,16 @@
     ) -> Option<(Option<f64>, bool)> {
         self.roll(cx, call.customer);
         let (slight, known_from) = (self.slight(cx, call.customer), self.known_from(cx));
-        let (span, rest) = span(cx, call.customer, WINDOW);
+        let (span, rest) = window(cx, call.customer);
         let c = self.customers.get_mut(&call.customer)?;
         let quota = quota_of(cx, c.plan);
+        if cx.set.levels && outcome == Outcome::Ok {
+            c.account.drawn(&call.post, cx.now, total);
+            c.bucket = None;
+            self.call_succeeded(cx, call);
+            // What the store did not hold was not taken.
+            return Some((Some(total), total >= 0.0));
+        }
         let mut heard = None;
         if outcome == Outcome::Ok {
             if call.purpose == Purpose::Window {
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -16,6 +16,8 @@
 pub(crate) const EPOCH: Micros = Micros(5_000_000);
 /// Life of idle customers, of whom many come once.
 pub(crate) const FORGET: Micros = Micros(30_000_000);
+/// Apart from all other names.
+const STORE_NAME: u64 = 0x7374_6f72_65;
 /// The length of a window. Long ones are followed over their edges seldom; a name lives for 60 s at most.
 pub(crate) const WINDOW: Micros = Micros(25_000_000);
 
@@ -76,6 +78,19 @@
     (shifted / length.0, Micros(length.0 - shifted % length.0))
 }
 
+/// The current window of a customer. Where the counter keeps the stores there is but one.
+pub(crate) fn window(cx: &Context, customer: CustomerId) -> (u64, Micros) {
+    match cx.set.levels {
+        true => (0, WINDOW),
+        false => span(cx, customer, WINDOW),
+    }
+}
+
+/// The name of a customer's store, where the counter keeps it.
+pub fn store_name(customer: CustomerId) -> CountName {
+    name_of(customer, STORE_NAME, 0)
+}
+
 /// The current span of a customer's demand, and how much of it has passed.
 pub(crate) fn demand_span(cx: &Context, customer: CustomerId) -> (u64, Micros) {
     let shifted = cx.now.0 + cx.set.skew.0 + mix(customer.0) % SPAN.0;
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -27,6 +27,10 @@
 pub trait Count {
     /// Makes one call; it ends by itself.
     fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting;
+    /// Draws from a store that the counter keeps; it ends by itself. The platform's counter keeps none.
+    fn draw(self: Rc<Self>, _: CountName, _owed: f64, _units: f64) -> Counting {
+        Box::pin(async { Outcome::Moot.into() })
+    }
     /// Where the counter is, where it is at an address.
     fn at(&self) -> Option<SocketAddr> {
         None
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::backend::{Backend, Pool};
 use crate::config::{Config, ConfigError, Upstreams};
-use crate::counter::{Calls, Count, Counter};
+use crate::counter::{Calls, Count, Counter, Counting};
 use crate::dialect::Platform;
 use crate::forward::{Ended, Forward, Head, Served};
 use crate::handover::Handover;
@@ -501,7 +501,10 @@
                     let _ = call_off.send(());
                 }
             }
-            Action::Count(name, amount, life) => self.count(name, amount, life),
+            Action::Count(name, amount, life) => {
+                self.count(name, |counter| counter.count(name, amount, life));
+            }
+            Action::Draw(name, owed, units) => self.count(name, |counter| counter.draw(name, owed, units)),
             Action::Tell(to, message) => self.post.iter().for_each(|post| post.send(to, &message)),
             Action::SetTimer(id, after) => self.timers.push(Reverse((now + after, id))),
             // Probing is not allowed here, and the watch on the list never stops.
@@ -567,12 +570,12 @@
         });
     }
 
-    fn count(&mut self, name: CountName, amount: f64, life: Micros) {
+    fn count(&mut self, name: CountName, call: impl FnOnce(Rc<dyn Count>) -> Counting) {
         let serial = self.calls.made(name);
-        let (counter, inbox) = (self.counter.clone(), self.inbox.clone());
+        let (counting, inbox) = (self.counter.clone().map(call), self.inbox.clone());
         tokio::task::spawn_local(async move {
-            let counted = match counter {
-                Some(counter) => counter.count(name, amount, life).await,
+            let counted = match counting {
+                Some(counting) => counting.await,
                 None => Outcome::ConnectFailed.into(),
             };
             let _ = inbox.send(Input::Counted(name, serial, counted)).await;
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -1,49 +1,73 @@
-//! Workshop: a gauge says how much there is. Here it is the shared count of what the tenants have used: each gateway says
-//! what it has added itself, as a sum that it keeps, and hears the sum of all.
+//! Workshop: a gauge says how much there is. Here it is the shared count of what the tenants use: one store for each
+//! tenant, which fills at its rate and holds its burst, and from which every gateway draws before it sends a request on.
 //!
-//! Sums instead of amounts: a word that is lost, or comes twice, changes nothing that the next one does not put right, and
-//! a counter that begins with nothing is told by each gateway what it had added. What gateways had added that are gone is
-//! known by what the others last heard in all.
+//! The sum over all machines is what counts, also while machines are cut off, the counter moves, or all of it is killed:
+//!
+//! * A draw that the store does not hold takes nothing.
+//! * A gateway that can't reach the counter decides by its own share of the rate. While the counter hears nothing of a
+//!   gateway, it leaves that share to it, but for what the rules allow in excess.
+//! * A counter that begins takes each store to hold what was last heard of it, in the system's time, and nothing for the
+//!   time since: that was the gateways' own. Of a store that nobody heard of it takes the worst, for a while.
 //!
 //! No I/O and no clock.
 
+mod bound;
+mod readings;
+
+pub use bound::{fill_part, most_in, Excess};
+pub use readings::Readings;
+
 use bitcode::{Decode, Encode};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-/// The most names that are kept, and gateways for each. Guards memory.
-pub const MOST_NAMES: usize = 100_000;
-const MOST_GATEWAYS: usize = 4_096;
+/// The most stores that are kept. Guards memory.
+pub const MOST: usize = 100_000;
 /// A counter that begins waits so long for the gateways that it knows of. Until then they decide by themselves.
-pub const RECALL: Duration = Duration::from_millis(1_000);
-
-/// What a gateway has added under a name.
+pub const RECALL: Duration = Duration::from_millis(800);
+/// A gateway that has drawn nothing, and said nothing, for so long may be deciding by itself.
+pub const SILENT: Duration = Duration::from_millis(600);
+/// How often a gateway that draws nothing says something.
+pub const KEEP_IN_TOUCH: Duration = Duration::from_millis(200);
+/// Of a store that nobody told of the worst is taken for so long after the counter has begun.
+const DOUBT: Duration = Duration::from_secs(5);
+/// A store that nobody drew from for so long is full, whatever its tenant, and is forgotten.
+const IDLE: Duration = Duration::from_secs(120);
+/// What is owed may empty a store so far below nothing, in bursts: a tenant must not be shut out for long by what is told
+/// late.
+const BELOW: f64 = 1.0;
+
+/// What a gateway draws.
 #[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
-pub struct Sum {
-    /// The name.
+pub struct Draw {
+    /// The store.
     pub name: u64,
-    /// All that it has added itself.
-    pub own: f64,
-    /// What it last heard of all together.
-    pub heard: f64,
-    /// How much longer the name lives, in milliseconds.
-    pub left_ms: u64,
+    /// What was used before and not told, or given back where negative: taken in any case.
+    pub owed: f64,
+    /// What is wanted now: taken if the store holds it.
+    pub units: f64,
+    /// The tenant's rate a second.
+    pub rate: f64,
+    /// The most that its store holds.
+    pub burst: f64,
 }
 
-#[derive(Debug, Default)]
-struct Name {
-    sums: HashMap<u64, f64>,
-    /// What was heard of before, and none of those who told has added.
-    missing: f64,
-    /// The most that was heard in an earlier term.
-    heard: f64,
-    until: Duration,
+/// What a gateway last heard of a store.
+#[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
+pub struct Reading {
+    /// The store.
+    pub name: u64,
+    /// What it held.
+    pub level: f64,
+    /// When, in microseconds of the system's time.
+    pub at: u64,
 }
 
-impl Name {
-    fn added(&self) -> f64 {
-        self.sums.values().sum()
-    }
+#[derive(Debug)]
+struct Store {
+    level: f64,
+    at: Duration,
+    drawn: Duration,
 }
 
 /// The counter in one term.
@@ -52,128 +76,132 @@
     /// Its term.
     pub term: u64,
     began: Duration,
-    open: bool,
-    names: HashMap<u64, Name>,
+    /// The whole system is new: nothing was drawn before.
+    first: bool,
+    open: Option<Duration>,
+    stores: HashMap<u64, Store>,
+    readings: HashMap<u64, Reading>,
     awaited: BTreeSet<u64>,
     recalled: BTreeSet<u64>,
+    /// When each gateway last said something.
+    heard: BTreeMap<u64, Duration>,
+    part: f64,
+    excess: f64,
 }
 
 impl Gauge {
-    /// A counter that knows nothing but the gateways that may have added to the one before it.
-    pub fn begin(now: Duration, term: u64, gateways: impl IntoIterator<Item = u64>) -> Gauge {
-        let awaited = gateways.into_iter().collect();
-        let (names, recalled) = (HashMap::new(), BTreeSet::new());
-        Gauge { term, began: now, open: false, names, awaited, recalled }
+    /// A counter that knows nothing but the gateways that may have drawn before. `excess` is the part by which the rules
+    /// let a quota be passed.
+    pub fn begin(
+        now: Duration,
+        term: u64,
+        first: bool,
+        excess: f64,
+        gateways: impl IntoIterator<Item = u64>,
+    ) -> Gauge {
+        Gauge {
+            term,
+            began: now,
+            first,
+            open: None,
+            stores: HashMap::new(),
+            readings: HashMap::new(),
+            awaited: gateways.into_iter().collect(),
+            recalled: BTreeSet::new(),
+            heard: BTreeMap::new(),
+            part: 1.0,
+            excess,
+        }
     }
 
     /// It answers.
     pub fn is_open(&self) -> bool {
-        self.open
+        self.open.is_some()
     }
 
-    /// How many names it keeps.
-    pub fn kept(&self) -> usize {
-        self.names.len()
+    /// How many stores it keeps, and the part of the rates at which they fill.
+    pub fn state(&self) -> (usize, f64) {
+        (self.stores.len(), self.part)
     }
 
-    /// A gateway says what it has added in earlier terms.
-    pub fn recall(&mut self, now: Duration, from: u64, sums: &[Sum]) {
-        if self.recalled.len() >= MOST_GATEWAYS {
-            return;
-        }
-        for sum in sums {
-            let open = self.open;
-            let Some(name) = self.name(now, sum.name, sum.left_ms) else { continue };
-            name.heard = name.heard.max(sum.heard);
-            // One that comes late accounts for some of what was missing.
-            if open && name.sums.insert(from, sum.own).is_none() {
-                name.missing = (name.missing - sum.own.max(0.0)).max(0.0);
-            } else {
-                name.sums.insert(from, sum.own);
+    /// A gateway says what it last heard of stores.
+    pub fn recall(&mut self, now: Duration, from: u64, readings: &[Reading]) {
+        for reading in readings {
+            if self.readings.len() >= MOST && !self.readings.contains_key(&reading.name) {
+                continue;
+            }
+            // The latest was told after all that the others had drawn by then.
+            let known = self.readings.entry(reading.name).or_insert(*reading);
+            if reading.at > known.at {
+                *known = *reading;
             }
         }
         self.recalled.insert(from);
-        self.tick(now);
+        self.heard.insert(from, now);
+        self.look(now);
     }
 
-    /// Opens it once all have told, or were waited for; forgets names whose time is over.
-    pub fn tick(&mut self, now: Duration) {
-        self.names.retain(|_, name| now < name.until);
-        if !self.open && (now >= self.began + RECALL || self.awaited.is_subset(&self.recalled)) {
-            self.open = true;
-            for name in self.names.values_mut() {
-                name.missing = (name.heard - name.added()).max(0.0);
-            }
+    fn look(&mut self, now: Duration) {
+        if self.open.is_none() && (now >= self.began + RECALL || self.awaited.is_subset(&self.recalled)) {
+            self.open = Some(now);
         }
     }
 
-    /// A gateway adds; it hears the totals, in the same order. `None`: the counter does not answer yet, or does not know
-    /// this gateway: it has to say first what it added before.
-    pub fn add(&mut self, now: Duration, from: u64, sums: &[Sum]) -> Option<Vec<f64>> {
-        if !self.open || !self.recalled.contains(&from) {
-            return None;
-        }
-        let total = |sum: &Sum| {
-            let name = self.name(now, sum.name, sum.left_ms)?;
-            name.sums.insert(from, sum.own);
-            Some(name.added() + name.missing)
+    /// Time passes: these are the gateways that carry traffic now, by their lives.
+    pub fn tick(&mut self, now: Duration, gateways: &BTreeSet<u64>) {
+        self.look(now);
+        self.heard.retain(|gateway, _| gateways.contains(gateway));
+        self.recalled.retain(|gateway| gateways.contains(gateway));
+        let silent = |gateway: &&u64| {
+            let heard = self.heard.get(gateway).copied().unwrap_or(self.began);
+            now.saturating_sub(heard) > SILENT
         };
-        sums.iter().map(total).collect()
-    }
-
-    fn name(&mut self, now: Duration, name: u64, left_ms: u64) -> Option<&mut Name> {
-        if self.names.len() >= MOST_NAMES && !self.names.contains_key(&name) {
-            return None;
+        let silent = gateways.iter().filter(silent).count();
+        let part = fill_part(silent, gateways.len(), self.excess);
+        if part != self.part {
+            // What has filled so far filled at the part that held until now.
+            let old = std::mem::replace(&mut self.part, part);
+            for store in self.stores.values_mut() {
+                store.at = now.saturating_sub(now.saturating_sub(store.at).mul_f64(old / part.max(1e-6)));
+            }
         }
-        let until = now + Duration::from_millis(left_ms.min(120_000));
-        let name = self.names.entry(name).or_default();
-        name.until = name.until.max(until);
-        Some(name)
+        self.stores.retain(|_, store| now.saturating_sub(store.drawn) < IDLE);
     }
-}
-
-/// What a gateway keeps of its own.
-#[derive(Debug, Default)]
-pub struct Sums {
-    names: HashMap<u64, (f64, f64, Duration)>,
-    /// At how many names it looks for those whose time is over.
-    swept: usize,
-}
 
-impl Sums {
-    /// Adds, and returns what has to be said.
-    pub fn add(&mut self, now: Duration, name: u64, amount: f64, life: Duration) -> Sum {
-        if self.names.len() >= self.swept.max(1_024) {
-            self.names.retain(|_, (_, _, until)| now < *until);
-            self.swept = self.names.len() * 2;
+    /// A gateway draws; it hears what each store holds then, in the same order: below nothing where that did not hold what
+    /// was wanted, which was then not taken. `None`: the counter does not answer yet, or does not know this gateway, which
+    /// has to say first what it heard before.
+    pub fn draw(&mut self, now: Duration, from: u64, draws: &[Draw]) -> Option<Vec<f64>> {
+        let opened = self.open?;
+        if !self.recalled.contains(&from) {
+            return None;
         }
-        let entry = self.names.entry(name).or_insert((0.0, 0.0, now + life));
-        entry.0 += amount;
-        let left_ms = entry.2.saturating_sub(now).as_millis() as u64;
-        Sum { name, own: entry.0, heard: entry.1, left_ms }
+        self.heard.insert(from, now);
+        let doubted = !self.first && now.saturating_sub(opened) < DOUBT;
+        draws.iter().map(|draw| self.draw_one(now, opened, doubted, draw)).collect()
     }
 
-    /// A call that never reached the counter: what it carried was not added.
-    pub fn take_back(&mut self, name: u64, amount: f64) {
-        if let Some(entry) = self.names.get_mut(&name) {
-            entry.0 -= amount;
+    fn draw_one(&mut self, now: Duration, opened: Duration, doubted: bool, draw: &Draw) -> Option<f64> {
+        let Draw { name, owed, units, rate, burst } = *draw;
+        if self.stores.len() >= MOST && !self.stores.contains_key(&name) {
+            return None;
         }
-    }
-
-    /// The total was heard.
-    pub fn heard(&mut self, name: u64, total: f64) {
-        if let Some(entry) = self.names.get_mut(&name) {
-            entry.1 = total;
+        let readings = &self.readings;
+        let store = self.stores.entry(name).or_insert_with(|| {
+            let told = readings.get(&name).map(|reading| reading.level.min(burst));
+            let level = told.unwrap_or(if doubted { 0.0 } else { burst });
+            // What was last heard holds from when the counter opened.
+            let at = if told.is_some() { opened } else { now };
+            Store { level, at, drawn: now }
+        });
+        let filled = rate * self.part * now.saturating_sub(store.at).as_secs_f64();
+        store.level = (store.level + filled).min(burst);
+        (store.at, store.drawn) = (now, now);
+        store.level = (store.level - owed).clamp(-BELOW * burst, burst);
+        if units > 0.0 && store.level < units {
+            return Some(store.level - units);
         }
-    }
-
-    /// All that still lives, for a counter that begins.
-    pub fn all(&mut self, now: Duration) -> Vec<Sum> {
-        self.names.retain(|_, (_, _, until)| now < *until);
-        let sum = |(name, (own, heard, until)): (&u64, &(f64, f64, Duration))| {
-            let left_ms = until.saturating_sub(now).as_millis() as u64;
-            Sum { name: *name, own: *own, heard: *heard, left_ms }
-        };
-        self.names.iter().map(sum).collect()
+        store.level -= units;
+        Some(store.level)
     }
 }
--- a/crates/starlinghill-ledger/src/account.rs
+++ b/crates/starlinghill-ledger/src/account.rs
@@ -97,6 +97,12 @@
         Heard { level: self.store.level(quota, total.now), emptied, to_floor }
     }
 
+    /// A call on a store that the counter keeps brought what that holds.
+    pub fn drawn(&mut self, post: &Post, now: Micros, level: f64) {
+        self.window.came_back(post, Fate::Counted);
+        self.store.told(now, level);
+    }
+
     /// A call on the places brought a total; returns how many are out by that, with those that it does not hold yet.
     pub fn places_counted(&mut self, post: &Post, total: f64) -> f64 {
         let current = self.places.came_back(post, Fate::Counted);
--- a/crates/starlinghill-ledger/src/store.rs
+++ b/crates/starlinghill-ledger/src/store.rs
@@ -110,6 +110,11 @@
         self.heard
     }
 
+    /// The level itself was told.
+    pub fn told(&mut self, now: Micros, level: f64) {
+        (self.level, self.floor, self.at, self.lag, self.heard) = (Some(level), level, now, Micros(0), now);
+    }
+
     /// This gateway took so much (or gave it back, where negative) that no total holds yet.
     pub fn take(&mut self, quota: Quota, now: Micros, units: f64) {
         let filled = |level: f64| (level + quota.rate * (now - self.at).secs()).min(quota.burst);
--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -13,7 +13,7 @@
 /// How long it is remembered that a backend is gone: longer than any beat of it may be on its way.
 const TOMB: Duration = Duration::from_secs(180);
 /// A gateway that has not asked for so long is one no more. Long: a count that is too small doubles shares.
-const AWAY: Duration = Duration::from_secs(12);
+const AWAY: Duration = Duration::from_secs(30);
 
 #[derive(Debug)]
 struct Entry {
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -210,6 +210,7 @@
             tip_after: f.micros_or("rules.tip_after", 0)?,
             retries: None,
             patient: false,
+            levels: false,
             skew: Micros(0),
             tick: f.micros_or("tick", 0)?,
         };
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of the registry's tables: one task, which works through a queue of commands. Nothing here waits.
 
 use crate::wire::{Answer, Have, Heard, News, Question};
+use starlinghill_dovetail::settings::Node;
 use starlinghill_gauge::Gauge;
 use starlinghill_holdfast::{self as holdfast, Holdfast};
 use starlinghill_patternbook::wire::Value;
@@ -54,6 +55,10 @@
 
 struct Tables {
     life: u64,
+    /// The whole system starts for the first time.
+    first: bool,
+    /// The part by which the rules let a quota be passed.
+    excess: f64,
     start: Instant,
     /// The system's time at that moment. Only ever moves forward: the highest that anybody tells counts.
     base: u64,
@@ -73,13 +78,15 @@
 }
 
 /// Runs the owner of a registry, which is one of those at these addresses.
-pub fn start(racks: Vec<IpAddr>, me: usize, beat: Duration) -> Owner {
+pub fn start(racks: Vec<IpAddr>, me: usize, node: &Node) -> Owner {
     let (queue, mut commands) = mpsc::channel(QUEUE);
     let mut tables = Tables {
         life: fastrand::u64(1..),
+        first: node.first_start,
+        excess: node.bounds.quota_excess,
         start: Instant::now(),
         base: EPOCH,
-        board: Board::new(beat),
+        board: Board::new(node.beat),
         items: BTreeMap::new(),
         fresh: None,
         duty: Holdfast::new(me, racks.len(), Duration::ZERO),
@@ -192,20 +199,20 @@
                     answer(reply, Answer::News(Box::new(news)));
                 }
             }
-            Question::Count { term, from, sums } => {
-                let totals = match (&mut self.gauge, self.duty.holds(now)) {
+            Question::Count { term, from, draws } => {
+                let levels = match (&mut self.gauge, self.duty.holds(now)) {
                     (Some(gauge), Some(held)) if held == term && gauge.term == term => {
-                        gauge.add(now, from, &sums)
+                        gauge.draw(now, from, &draws)
                     }
                     _ => None,
                 };
                 let time = self.time();
                 let term = self.duty.holder().map_or(0, |(term, _)| term);
-                answer(reply, totals.map_or(Answer::NotMine(term), |totals| Answer::Totals(totals, time)));
+                answer(reply, levels.map_or(Answer::NotMine(term), |levels| Answer::Levels(levels, time)));
             }
-            Question::Recall { term, from, sums } => match &mut self.gauge {
+            Question::Recall { term, from, readings } => match &mut self.gauge {
                 Some(gauge) if gauge.term == term => {
-                    gauge.recall(now, from, &sums);
+                    gauge.recall(now, from, &readings);
                     answer(reply, Answer::Noted);
                 }
                 _ => answer(reply, Answer::NotMine(self.duty.holder().map_or(0, |(term, _)| term))),
@@ -275,7 +282,14 @@
 
     fn tick(&mut self, now: Duration) -> Due {
         self.board.tick(now);
-        self.gauge.iter_mut().for_each(|gauge| gauge.tick(now));
+        if let Some(gauge) = &mut self.gauge {
+            let lives = self.board.gateways().map(|gateway| gateway.life).collect();
+            let before = gauge.state().1;
+            gauge.tick(now, &lives);
+            if gauge.state().1 != before {
+                log::info!("event=stores_fill part={:.2} gateways={}", gauge.state().1, lives.len());
+            }
+        }
         self.answer_waiting(false);
         self.rounds += 1;
         let duty = self.duty.tick(now).map(|ask| (now, ask));
@@ -296,7 +310,7 @@
         if let Some(term) = holds.filter(|term| self.gauge.as_ref().is_none_or(|g| g.term != *term)) {
             let gateways: Vec<u64> = self.board.gateways().map(|gateway| gateway.life).collect();
             log::info!("event=count_held term={term} gateways={}", gateways.len());
-            self.gauge = Some(Gauge::begin(now, term, gateways));
+            self.gauge = Some(Gauge::begin(now, term, self.first, self.excess, gateways));
         }
         if self.duty.holder() != self.told_holder {
             self.told_holder = self.duty.holder();
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -65,7 +65,7 @@
     let peers = Rc::new(Peers::new(&addresses, me));
     let mut stores = vec![node.port(node.ip, PATTERNBOOK)];
     stores.extend(racks.iter().filter(|ip| **ip != node.ip).map(|ip| node.port(*ip, PATTERNBOOK)));
-    let owner = owner::start(racks, me, node.beat);
+    let owner = owner::start(racks, me, &node);
     let (stop, stopping) = watch::channel(false);
     spawn_local(peers.clone().run(owner.clone()));
     spawn_local(follow_store(stores[0], owner.clone()));
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -1,7 +1,7 @@
 //! What a registry is asked by gateways and by other registries.
 
 use bitcode::{Decode, Encode};
-use starlinghill_gauge::Sum;
+use starlinghill_gauge::{Draw, Reading};
 use starlinghill_holdfast as holdfast;
 use starlinghill_pegboard::{Gateway, Peg, Told};
 use starlinghill_template::Item;
@@ -12,23 +12,23 @@
 pub enum Question {
     /// By a gateway: what is new?
     News(Have),
-    /// By a gateway: it has added to the count.
+    /// By a gateway: it draws from tenants' stores.
     Count {
         /// The term of the counter that is meant.
         term: u64,
         /// The life of the gateway's process.
         from: u64,
-        /// What it has added, and under which names.
-        sums: Vec<Sum>,
+        /// What it draws; may be nothing, where it only keeps in touch.
+        draws: Vec<Draw>,
     },
-    /// By a gateway: what it had added in earlier terms.
+    /// By a gateway: what it heard in earlier terms.
     Recall {
         /// The term of the counter that is meant.
         term: u64,
         /// The life of the gateway's process.
         from: u64,
-        /// All that still counts.
-        sums: Vec<Sum>,
+        /// All that still tells something.
+        readings: Vec<Reading>,
     },
     /// By a registry, on who keeps the count.
     Duty(holdfast::Ask),
@@ -94,8 +94,8 @@
 pub enum Answer {
     /// What is new.
     News(Box<News>),
-    /// The totals, in the order of the sums, and the system's time.
-    Totals(Vec<f64>, u64),
+    /// What the stores hold, in the order of the draws, and the system's time.
+    Levels(Vec<f64>, u64),
     /// This registry does not keep the count in that term, or can't yet; the term that it knows.
     NotMine(u64),
     /// On the duty.
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -1,13 +1,13 @@
-//! The way to the shared count: sums go to whoever keeps it, many calls in one message, and totals come back.
+//! The way to the shared count: draws go to whoever keeps it, many in one message, and what the stores hold comes back.
 
 use starlinghill_decision::api::{CountName, Micros, Outcome};
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
-use starlinghill_gauge::{Sum, Sums};
+use starlinghill_gauge::{Draw, Readings, KEEP_IN_TOUCH};
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,15 +27,15 @@
 const SILENCE: Duration = Duration::from_millis(600);
 
 struct Waiting {
-    sum: Sum,
-    amount: f64,
+    draw: Draw,
     reply: oneshot::Sender<Counted>,
 }
 
 /// The count, as a gateway reaches it.
 pub struct Counter {
-    start: Instant,
-    sums: RefCell<Sums>,
+    readings: RefCell<Readings>,
+    /// The quotas by the names of their stores.
+    pub quotas: RefCell<HashMap<u64, (f64, f64)>>,
     calls: mpsc::Sender<Waiting>,
     reached: Cell<bool>,
     /// The system's time, the highest that was heard.
@@ -50,8 +50,8 @@
     pub fn start(life: u64, holder: watch::Receiver<Holder>) -> Rc<Counter> {
         let (calls, queue) = mpsc::channel(QUEUE);
         let counter = Rc::new(Counter {
-            start: Instant::now(),
-            sums: RefCell::default(),
+            readings: RefCell::default(),
+            quotas: RefCell::default(),
             calls,
             reached: Cell::new(false),
             time: watch::channel(0).0,
@@ -79,7 +79,7 @@
             }
             // Nothing that waits still goes out: a call that fails is decided here.
             while let Ok(call) = queue.try_recv() {
-                self.failed(call, Outcome::ConnectFailed);
+                failed(call, Outcome::ConnectFailed);
             }
             sleep(PAUSE).await;
         }
@@ -98,9 +98,9 @@
         };
         frame::tune(&stream);
         let mut reader = Reader::default();
-        // First what was added before: a counter that begins must know of it.
-        let sums = self.sums.borrow_mut().all(self.start.elapsed());
-        let recall = Question::Recall { term, from: life, sums };
+        // First what was heard before: a counter that begins must know of it.
+        let readings = self.readings.borrow_mut().all(*self.time.borrow());
+        let recall = Question::Recall { term, from: life, readings };
         if frame::write(&mut stream, &recall).await.is_err() {
             return "broken";
         }
@@ -125,16 +125,17 @@
                     let Ok(Some(answer)) = answer else { break "broken" };
                     let Some(calls) = out.pop_front() else { break "nonsense" };
                     match answer {
-                        Answer::Totals(totals, time) if totals.len() == calls.len() => {
+                        Answer::Levels(levels, time) if levels.len() == calls.len() => {
                             self.hear_time(time);
-                            for (call, total) in calls.into_iter().zip(totals) {
-                                self.sums.borrow_mut().heard(call.sum.name, total);
+                            for (call, total) in calls.into_iter().zip(levels) {
+                                let unused = if total < 0.0 { call.draw.units } else { 0.0 };
+                                self.readings.borrow_mut().heard(call.draw.name, total + unused, time);
                                 // Whoever asked may have stopped waiting.
                                 let _ = call.reply.send(Counted { outcome: Outcome::Ok, total });
                             }
                         }
                         Answer::NotMine(known) => {
-                            calls.into_iter().for_each(|call| self.failed(call, Outcome::Full));
+                            calls.into_iter().for_each(|call| failed(call, Outcome::Full));
                             if known > term {
                                 break "another_term";
                             }
@@ -149,8 +150,8 @@
                     if out.is_empty() {
                         last_word = Instant::now();
                     }
-                    let sums = batch.iter().map(|call| call.sum).collect();
-                    let question = Question::Count { term, from: life, sums };
+                    let draws = batch.iter().map(|call| call.draw).collect();
+                    let question = Question::Count { term, from: life, draws };
                     out.push_back(std::mem::take(&mut batch));
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
@@ -164,6 +165,15 @@
                     }
                 }
                 () = tokio::time::sleep_until(silent), if !out.is_empty() => break "silent",
+                () = sleep(KEEP_IN_TOUCH), if out.is_empty() => {
+                    let question = Question::Count { term, from: life, draws: Vec::new() };
+                    out.push_back(Vec::new());
+                    last_word = Instant::now();
+                    match timeout(SILENCE, frame::write(&mut to, &question)).await {
+                        Ok(Ok(())) => {}
+                        _ => break "broken",
+                    }
+                }
             }
         };
         // What was sent may have been added, and is told again in any case.
@@ -173,12 +183,6 @@
         why
     }
 
-    /// It was not added.
-    fn failed(&self, call: Waiting, outcome: Outcome) {
-        self.sums.borrow_mut().take_back(call.sum.name, call.amount);
-        let _ = call.reply.send(outcome.into());
-    }
-
     /// Somebody has told the system's time.
     pub fn hear_time(&self, time: u64) {
         self.time.send_if_modified(|known| {
@@ -189,16 +193,29 @@
     }
 }
 
+/// Nothing was drawn.
+fn failed(call: Waiting, outcome: Outcome) {
+    // Whoever asked may have stopped waiting.
+    let _ = call.reply.send(outcome.into());
+}
+
 impl Count for Counter {
-    fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting {
+    /// All counts are stores here.
+    fn count(self: Rc<Self>, _: CountName, _: f64, _: Micros) -> Counting {
+        Box::pin(async { Outcome::Moot.into() })
+    }
+
+    fn draw(self: Rc<Self>, name: CountName, owed: f64, units: f64) -> Counting {
         if !self.reached.get() {
             return Box::pin(async { Outcome::ConnectFailed.into() });
         }
-        let life = Duration::from_micros(life.0);
-        let sum = self.sums.borrow_mut().add(self.start.elapsed(), name.0, amount, life);
+        let Some((rate, burst)) = self.quotas.borrow().get(&name.0).copied() else {
+            return Box::pin(async { Outcome::Moot.into() });
+        };
+        let draw = Draw { name: name.0, owed, units, rate, burst };
         let (reply, answer) = oneshot::channel();
-        if let Err(refused) = self.calls.try_send(Waiting { sum, amount, reply }) {
-            self.failed(refused.into_inner(), Outcome::ConnectFailed);
+        if let Err(refused) = self.calls.try_send(Waiting { draw, reply }) {
+            failed(refused.into_inner(), Outcome::ConnectFailed);
         }
         Box::pin(async move {
             match timeout(PATIENCE, answer).await {
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -4,11 +4,13 @@
 use crate::rules::{Fleet, Places, COLD};
 use hyper::header::HeaderValue;
 use starlinghill_decision::api::*;
+use starlinghill_decision::store_name;
 use starlinghill_dovetail::call::Caller;
 use starlinghill_dovetail::settings::Node;
 use starlinghill_dovetail::TOOLRACK;
 use starlinghill_gateway::inbox::{Clock, Inbox, Input, Listing};
 use starlinghill_pegboard::{Change, Gateway, State, Wall};
+use starlinghill_template::table::Tenant;
 use starlinghill_template::{Book, Table};
 use starlinghill_toolrack::wire::{Answer, Have, News, Question};
 use std::cell::RefCell;
@@ -225,6 +227,11 @@
     async fn follow_items(&mut self) {
         let table = Table::of(&self.book);
         self.shared.view.borrow_mut().places.follow(&table);
+        let quota = |tenant: &Rc<Tenant>| {
+            let name = store_name(CustomerId(number(&tenant.name)));
+            (name.0, (tenant.rate, tenant.burst.max(1.0)))
+        };
+        *self.counter.quotas.borrow_mut() = table.tenants.iter().map(quota).collect();
         self.tell_rules(true).await;
         let routes = table.routes().count();
         log::info!("event=configuration routes={routes} tenants={}", table.tenants.len());
--- a/crates/starlinghill-workbench/src/rules.rs
+++ b/crates/starlinghill-workbench/src/rules.rs
@@ -174,6 +174,7 @@
         tip_after: Micros(1_000_000),
         tick: Micros(1_000),
         retries: Some(retries(bounds, 16)),
+        levels: true,
         // A backend that is at work and is broken off has worked for nothing, and costs.
         patient: true,
         skew: Micros(0),
