A gateway's share while the count is away follows its traffic; the count is back sooner

Change: the counter tells each gateway its share with every draw and keeps the same for it while it is silent; leases of 500 ms, a counter that begins waits only for gateways that asked lately, the breaker's cooldown is 250 ms in the system.

--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -149,6 +149,8 @@
     pub retries: Option<Retries>,
     /// The counter keeps the quotas' stores itself: a request is drawn, and what its store has left is heard.
     pub levels: bool,
+    /// How long the breaker over the counter stays open before one request probes; `None`: the module's own.
+    pub cooldown: Option<Micros>,
     /// An attempt is given up no sooner than its request.
     pub patient: bool,
     /// What is added to the module's time for the windows of counts, so that all gateways have the same.
@@ -321,6 +323,8 @@
     /// A count call ended, with the total where it was answered: the so many-th (from 0) of the calls still out for that
     /// name, in the order in which they were made.
     Counted(CountName, usize, Outcome, f64),
+    /// The counter has told this gateway's share of what that name counts, for when it can't be reached.
+    Share(CountName, f64),
     /// A message from another gateway, by its number.
     Peer(u32, Vec<u8>),
     /// An attempt ended.
--- a/crates/starlinghill-decision/src/breaker.rs
+++ b/crates/starlinghill-decision/src/breaker.rs
@@ -14,15 +14,16 @@
     since: Micros,
     pub(crate) opened: Option<Micros>,
     pub(crate) probing: bool,
+    pub(crate) cooldown: Micros,
 }
 
 impl Breaker {
     pub(crate) fn ready(&self, now: Micros) -> bool {
-        self.opened.is_none_or(|at| !self.probing && now >= at + COOLDOWN)
+        self.opened.is_none_or(|at| !self.probing && now >= at + self.cooldown)
     }
     /// Until when no call is made.
     pub(crate) fn quiet(&self) -> Micros {
-        self.opened.map_or(Micros(0), |at| at + COOLDOWN)
+        self.opened.map_or(Micros(0), |at| at + self.cooldown)
     }
     /// A call is made; after the cooldown it is the half-open probe.
     pub(crate) fn ask(&mut self) {
@@ -30,7 +31,8 @@
     }
     /// Guards against opening for calls that our own made late: they fail together, and asking less (`ask`)
     /// mends that within a moment, while an open breaker leaves every quota to local buckets.
-    pub(crate) fn failure(&mut self, now: Micros, probe: bool) {
+    pub(crate) fn failure(&mut self, now: Micros, probe: bool, cooldown: Option<Micros>) {
+        self.cooldown = cooldown.unwrap_or(COOLDOWN);
         if self.streak < 1.0 {
             self.since = now;
         }
--- a/crates/starlinghill-decision/src/counter.rs
+++ b/crates/starlinghill-decision/src/counter.rs
@@ -25,7 +25,8 @@
         let silent = self.silent(cx, id);
         self.roll_shares(cx, id, window, rest);
         let Some(c) = self.customers.get_mut(&id) else { return };
-        let rate = if silent { cx.set.plans[c.plan].rate / c.spread.max(1.0) } else { 0.0 };
+        let share = c.share.unwrap_or(1.0 / c.spread.max(1.0));
+        let rate = if silent { cx.set.plans[c.plan].rate * share } else { 0.0 };
         c.account.roll(cx.now, window, epoch, rate, c.out);
     }
 
@@ -95,10 +96,17 @@
             self.asking.jammed(made, now);
         }
         if self.last_failed != Some(customer) || probe {
-            self.breaker.failure(now, probe);
+            self.breaker.failure(now, probe, cx.set.cooldown);
         }
         self.last_failed = Some(customer);
-        self.customers.get_mut(&customer).into_iter().for_each(|c| c.breaker.failure(now, probe));
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.breaker.failure(now, probe, cx.set.cooldown));
+    }
+
+    /// The counter tells this gateway's share with an answer that is still to be taken in.
+    pub(crate) fn told_share(&mut self, name: CountName, share: f64) {
+        let customer = self.calls.get(&name).and_then(|queue| queue.front()).map(|call| call.customer);
+        let c = customer.and_then(|id| self.customers.get_mut(&id));
+        c.into_iter().for_each(|c| c.share = Some(share.clamp(0.0, 1.0)));
     }
 
     /// The call whose answer has come: the so many-th of those still out for its name.
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -41,6 +41,8 @@
     /// Own attempts out (of a plan that caps them).
     pub(crate) out: f64,
     pub(crate) used: Micros,
+    /// Its share of the quota while the counter is silent, where the counter has told that.
+    pub(crate) share: Option<f64>,
     /// What is kept of one that comes through many gateways.
     pub(crate) scattered: Scattered,
 }
--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -47,12 +47,12 @@
         let (left, silent) = (self.room(cx, customer), self.silent(cx, customer));
         let c = self.customers.get_mut(&customer)?;
         let p = &cx.set.plans[c.plan];
-        let left = left.unwrap_or(p.burst).max(0.0);
+        let left = left.unwrap_or(if cx.set.levels { 0.0 } else { p.burst }).max(0.0);
         let unknown = if silent { 1.0 } else { USE_UNKNOWN };
         // Of one that comes through many gateways no store is followed, but its demand was heard of.
         let flows = c.account.store.flows().or_else(|| c.scattered.flows(c.asked.now(now)));
         let base = by_flows(flows, p.rate, c.spread, unknown, NEED_SPARE);
-        let (base, left) = if cx.set.levels { (1.0 / c.spread, 0.0) } else { (base, left) };
+        let base = if cx.set.levels { c.share.unwrap_or(1.0 / c.spread) } else { base };
         let share = (base + c.shares.moved(c.spread as u32)).clamp(0.0, 1.0);
         // Guards against shares of less than one request, which would refuse everything: at least that much,
         // as far as it is left.
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -129,7 +129,7 @@
         StatusCode::OK => {
             let text = std::str::from_utf8(body).unwrap_or("").trim();
             match text.parse::<f64>() {
-                Ok(total) if total.is_finite() => Counted { outcome: Outcome::Ok, total },
+                Ok(total) if total.is_finite() => Counted { outcome: Outcome::Ok, total, share: None },
                 _ => {
                     warn!("the counter answered 200 without a number");
                     Outcome::Error.into()
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -314,6 +314,7 @@
             Input::Peer(from, message) => self.batch.push(Event::Peer(from, message)),
             Input::Counted(name, serial, counted) => {
                 let nth = self.calls.answered(name, serial);
+                self.batch.extend(counted.share.map(|share| Event::Share(name, share)));
                 self.batch.extend(nth.map(|nth| Event::Counted(name, nth, counted.outcome, counted.total)));
             }
             Input::Began(id, attempt, server, mut download, head, took) => {
--- a/crates/starlinghill-gateway/src/inbox.rs
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -154,10 +154,12 @@
     pub outcome: Outcome,
     /// The total after this call.
     pub total: f64,
+    /// This gateway's share of what it counts, for when the counter is silent, where it tells that.
+    pub share: Option<f64>,
 }
 
 impl From<Outcome> for Counted {
     fn from(outcome: Outcome) -> Counted {
-        Counted { outcome, total: 0.0 }
+        Counted { outcome, total: 0.0, share: None }
     }
 }
--- a/crates/starlinghill-gauge/src/bound.rs
+++ b/crates/starlinghill-gauge/src/bound.rs
@@ -11,12 +11,28 @@
 
 /// Of the excess so much is for gateways that the counter does not hear; the rest is for what is on its way.
 const FOR_SILENT: f64 = 0.8;
+/// What came through a gateway of late says more of what will than their number; but clients move.
+const CARRIED: f64 = 0.75;
 
 /// The part of the rates at which stores fill while so many of all gateways are silent: each of those may be deciding by
 /// itself, by its share.
 pub fn fill_part(silent: usize, all: usize, excess: f64) -> f64 {
-    let share = silent as f64 / all.max(1) as f64;
-    1.0 - (share - excess * FOR_SILENT).clamp(0.0, 1.0)
+    fill_part_of(silent as f64 / all.max(1) as f64, excess)
+}
+
+/// The same for the sum of their shares.
+pub(crate) fn fill_part_of(shares: f64, excess: f64) -> f64 {
+    1.0 - (shares - excess * FOR_SILENT).clamp(0.0, 1.0)
+}
+
+/// A gateway's share of a tenant's rate: mostly the part of its traffic that came through it of late, the rest even. Over
+/// all gateways shares sum to one.
+pub fn own_share(drew: f64, all_drew: f64, gateways: usize) -> f64 {
+    let even = 1.0 / gateways.max(1) as f64;
+    match all_drew > 0.0 {
+        true => CARRIED * drew / all_drew + (1.0 - CARRIED) * even,
+        false => even,
+    }
 }
 
 /// The most requests of a tenant that can go on in any window of so many seconds, over all gateways: what a store holds,
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -13,11 +13,13 @@
 
 mod bound;
 mod readings;
+mod store;
 
-pub use bound::{fill_part, most_in, Excess};
+pub use bound::{fill_part, most_in, own_share, Excess};
 pub use readings::Readings;
 
 use bitcode::{Decode, Encode};
+use store::Store;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -33,9 +35,6 @@
 const DOUBT: Duration = Duration::from_secs(5);
 /// A store that nobody drew from for so long is full, whatever its tenant, and is forgotten.
 const IDLE: Duration = Duration::from_secs(120);
-/// What is owed may empty a store so far below nothing, in bursts: a tenant must not be shut out for long by what is told
-/// late.
-const BELOW: f64 = 1.0;
 
 /// What a gateway draws.
 #[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
@@ -63,11 +62,13 @@
     pub at: u64,
 }
 
-#[derive(Debug)]
-struct Store {
-    level: f64,
-    at: Duration,
-    drawn: Duration,
+/// What a gateway hears of a store.
+#[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
+pub struct Level {
+    /// What it holds; below nothing where that was not enough for what was wanted, which was then not taken.
+    pub level: f64,
+    /// The gateway's share of the tenant's rate, for when it can't reach the counter.
+    pub share: f64,
 }
 
 /// The counter in one term.
@@ -85,7 +86,9 @@
     recalled: BTreeSet<u64>,
     /// When each gateway last said something.
     heard: BTreeMap<u64, Duration>,
-    part: f64,
+    /// How many gateways carry traffic, and those of them that may be deciding by themselves.
+    gateways: usize,
+    silent: BTreeSet<u64>,
     excess: f64,
 }
 
@@ -109,7 +112,8 @@
             awaited: gateways.into_iter().collect(),
             recalled: BTreeSet::new(),
             heard: BTreeMap::new(),
-            part: 1.0,
+            gateways: 1,
+            silent: BTreeSet::new(),
             excess,
         }
     }
@@ -119,9 +123,9 @@
         self.open.is_some()
     }
 
-    /// How many stores it keeps, and the part of the rates at which they fill.
-    pub fn state(&self) -> (usize, f64) {
-        (self.stores.len(), self.part)
+    /// How many stores it keeps, and how many gateways it does not hear.
+    pub fn state(&self) -> (usize, usize) {
+        (self.stores.len(), self.silent.len())
     }
 
     /// A gateway says what it last heard of stores.
@@ -152,18 +156,16 @@
         self.look(now);
         self.heard.retain(|gateway, _| gateways.contains(gateway));
         self.recalled.retain(|gateway| gateways.contains(gateway));
-        let silent = |gateway: &&u64| {
+        let is_silent = |gateway: &&u64| {
             let heard = self.heard.get(gateway).copied().unwrap_or(self.began);
             now.saturating_sub(heard) > SILENT
         };
-        let silent = gateways.iter().filter(silent).count();
-        let part = fill_part(silent, gateways.len(), self.excess);
-        if part != self.part {
-            // What has filled so far filled at the part that held until now.
-            let old = std::mem::replace(&mut self.part, part);
-            for store in self.stores.values_mut() {
-                store.at = now.saturating_sub(now.saturating_sub(store.at).mul_f64(old / part.max(1e-6)));
-            }
+        let silent: BTreeSet<u64> = gateways.iter().filter(is_silent).copied().collect();
+        self.gateways = gateways.len().max(1);
+        if silent != self.silent {
+            let (all, excess) = (self.gateways, self.excess);
+            self.stores.values_mut().for_each(|store| store.reserve(now, &silent, all, excess));
+            self.silent = silent;
         }
         self.stores.retain(|_, store| now.saturating_sub(store.drawn) < IDLE);
     }
@@ -171,18 +173,24 @@
     /// A gateway draws; it hears what each store holds then, in the same order: below nothing where that did not hold what
     /// was wanted, which was then not taken. `None`: the counter does not answer yet, or does not know this gateway, which
     /// has to say first what it heard before.
-    pub fn draw(&mut self, now: Duration, from: u64, draws: &[Draw]) -> Option<Vec<f64>> {
+    pub fn draw(&mut self, now: Duration, from: u64, draws: &[Draw]) -> Option<Vec<Level>> {
         let opened = self.open?;
         if !self.recalled.contains(&from) {
             return None;
         }
         self.heard.insert(from, now);
         let doubted = !self.first && now.saturating_sub(opened) < DOUBT;
-        draws.iter().map(|draw| self.draw_one(now, opened, doubted, draw)).collect()
+        draws.iter().map(|draw| self.draw_one(now, from, (opened, doubted), draw)).collect()
     }
 
-    fn draw_one(&mut self, now: Duration, opened: Duration, doubted: bool, draw: &Draw) -> Option<f64> {
-        let Draw { name, owed, units, rate, burst } = *draw;
+    fn draw_one(
+        &mut self,
+        now: Duration,
+        from: u64,
+        (opened, doubted): (Duration, bool),
+        draw: &Draw,
+    ) -> Option<Level> {
+        let Draw { name, burst, .. } = *draw;
         if self.stores.len() >= MOST && !self.stores.contains_key(&name) {
             return None;
         }
@@ -192,16 +200,10 @@
             let level = told.unwrap_or(if doubted { 0.0 } else { burst });
             // What was last heard holds from when the counter opened.
             let at = if told.is_some() { opened } else { now };
-            Store { level, at, drawn: now }
+            let mut store = Store::new(level, at, draw.rate);
+            store.reserve(now, &self.silent, self.gateways, self.excess);
+            store
         });
-        let filled = rate * self.part * now.saturating_sub(store.at).as_secs_f64();
-        store.level = (store.level + filled).min(burst);
-        (store.at, store.drawn) = (now, now);
-        store.level = (store.level - owed).clamp(-BELOW * burst, burst);
-        if units > 0.0 && store.level < units {
-            return Some(store.level - units);
-        }
-        store.level -= units;
-        Some(store.level)
+        Some(store.draw(now, from, draw, self.gateways))
     }
 }
--- a/crates/starlinghill-holdfast/src/lib.rs
+++ b/crates/starlinghill-holdfast/src/lib.rs
@@ -13,13 +13,13 @@
 use std::time::Duration;
 
 /// A yes holds for so long, from when it was asked for.
-pub const LEASE: Duration = Duration::from_millis(700);
+pub const LEASE: Duration = Duration::from_millis(500);
 /// Whoever said yes waits this much longer: clocks may run apart by a few per cent.
-pub const MARGIN: Duration = Duration::from_millis(100);
+pub const MARGIN: Duration = Duration::from_millis(60);
 /// How often the holder asks again.
-pub const RENEW: Duration = Duration::from_millis(200);
+pub const RENEW: Duration = Duration::from_millis(120);
 /// The pause between two of those that would take over, so that they don't get into each other's way.
-const RANK: Duration = Duration::from_millis(120);
+const RANK: Duration = Duration::from_millis(80);
 
 /// What one process asks the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -287,7 +287,7 @@
             let before = gauge.state().1;
             gauge.tick(now, &lives);
             if gauge.state().1 != before {
-                log::info!("event=stores_fill part={:.2} gateways={}", gauge.state().1, lives.len());
+                log::info!("event=gateways_silent count={} of={}", gauge.state().1, lives.len());
             }
         }
         self.answer_waiting(false);
@@ -308,7 +308,8 @@
     fn look_at_duty(&mut self, now: Duration) {
         let holds = self.duty.holds(now);
         if let Some(term) = holds.filter(|term| self.gauge.as_ref().is_none_or(|g| g.term != *term)) {
-            let gateways: Vec<u64> = self.board.gateways().map(|gateway| gateway.life).collect();
+            let asked = self.board.asked_within(now, RECALLED_WITHIN);
+            let gateways: Vec<u64> = asked.iter().map(|(gateway, _)| gateway.life).collect();
             log::info!("event=count_held term={term} gateways={}", gateways.len());
             self.gauge = Some(Gauge::begin(now, term, self.first, self.excess, gateways));
         }
@@ -319,8 +320,10 @@
     }
 }
 
+/// A counter that begins waits for the gateways that asked anything within this time; others may be dead.
+const RECALLED_WITHIN: Duration = Duration::from_millis(1_500);
 /// Every so many ticks what was heard goes to the other registries.
-const RELAY_ROUNDS: u32 = 5;
+const RELAY_ROUNDS: u32 = 8;
 
 /// A backend says that it takes no new work.
 pub fn is_last_word(peg: &Peg) -> bool {
--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -14,7 +14,7 @@
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 /// How often the tables are told that time passes.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(60);
 /// How long another registry may take. A backend waits a second for its answer.
 const PATIENCE: Duration = Duration::from_millis(350);
 const STORE: Duration = Duration::from_millis(1_000);
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -1,7 +1,7 @@
 //! What a registry is asked by gateways and by other registries.
 
 use bitcode::{Decode, Encode};
-use starlinghill_gauge::{Draw, Reading};
+use starlinghill_gauge::{Draw, Level, Reading};
 use starlinghill_holdfast as holdfast;
 use starlinghill_pegboard::{Gateway, Peg, Told};
 use starlinghill_template::Item;
@@ -95,7 +95,7 @@
     /// What is new.
     News(Box<News>),
     /// What the stores hold, in the order of the draws, and the system's time.
-    Levels(Vec<f64>, u64),
+    Levels(Vec<Level>, u64),
     /// This registry does not keep the count in that term, or can't yet; the term that it knows.
     NotMine(u64),
     /// On the duty.
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -4,7 +4,7 @@
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
-use starlinghill_gauge::{Draw, Readings, KEEP_IN_TOUCH};
+use starlinghill_gauge::{Draw, Level, Readings, KEEP_IN_TOUCH};
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -24,7 +24,7 @@
 const QUEUE: usize = 4_096;
 const BATCH: usize = 512;
 /// A counter that says nothing for so long, with calls under way, is gone.
-const SILENCE: Duration = Duration::from_millis(600);
+const SILENCE: Duration = Duration::from_millis(450);
 
 struct Waiting {
     draw: Draw,
@@ -127,11 +127,11 @@
                     match answer {
                         Answer::Levels(levels, time) if levels.len() == calls.len() => {
                             self.hear_time(time);
-                            for (call, total) in calls.into_iter().zip(levels) {
+                            for (call, Level { level: total, share }) in calls.into_iter().zip(levels) {
                                 let unused = if total < 0.0 { call.draw.units } else { 0.0 };
                                 self.readings.borrow_mut().heard(call.draw.name, total + unused, time);
                                 // Whoever asked may have stopped waiting.
-                                let _ = call.reply.send(Counted { outcome: Outcome::Ok, total });
+                                let _ = call.reply.send(Counted { outcome: Outcome::Ok, total, share: Some(share) });
                             }
                         }
                         Answer::NotMine(known) => {
--- a/crates/starlinghill-workbench/src/rules.rs
+++ b/crates/starlinghill-workbench/src/rules.rs
@@ -148,6 +148,9 @@
     Retries { share: bounds.retry_ratio * RATIO_USED, saved }
 }
 
+/// The count of the system is back within a second or so, elsewhere; a probe costs one call.
+const COOLDOWN: Micros = Micros(250_000);
+
 /// The module's settings, before anything is known.
 pub fn settings(zone: ZoneId, bounds: &Bounds) -> Settings {
     Settings {
@@ -175,6 +178,7 @@
         tick: Micros(1_000),
         retries: Some(retries(bounds, 16)),
         levels: true,
+        cooldown: Some(COOLDOWN),
         // A backend that is at work and is broken off has worked for nothing, and costs.
         patient: true,
         skew: Micros(0),
