--- a/crates/starlinghill-decision/src/counter.rs
+++ b/crates/starlinghill-decision/src/counter.rs
@@ -99,7 +99,10 @@
             self.breaker.failure(now, probe, cx.set.cooldown);
         }
         self.last_failed = Some(customer);
-        self.customers.get_mut(&customer).into_iter().for_each(|c| c.breaker.failure(now, probe, cx.set.cooldown));
+        self.customers
+            .get_mut(&customer)
+            .into_iter()
+            .for_each(|c| c.breaker.failure(now, probe, cx.set.cooldown));
     }
 
     /// The counter tells this gateway's share with an answer that is still to be taken in.
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -17,7 +17,7 @@
 /// Life of idle customers, of whom many come once.
 pub(crate) const FORGET: Micros = Micros(30_000_000);
 /// Apart from all other names.
-const STORE_NAME: u64 = 0x7374_6f72_65;
+const STORE_NAME: u64 = 0x0073_746f_7265;
 /// The length of a window. Long ones are followed over their edges seldom; a name lives for 60 s at most.
 pub(crate) const WINDOW: Micros = Micros(25_000_000);
 
--- a/crates/starlinghill-decision/src/fleet_view.rs
+++ b/crates/starlinghill-decision/src/fleet_view.rs
@@ -7,8 +7,8 @@
 use crate::fleet::FLEET_START;
 use crate::health::{EJECT_DOUBLINGS, EJECT_FIRST, EJECT_SHARE};
 use crate::roster::Fleet;
-use crate::services::RETRY_SHARE;
 use crate::server::warm_part;
+use crate::services::RETRY_SHARE;
 
 /// The module's own bounds, for who must write them into another program's configuration.
 #[derive(Debug, Clone, Copy)]
--- a/crates/starlinghill-decision/src/learned.rs
+++ b/crates/starlinghill-decision/src/learned.rs
@@ -30,7 +30,10 @@
         let trust = 1.0 - age.secs() / OLDEST.secs();
         let sound = |v: f64, most: f64| v.is_finite() && v > 0.0 && v <= most;
         if sound(learned.per_weight, MOST_RATE * self.cx.set.most_units.max(1.0)) {
-            self.fleet.all().take(1).for_each(|fleet| fleet.borne = Borne::recalled(learned.per_weight * trust));
+            self.fleet
+                .all()
+                .take(1)
+                .for_each(|fleet| fleet.borne = Borne::recalled(learned.per_weight * trust));
         }
         for (id, limit, latency) in learned.servers {
             let server = self.fleet.with(id).servers.get_mut(&id);
--- a/crates/starlinghill-decision/tests/common/mod.rs
+++ b/crates/starlinghill-decision/tests/common/mod.rs
@@ -154,7 +154,7 @@
 pub fn entry(i: u32, listed: Listed, started: Option<u64>) -> ServerEntry {
     ServerEntry {
         server: ServerId(u64::from(i)),
-                service: ServiceId::default(),
+        service: ServiceId::default(),
         zone: ZoneId(0),
         cell: CellId(u64::from(i) / 2),
         listed,
--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -193,7 +193,9 @@
             if !backend.open.get() {
                 return Outcome::Moot.into();
             }
-            let Some(message) = request.request(until, &*self.dialect, backend) else { return Outcome::Moot.into() };
+            let Some(message) = request.request(until, &*self.dialect, backend) else {
+                return Outcome::Moot.into();
+            };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
             match connection.begin(message, MAX_PASSING).await {
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -387,8 +387,7 @@
             }
             Received::Passing(held, rest) => {
                 let whole = Rc::new(Whole::default());
-                let upload =
-                    RefCell::new(Some(Upload::new(held, rest, length, line.clone(), whole.clone())));
+                let upload = RefCell::new(Some(Upload::new(held, rest, length, line.clone(), whole.clone())));
                 (Payload::Passing { upload, whole, budget }, true, longest_upload(length))
             }
         };
--- a/crates/starlinghill-gateway/tests/backend.rs
+++ b/crates/starlinghill-gateway/tests/backend.rs
@@ -2,6 +2,7 @@
 
 use starlinghill_decision::api::Outcome;
 use starlinghill_gateway::backend::{Backend, Pool};
+use starlinghill_gateway::dialect::Platform;
 use starlinghill_gateway::forward::{Ended, Forward, Payload, Served};
 use starlinghill_rig::world::{http, on_runtime, Reply, Stub};
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 const SETTLED: Duration = Duration::from_millis(10);
 
 fn backend(pool: &Rc<Pool>, stub: &Stub) -> Rc<Backend> {
-    Rc::new(pool.backend(stub.address, 0))
+    Rc::new(pool.backend(stub.address, 0, None))
 }
 
 fn post() -> Forward {
@@ -33,7 +34,7 @@
 #[test]
 fn a_drain_stops_an_attempt_whose_connection_has_just_come_up() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
     let backend = backend(&pool, &stub);
     backend.open.set(false);
     let ended = on_runtime(attempt(&pool, &backend, LONG));
@@ -49,7 +50,7 @@
         0 => http("200 OK", "ok"),
         _ => Reply::RawThenClose(String::new()),
     });
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
     let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
@@ -64,7 +65,7 @@
 #[test]
 fn an_attempt_given_up_or_called_off_leaves_no_connection_open() {
     let stub = Stub::start(|_| Reply::Silence);
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
     let backend = backend(&pool, &stub);
     on_runtime(async {
         let ended = attempt(&pool, &backend, Duration::from_millis(50)).await;
@@ -86,15 +87,15 @@
 #[test]
 fn an_unreachable_backend_never_ran_anything() {
     let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
-    let backend = Rc::new(pool.backend(gone, 0));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
+    let backend = Rc::new(pool.backend(gone, 0, None));
     assert_eq!(on_runtime(attempt(&pool, &backend, LONG)).outcome, Outcome::ConnectFailed);
 }
 
 #[test]
 fn idle_connections_are_retired_before_the_backend_closes_them() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let pool = Rc::new(Pool::new(8, LONG, Duration::from_millis(40)));
+    let pool = Rc::new(Pool::new(8, LONG, Duration::from_millis(40), Rc::new(Platform)));
     let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
@@ -107,7 +108,7 @@
 #[test]
 fn the_number_of_connections_is_bounded() {
     let (busy, other) = (Stub::start(|_| Reply::Silence), Stub::start(|_| http("200 OK", "ok")));
-    let pool = Rc::new(Pool::new(1, LONG, LONG));
+    let pool = Rc::new(Pool::new(1, LONG, LONG, Rc::new(Platform)));
     let (to_busy, to_other) = (backend(&pool, &busy), backend(&pool, &other));
     on_runtime(async {
         // An idle connection gives way to one that is needed.
@@ -132,7 +133,7 @@
         }
         http("200 OK", "ok")
     });
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
     let (old, new) = (backend(&pool, &stub), backend(&pool, &stub));
     on_runtime(async {
         let (ended, ()) = tokio::join!(attempt(&pool, &old, LONG), async {
@@ -163,7 +164,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
     ] {
         let stub = Stub::start(move |_| Reply::Raw(spoilt.into()));
-        let pool = Rc::new(Pool::new(8, LONG, LONG));
+        let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
         let ended = on_runtime(attempt(&pool, &backend(&pool, &stub), LONG));
         assert_eq!((ended.outcome, ended.body.is_none()), (Outcome::Reset, true), "{spoilt}");
         stub.wait_for("the connection's end", |log| log.closed == 1);
@@ -176,7 +177,7 @@
         let own = format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", request.connection);
         Reply::Raw(format!("HTTP/1.1 103 Early\r\n\r\n{own}HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"))
     });
-    let pool = Rc::new(Pool::new(8, LONG, LONG));
+    let pool = Rc::new(Pool::new(8, LONG, LONG, Rc::new(Platform)));
     let backend = backend(&pool, &stub);
     on_runtime(async {
         for own in ["0", "1", "2"] {
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -19,9 +19,9 @@
 pub use readings::Readings;
 
 use bitcode::{Decode, Encode};
-use store::Store;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
+use store::Store;
 
 /// The most stores that are kept. Guards memory.
 pub const MOST: usize = 100_000;
--- /dev/null
+++ b/crates/starlinghill-gauge/tests/quota.rs
@@ -0,0 +1,232 @@
+//! Tenants' requests over gateways that reach the counter or do not, while that moves: histories checked against the bound.
+
+use starlinghill_gauge::{fill_part, most_in, own_share, Draw, Gauge, Readings, RECALL, SILENT};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use test_case::test_case;
+
+const NAME: u64 = 7;
+const RATE: f64 = 100.0;
+const BURST: f64 = 100.0;
+const EXCESS: f64 = 0.1;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn draw(owed: f64, units: f64) -> Draw {
+    Draw { name: NAME, owed, units, rate: RATE, burst: BURST }
+}
+
+/// What a gateway does: it asks where it can, and goes by its share where it can't.
+struct Gateway {
+    life: u64,
+    readings: Readings,
+    share: f64,
+    /// Its bucket while it decides by itself, and when it was last filled.
+    alone: Option<(f64, Duration)>,
+    cut_until: Duration,
+}
+
+struct World {
+    rng: fastrand::Rng,
+    now: Duration,
+    gauge: Option<Gauge>,
+    term: u64,
+    gateways: Vec<Gateway>,
+    granted: Vec<Duration>,
+}
+
+impl World {
+    fn new(seed: u64, gateways: u64) -> World {
+        let share = 1.0 / gateways as f64;
+        let gateway = |life| Gateway {
+            life,
+            readings: Readings::default(),
+            share,
+            alone: None,
+            cut_until: Duration::ZERO,
+        };
+        let all: Vec<Gateway> = (1..=gateways).map(gateway).collect();
+        let mut gauge = Gauge::begin(Duration::ZERO, 1, true, EXCESS, all.iter().map(|g| g.life));
+        all.iter().for_each(|g| gauge.recall(Duration::ZERO, g.life, &[]));
+        let (rng, gauge) = (fastrand::Rng::with_seed(seed), Some(gauge));
+        World { rng, now: Duration::ZERO, gauge, term: 1, gateways: all, granted: Vec::new() }
+    }
+
+    /// The counter is gone, or another one begins.
+    fn lose_counter(&mut self) {
+        self.gauge = None;
+    }
+
+    fn new_counter(&mut self, waits_for_all: bool) {
+        self.term += 1;
+        let lives = self.gateways.iter().map(|g| g.life);
+        let mut gauge = Gauge::begin(self.now, self.term, false, EXCESS, lives);
+        for gateway in &mut self.gateways {
+            if gateway.cut_until <= self.now || !waits_for_all {
+                let readings = gateway.readings.all(self.now.as_micros() as u64);
+                gauge.recall(self.now, gateway.life, &readings);
+            }
+        }
+        self.gauge = Some(gauge);
+    }
+
+    fn request(&mut self, at: usize) {
+        let (now, gateway) = (self.now, &mut self.gateways[at]);
+        let reached = gateway.cut_until <= now;
+        let told = self.gauge.as_mut().filter(|_| reached);
+        let level = told.and_then(|gauge| gauge.draw(now, gateway.life, &[draw(0.0, 1.0)]));
+        let granted = match level {
+            Some(levels) => {
+                let level = levels[0];
+                let unused = if level.level < 0.0 { 1.0 } else { 0.0 };
+                gateway.readings.heard(NAME, level.level + unused, now.as_micros() as u64);
+                (gateway.share, gateway.alone) = (level.share, None);
+                level.level >= 0.0
+            }
+            None => {
+                // As the module does it: a bucket that starts empty and fills at the gateway's share.
+                let (level, filled) = gateway.alone.unwrap_or((0.0, now));
+                let level = level + RATE * gateway.share * (now - filled).as_secs_f64();
+                let level = level.min((BURST * gateway.share).max(1.0));
+                let granted = level >= 1.0;
+                gateway.alone = Some((if granted { level - 1.0 } else { level }, now));
+                granted
+            }
+        };
+        if granted {
+            self.granted.push(now);
+        }
+    }
+
+    /// So many requests a second come, unevenly.
+    fn run(&mut self, span: Duration, per_s: f64) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += ms(10);
+            let lives: BTreeSet<u64> = self.gateways.iter().map(|g| g.life).collect();
+            let (now, gateways) = (self.now, &self.gateways);
+            if let Some(gauge) = &mut self.gauge {
+                // Who is in touch says something now and then.
+                for gateway in gateways.iter().filter(|g| g.cut_until <= now) {
+                    if !gateway.life.is_multiple_of(2) || now.as_millis() % 100 == 0 {
+                        gauge.draw(now, gateway.life, &[]);
+                    }
+                }
+                gauge.tick(now, &lives);
+            }
+            for _ in 0..(per_s / 100.0) as usize {
+                let (a, b) = (self.rng.usize(0..self.gateways.len()), self.rng.usize(0..self.gateways.len()));
+                self.request(a.min(b));
+            }
+        }
+    }
+
+    /// The most that was granted in any span of that length.
+    fn busiest(&self, window: Duration) -> usize {
+        let mut from = 0;
+        let mut most = 0;
+        for (i, at) in self.granted.iter().enumerate() {
+            while *at > self.granted[from] + window {
+                from += 1;
+            }
+            most = most.max(i + 1 - from);
+        }
+        most
+    }
+}
+
+fn bound(moves: u32, cut: f64) -> f64 {
+    most_in(5.0, RATE, BURST, EXCESS, (moves, (SILENT + ms(100)).as_secs_f64(), cut))
+}
+
+/// What the rules allow where the settings say a tenth and twenty.
+fn allowed() -> f64 {
+    (RATE * 5.0 + BURST) * (1.0 + EXCESS) + 20.0
+}
+
+#[test]
+fn a_busy_tenant_gets_its_quota_and_no_more() {
+    let mut world = World::new(1, 11);
+    world.run(ms(20_000), 800.0);
+    let most = world.busiest(ms(5_000)) as f64;
+    assert!(most <= bound(0, 0.0) + 1.0, "{most}");
+    assert!(world.granted.len() as f64 >= RATE * 19.0 + BURST, "{}", world.granted.len());
+}
+
+#[test_case(2; "two of eleven")]
+#[test_case(4; "four of eleven")]
+#[test_case(11; "all of them")]
+fn gateways_that_are_cut_off_have_their_share_and_the_rest_leave_it_to_them(cut: usize) {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 11);
+        world.run(ms(8_000), 800.0);
+        for i in 0..cut {
+            world.gateways[i].cut_until = world.now + ms(10_000);
+        }
+        let part: f64 = world.gateways[..cut].iter().map(|g| g.share).sum();
+        world.run(ms(20_000), 800.0);
+        let most = world.busiest(ms(5_000)) as f64;
+        assert!(most <= bound(0, part) + 2.0, "seed {seed}: {most} of {}", bound(0, part));
+        assert!(most <= allowed(), "seed {seed}: {most} of {}", allowed());
+    }
+}
+
+#[test_case(true; "all gateways tell it what they heard")]
+#[test_case(false; "those that can do")]
+fn a_counter_that_begins_grants_nothing_twice(all: bool) {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 11);
+        world.run(ms(6_000), 800.0);
+        for _ in 0..3 {
+            world.lose_counter();
+            let gap = world.rng.u64(100..2_000);
+            world.run(ms(gap), 800.0);
+            world.new_counter(all);
+            world.run(ms(2_500), 800.0);
+        }
+        let most = world.busiest(ms(5_000)) as f64;
+        assert!(most <= bound(2, 0.0) + 11.0, "seed {seed}: {most}");
+    }
+}
+
+#[test]
+fn of_a_store_that_nobody_tells_of_the_worst_is_taken_but_at_the_first_start() {
+    for (first, granted) in [(true, true), (false, false)] {
+        let mut gauge = Gauge::begin(ms(0), 3, first, EXCESS, [1]);
+        gauge.recall(ms(1), 1, &[]);
+        let level = gauge.draw(ms(2), 1, &[draw(0.0, 50.0)]).map(|levels| levels[0].level >= 0.0);
+        assert_eq!(level, Some(granted));
+    }
+}
+
+#[test]
+fn a_counter_answers_nobody_before_it_has_asked_all_or_waited() {
+    let mut gauge = Gauge::begin(ms(0), 2, false, EXCESS, [1, 2]);
+    gauge.recall(ms(1), 1, &[]);
+    assert_eq!(gauge.draw(ms(2), 1, &[draw(0.0, 1.0)]), None);
+    gauge.tick(RECALL + ms(1), &BTreeSet::from([1, 2]));
+    assert!(gauge.draw(RECALL + ms(2), 1, &[draw(0.0, 1.0)]).is_some());
+    // One that has not said what it heard is not answered, whenever it comes.
+    assert_eq!(gauge.draw(RECALL + ms(2), 9, &[draw(0.0, 1.0)]), None);
+}
+
+#[test]
+fn what_is_owed_is_taken_in_any_case_and_shuts_nobody_out_for_long() {
+    let mut gauge = Gauge::begin(ms(0), 1, true, EXCESS, [1]);
+    gauge.recall(ms(0), 1, &[]);
+    let level = gauge.draw(ms(1), 1, &[draw(1_000.0, 1.0)]).map(|levels| levels[0].level);
+    assert_eq!(level, Some(-BURST - 1.0));
+    let later = gauge.draw(ms(1_200), 1, &[draw(0.0, 1.0)]).map(|levels| levels[0].level >= 0.0);
+    assert_eq!(later, Some(true));
+}
+
+#[test]
+fn shares_sum_to_one_and_the_excess_is_for_the_silent() {
+    let drew = [10.0, 5.0, 0.0, 1.0];
+    let sum: f64 = drew.iter().map(|d| own_share(*d, drew.iter().sum(), drew.len())).sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+    assert_eq!(fill_part(0, 11, EXCESS), 1.0);
+    assert!((fill_part(11, 11, EXCESS) - 0.08).abs() < 1e-9);
+}
--- a/crates/starlinghill-holdfast/src/lib.rs
+++ b/crates/starlinghill-holdfast/src/lib.rs
@@ -166,8 +166,10 @@
         self.patience = self.bound + RANK * (1 + self.me as u32);
     }
 
-    /// What to ask all others now. Call it some ten times a second.
-    pub fn tick(&mut self, now: Duration) -> Option<Ask> {
+    /// What to ask all others now. Call it some ten times a second. A new term is no lower than `least`, which all have in
+    /// common and which grows, as their time does: guards against a term that was held before by one of whom all who
+    /// knew have started anew.
+    pub fn tick(&mut self, now: Duration, least: u64) -> Option<Ask> {
         if self.leaving {
             return None;
         }
@@ -191,7 +193,7 @@
         if leave.is_none() && (now < self.bound || now < self.patience) {
             return None;
         }
-        self.term += 1;
+        self.term = (self.term + 1).max(least);
         let votes = BTreeSet::from([self.me]);
         self.bid = Some(Bid { term: self.term, votes: votes.clone(), until: None, latest: (now, votes) });
         self.asked = now;
--- a/crates/starlinghill-patternbook/src/agree.rs
+++ b/crates/starlinghill-patternbook/src/agree.rs
@@ -102,11 +102,7 @@
     }
 
     /// Makes a new value from what was agreed on, and has that agreed on. `None`: no majority in time.
-    async fn agree<T>(
-        &self,
-        by: Instant,
-        mut make: impl FnMut(&Value) -> (Option<Value>, T),
-    ) -> Option<T> {
+    async fn agree<T>(&self, by: Instant, mut make: impl FnMut(&Value) -> (Option<Value>, T)) -> Option<T> {
         let _turn = timeout_at(by, self.turn.lock()).await.ok()?;
         let mut tries = 0;
         while Instant::now() < by {
@@ -243,13 +239,11 @@
         log::info!("event=disk_lost action=enrol voter={me}");
         loop {
             for i in &self.others {
-                match put(&self.places[*i], Ask::Look(Ballot::default())).await {
-                    Some(Tell::Has { lives, .. }) => {
-                        keeper.tell(Command::Looked(lives)).await;
-                        looked[*i] = true;
-                    }
-                    // It has lost its own: two at once are more than may be lost.
-                    Some(_) | None => {}
+                // One that has lost its own can't be looked at: two at once are more than may be lost.
+                let told = put(&self.places[*i], Ask::Look(Ballot::default())).await;
+                if let Some(Tell::Has { lives, .. }) = told {
+                    keeper.tell(Command::Looked(lives)).await;
+                    looked[*i] = true;
                 }
             }
             if self.others.iter().all(|i| looked[*i]) {
@@ -262,7 +256,9 @@
         let Ok(life) = begun.await else { return };
         loop {
             for i in &self.others {
-                let Some(told) = put(&self.places[*i], Ask::Enrol { voter: me, life }).await else { continue };
+                let Some(told) = put(&self.places[*i], Ask::Enrol { voter: me, life }).await else {
+                    continue;
+                };
                 let (reply, whole) = tokio::sync::oneshot::channel();
                 keeper.tell(Command::Enrolled(*i, Box::new(told), reply)).await;
                 if whole.await == Ok(true) {
--- a/crates/starlinghill-patternbook/src/shelf.rs
+++ b/crates/starlinghill-patternbook/src/shelf.rs
@@ -97,12 +97,7 @@
     }
 
     /// Writes and syncs. All of it is on disk when this returns, or none of it counts.
-    pub fn save(
-        &mut self,
-        voters: &[IpAddr],
-        kept: &Kept,
-        value: Option<&Value>,
-    ) -> Result<(), ShelfError> {
+    pub fn save(&mut self, voters: &[IpAddr], kept: &Kept, value: Option<&Value>) -> Result<(), ShelfError> {
         let disk = || DiskSnafu { path: self.path.clone() };
         let mut batch = self.database.batch().durability(Some(PersistMode::SyncAll));
         batch.insert(&self.records, "voters", bitcode::encode(&voters.to_vec()));
--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -50,13 +50,13 @@
         Board { beat, backends, gateways, gateways_changed: 0, seq: 0 }
     }
 
-    /// The number of the last change. Callers number changes of their own with [`Board::next`].
+    /// The number of the last change. Callers number changes of their own with [`Board::number`].
     pub fn seq(&self) -> u64 {
         self.seq
     }
 
     /// A number for a change.
-    pub fn next(&mut self) -> u64 {
+    pub fn number(&mut self) -> u64 {
         self.seq += 1;
         self.seq
     }
@@ -69,7 +69,7 @@
                 if self.backends.len() >= MOST {
                     return false;
                 }
-                let changed = self.next();
+                let changed = self.number();
                 let id = peg.id.clone();
                 self.backends.insert(id, Entry { peg, heard, silent: false, changed });
                 true
@@ -125,7 +125,7 @@
         };
         if new {
             self.gateways.insert(gateway.ip, (gateway, heard));
-            self.gateways_changed = self.next();
+            self.gateways_changed = self.number();
         }
     }
 
@@ -133,7 +133,7 @@
     pub fn leaves(&mut self, gateway: &Gateway) {
         if self.gateways.get(&gateway.ip).is_some_and(|(known, _)| known.life == gateway.life) {
             self.gateways.remove(&gateway.ip);
-            self.gateways_changed = self.next();
+            self.gateways_changed = self.number();
         }
     }
 
--- /dev/null
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -0,0 +1,138 @@
+//! Beats out of order at three registries, drains that are told late, registries that begin with nothing.
+
+use starlinghill_pegboard::{Board, Gateway, Peg, State, Told, Wall};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+const BEAT: Duration = Duration::from_millis(1_500);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn peg(id: &str, calls: u64, state: State) -> Peg {
+    Peg {
+        id: id.into(),
+        service: "tally".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: "a".into(),
+        version: "v1".into(),
+        capacity: 2,
+        state,
+        calls,
+        warm_at: 0,
+    }
+}
+
+fn gateway(ip: u8, life: u64) -> Gateway {
+    Gateway { ip: IpAddr::from([10, 0, 1, ip]), life, zone: "a".into(), node: format!("edge-{ip}") }
+}
+
+#[test]
+fn what_drains_never_serves_again_in_whatever_order_it_is_told() {
+    for seed in 0..1_000 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut boards: Vec<Board> = (0..3).map(|_| Board::new(BEAT)).collect();
+        let mut wall = Wall::default();
+        let mut seqs = [0; 3];
+        // A life of a backend: beats, then a drain, then the end, told at any registry, late, or again.
+        let mut words: Vec<Peg> = (1..8).map(|calls| peg("i-1", calls, State::Ready)).collect();
+        words.push(peg("i-1", 8, State::Draining));
+        words.push(peg("i-1", 9, State::Draining));
+        let mut drained_at = None;
+        for step in 0..60 {
+            let now = ms(step * 100);
+            let at = rng.usize(0..3);
+            let word = words[rng.usize(0..words.len())].clone();
+            if word.state == State::Draining && drained_at.is_none() {
+                drained_at = Some(step);
+            }
+            boards[at].heard(now, word, Duration::ZERO);
+            let (from, to) = (rng.usize(0..3), rng.usize(0..3));
+            for (heard, ago) in boards[from].heard_within(now, ms(2_000)) {
+                boards[to].heard(now, heard, ms(ago));
+            }
+            let rack = rng.usize(0..3);
+            let news = boards[rack].since(seqs[rack]);
+            seqs[rack] = boards[rack].seq();
+            let drained = boards[rack].get("i-1").is_some_and(|known| known.state != State::Ready);
+            wall.told(now, rack, 1, news.backends);
+            // From a registry that knows of the drain the gateway has it, and keeps it.
+            assert!(!drained || !wall.served().contains("tally"), "seed {seed} step {step}");
+        }
+        let news = boards.iter().map(|board| board.since(0).backends).collect::<Vec<_>>();
+        for (rack, backends) in news.into_iter().enumerate() {
+            wall.told(ms(6_000), rack, 1, backends);
+        }
+        assert_eq!(wall.served().contains("tally"), drained_at.is_none(), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_address_that_comes_back_under_another_service_is_another_backend() {
+    let mut board = Board::new(BEAT);
+    board.heard(ms(0), peg("i-1", 1, State::Ready), Duration::ZERO);
+    board.left(ms(10), "i-1");
+    let seq = board.seq();
+    board.heard(ms(2_100), Peg { service: "other".into(), ..peg("i-2", 1, State::Ready) }, Duration::ZERO);
+    let news = board.since(seq).backends;
+    assert!(news.len() == 1 && news[0].peg.id == "i-2" && news[0].peg.service == "other", "{news:?}");
+    // A late beat of the first changes nothing.
+    assert!(!board.heard(ms(2_200), peg("i-1", 5, State::Ready), Duration::ZERO));
+    assert_eq!(board.get("i-1").map(|known| known.state), Some(State::Gone));
+}
+
+#[test]
+fn a_registry_that_begins_with_nothing_empties_nobodys_list() {
+    let mut wall = Wall::default();
+    let told = |peg| vec![Told { peg, silent: false }];
+    wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
+    // The registry is back in another life and knows none.
+    wall.told(ms(500), 0, 2, Vec::new());
+    assert!(wall.tick(ms(1_000)).is_empty() && wall.served().contains("tally"));
+    // One that nobody tells of any more is forgotten in the end.
+    assert_eq!(wall.tick(ms(30_000)).len(), 1);
+    assert!(wall.served().is_empty());
+}
+
+#[test]
+fn a_missed_beat_is_no_death_and_silence_counts_only_where_all_agree() {
+    let mut board = Board::new(BEAT);
+    board.heard(ms(0), peg("i-1", 1, State::Ready), Duration::ZERO);
+    let seq = board.seq();
+    board.tick(BEAT * 2);
+    assert_eq!(board.seq(), seq);
+    board.tick(BEAT * 3);
+    let news = board.since(seq).backends;
+    assert!(news.len() == 1 && news[0].silent);
+    let mut wall = Wall::default();
+    let told = |silent| vec![Told { peg: peg("i-1", 1, State::Ready), silent }];
+    assert!(!wall.told(ms(0), 0, 1, told(false))[0].silent);
+    assert!(wall.told(ms(1), 1, 1, told(true)).is_empty());
+    assert!(wall.told(ms(2), 0, 1, told(true))[0].silent);
+}
+
+#[test]
+fn gateways_count_for_half_a_minute_after_their_last_word() {
+    let mut board = Board::new(BEAT);
+    (0..11).for_each(|i| board.asks(ms(0), gateway(i, 1), Duration::ZERO));
+    // Half of them are killed; one is back in another life.
+    board.asks(ms(3_000), gateway(0, 2), Duration::ZERO);
+    // What another registry heard of its first life before does not bring that back.
+    board.asks(ms(3_100), gateway(0, 1), ms(2_000));
+    board.tick(ms(20_000));
+    assert_eq!(board.gateways().count(), 11);
+    assert_eq!(board.gateways().next().map(|g| g.life), Some(2));
+    board.tick(ms(31_000));
+    assert_eq!(board.gateways().count(), 1);
+}
+
+#[test]
+fn a_gateway_that_says_that_it_leaves_is_one_no_more() {
+    let mut board = Board::new(BEAT);
+    board.asks(ms(0), gateway(1, 5), Duration::ZERO);
+    board.leaves(&gateway(1, 4));
+    assert_eq!(board.gateways().count(), 1);
+    board.leaves(&gateway(1, 5));
+    assert_eq!(board.gateways().count(), 0);
+}
--- a/crates/starlinghill-simhost/src/lib.rs
+++ b/crates/starlinghill-simhost/src/lib.rs
@@ -59,7 +59,7 @@
     fn entry(&mut self, f: &Fields) -> Result<ServerEntry> {
         Ok(ServerEntry {
             server: self.site.server(f.text("backend")?),
-                service: ServiceId::default(),
+            service: ServiceId::default(),
             zone: self.site.zone(f.pairs.get("rack_zone").copied().unwrap_or("")),
             cell: CellId(f.whole_or("pod", 0)?),
             listed: match f.text("status")? {
@@ -103,7 +103,7 @@
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
                     resent: f.flag_or("resent", false)?,
-                    once: false,
+                    ..Arrival::default()
                 })
             }
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
@@ -145,6 +145,8 @@
             Action::Count(n, amount, life) => {
                 writeln!(out, "ADD_AND_GET book={} amount={amount} lifetime={}", n.0, life.0)
             }
+            // No counter of the simulator's keeps stores.
+            Action::Draw(..) => Ok(()),
             Action::Tell(peer, message) => {
                 let hex: String = message.iter().map(|byte| format!("{byte:02x}")).collect();
                 writeln!(out, "ANNOUNCE peer={peer} blob={hex}")
--- a/crates/starlinghill-toolrack/src/calls.rs
+++ b/crates/starlinghill-toolrack/src/calls.rs
@@ -56,8 +56,7 @@
     /// All calls.
     pub fn tree() -> Place {
         let mut tree = Place::default();
-        tree.at("/api/backends/*").methods =
-            vec![(Method::PUT, Call::Beat), (Method::DELETE, Call::Leave)];
+        tree.at("/api/backends/*").methods = vec![(Method::PUT, Call::Beat), (Method::DELETE, Call::Leave)];
         tree.at("/api/config").methods = vec![(Method::PATCH, Call::Change), (Method::GET, Call::Read)];
         tree
     }
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -171,7 +171,7 @@
             let key = (item.kind, item.name.clone());
             let stands = self.items.get(&key).map(|(known, _)| known.version);
             if stands.is_none_or(|version| version < item.version) {
-                let seq = self.board.next();
+                let seq = self.board.number();
                 log::info!("event=item kind={:?} name={} version=r{}", item.kind, item.name, item.version);
                 self.items.insert(key, (item, seq));
             }
@@ -229,11 +229,14 @@
                 self.board.left(now, &id);
                 answer(reply, Answer::Noted);
             }
-            Question::All => answer(reply, Answer::All(Heard {
-                backends: self.board.heard_within(now, Duration::MAX),
-                gateways: self.board.asked_within(now, Duration::MAX),
-                time: self.time(),
-            })),
+            Question::All => answer(
+                reply,
+                Answer::All(Heard {
+                    backends: self.board.heard_within(now, Duration::MAX),
+                    gateways: self.board.asked_within(now, Duration::MAX),
+                    time: self.time(),
+                }),
+            ),
         }
         self.look_at_duty(now);
         if self.board.seq() != before {
@@ -292,7 +295,7 @@
         }
         self.answer_waiting(false);
         self.rounds += 1;
-        let duty = self.duty.tick(now).map(|ask| (now, ask));
+        let duty = self.duty.tick(now, self.time() / TERM).map(|ask| (now, ask));
         // What others may know a little later: beats that say nothing new.
         let heard = self.rounds.is_multiple_of(RELAY_ROUNDS).then(|| {
             let since = now.saturating_sub(std::mem::replace(&mut self.relayed, now));
@@ -315,13 +318,15 @@
         }
         if self.duty.holder() != self.told_holder {
             self.told_holder = self.duty.holder();
-            self.holder_changed = self.board.next();
+            self.holder_changed = self.board.number();
         }
     }
 }
 
 /// A counter that begins waits for the gateways that asked anything within this time; others may be dead.
 const RECALLED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Terms count the system's time, in microseconds, in steps of this, unless more are needed.
+const TERM: u64 = 1_000;
 /// Every so many ticks what was heard goes to the other registries.
 const RELAY_ROUNDS: u32 = 8;
 
--- a/crates/starlinghill-toolrack/src/serve.rs
+++ b/crates/starlinghill-toolrack/src/serve.rs
@@ -186,7 +186,8 @@
 
 /// Reads a beat, and how much longer its backend is slow, in microseconds.
 fn read_beat(id: &str, body: &[u8]) -> Result<(Peg, u64), String> {
-    let value = simd_json::to_owned_value(&mut body.to_vec()).map_err(|error| format!("not JSON: {error}"))?;
+    let value =
+        simd_json::to_owned_value(&mut body.to_vec()).map_err(|error| format!("not JSON: {error}"))?;
     let (root, mut faults) = (At::root(&value), Faults::default());
     let f = &mut faults;
     let (details, observed) = (root.at("details"), root.at("observed"));
--- a/crates/starlinghill-workbench/src/desk.rs
+++ b/crates/starlinghill-workbench/src/desk.rs
@@ -48,6 +48,11 @@
 impl Front {
     fn read(&self, head: &hyper::http::request::Parts, line: &Rc<Line>) -> Result<Taken, Malformed> {
         let bad = |problem| Err((StatusCode::BAD_REQUEST, problem));
+        // Guards against a 404 or 401 of a process that knows no routes yet: clients come to one that is not ready, too, and
+        // go nowhere else after that.
+        if !*self.shared.ready.borrow() {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "not ready\n"));
+        }
         let headers = &head.headers;
         if headers.contains_key(header::TRANSFER_ENCODING) && line.head.may_have_length() {
             return bad("Transfer-Encoding: expected no Content-Length beside it\n");
--- a/crates/starlinghill-workbench/src/rules.rs
+++ b/crates/starlinghill-workbench/src/rules.rs
@@ -124,8 +124,13 @@
     pub fn rules(&self, fleet: &Fleet, bounds: &Bounds) -> Rules {
         let (gateways, me) = (fleet.gateways.max(1), fleet.me);
         let retries = Some(retries(bounds, gateways));
-        let common =
-            Common { plans: self.plans.clone(), gateways, me: me.min(gateways - 1), retries, skew: fleet.skew };
+        let common = Common {
+            plans: self.plans.clone(),
+            gateways,
+            me: me.min(gateways - 1),
+            retries,
+            skew: fleet.skew,
+        };
         Rules { classes: self.classes.clone(), max_attempts: MOST_ATTEMPTS, common: Some(common) }
     }
 }
