After all were killed: stores fresh, gateways ready and the count held sooner

Change: a majority at once and every 50 ms until then, news of freshness wake questions, a refused bid is dropped, connections are given up after 300 ms, 503 of a starting gateway says half a second.

--- a/crates/starlinghill-dovetail/src/call.rs
+++ b/crates/starlinghill-dovetail/src/call.rs
@@ -18,6 +18,8 @@
 const MOST_PEERS: usize = 512;
 /// A connection on which nothing is asked for so long is ended by who serves it.
 const IDLE: Duration = Duration::from_secs(60);
+/// A machine that does not take a connection for so long is away: its opening packet is sent again only after seconds.
+const CONNECT: Duration = Duration::from_millis(300);
 /// The pause after an accept that failed.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -66,7 +68,8 @@
                 let (mut kept, reused) = match line.take() {
                     Some(kept) => (kept, true),
                     None => {
-                        let stream = TcpStream::connect(self.address).await?;
+                        let connecting = timeout(CONNECT, TcpStream::connect(self.address));
+                        let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
                         frame::tune(&stream);
                         ((stream, Reader::default()), false)
                     }
--- a/crates/starlinghill-holdfast/src/lib.rs
+++ b/crates/starlinghill-holdfast/src/lib.rs
@@ -87,6 +87,10 @@
     until: Option<Duration>,
     /// Of the latest question: when it was asked, and who said yes.
     latest: (Duration, BTreeSet<usize>),
+    /// Who said no to the first question.
+    refused: BTreeSet<usize>,
+    /// To whom this one was bound before.
+    before: Duration,
 }
 
 impl Holdfast {
@@ -195,7 +199,9 @@
         }
         self.term = (self.term + 1).max(least);
         let votes = BTreeSet::from([self.me]);
-        self.bid = Some(Bid { term: self.term, votes: votes.clone(), until: None, latest: (now, votes) });
+        let (before, refused) = (self.bound, BTreeSet::new());
+        let latest = (now, votes.clone());
+        self.bid = Some(Bid { term: self.term, votes, until: None, latest, refused, before });
         self.asked = now;
         self.bind(now, self.term, self.me);
         self.count();
@@ -203,14 +209,26 @@
     }
 
     /// Another one has answered what was asked at that moment.
-    pub fn told(&mut self, from: usize, asked: Duration, ask: Ask, tell: Tell) {
+    pub fn told(&mut self, now: Duration, from: usize, asked: Duration, ask: Ask, tell: Tell) {
         self.seen(tell.term);
+        let majority = self.majority();
         let Some(bid) = &mut self.bid else { return };
         let (Ask::Want { term, .. } | Ask::Hold { term, .. }) = ask else { return };
         if !tell.yes && tell.term > bid.term {
             self.bid = None;
             return;
         }
+        if !tell.yes && bid.until.is_none() && bid.term == term {
+            bid.refused.insert(from);
+            // It can't be had now: who says no is bound for a while, as one that has just started is. The vote for itself
+            // is given to nobody any more, so it binds this one to nobody.
+            if bid.refused.len() > self.of - majority {
+                self.bound = bid.before;
+                self.patience = now + RANK * (1 + self.me as u32);
+                self.bid = None;
+            }
+            return;
+        }
         if tell.yes && bid.term == term && bid.latest.0 == asked {
             bid.votes.insert(from);
             bid.latest.1.insert(from);
--- a/crates/starlinghill-holdfast/tests/duty.rs
+++ b/crates/starlinghill-holdfast/tests/duty.rs
@@ -86,7 +86,7 @@
         let ready: Vec<(Duration, usize, usize, Duration, Ask, Tell)> = ready;
         for (_, from, to, asked, ask, tell) in ready {
             if self.frozen[to] <= now && self.cut[from][to] <= now {
-                self.all[to].told(from, asked, ask, tell);
+                self.all[to].told(now, from, asked, ask, tell);
             }
         }
         let holders: Vec<(u64, usize)> =
--- a/crates/starlinghill-patternbook/src/agree.rs
+++ b/crates/starlinghill-patternbook/src/agree.rs
@@ -21,6 +21,8 @@
 /// to be in force.
 const LOOK: Duration = Duration::from_millis(250);
 const FRESH: Duration = Duration::from_millis(900);
+/// The same while no majority was heard, as after a start: gateways wait for it.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// The pause before a round is tried again, times the tries so far.
 const BACK_OFF_MS: u64 = 12;
 
@@ -43,6 +45,7 @@
     /// The highest ballot known to be agreed on, with its value.
     chosen: watch::Sender<(Ballot, Rc<Value>)>,
     fresh_until: Cell<Option<Instant>>,
+    fresh: watch::Sender<bool>,
 }
 
 impl Stores {
@@ -63,6 +66,7 @@
             seen: Cell::default(),
             chosen: watch::channel(Default::default()).0,
             fresh_until: Cell::new(None),
+            fresh: watch::channel(false).0,
         }
     }
 
@@ -71,6 +75,11 @@
         self.chosen.subscribe()
     }
 
+    /// Whether that is known to be all, as it was last looked at.
+    pub fn fresh(&self) -> watch::Receiver<bool> {
+        self.fresh.subscribe()
+    }
+
     /// A majority said a moment ago that nothing newer was agreed on.
     pub fn is_fresh(&self) -> bool {
         self.fresh_until.get().is_some_and(|until| Instant::now() < until)
@@ -193,7 +202,8 @@
                 if let Some(value) = value.filter(|_| accepted == chosen) {
                     self.learn(chosen, Rc::new(value));
                 }
-                if heard == self.places.len() {
+                // Before it is fresh a majority will do; others are heard the next time.
+                if heard == self.places.len() || heard > self.places.len() / 2 && !*self.fresh.borrow() {
                     break;
                 }
             }
@@ -202,6 +212,8 @@
             if majority && !unsettled && newest <= self.chosen.borrow().0 {
                 self.fresh_until.set(Some(asked + FRESH));
             }
+            let fresh = self.is_fresh();
+            self.fresh.send_if_modified(|known| std::mem::replace(known, fresh) != fresh);
             if majority && unsettled && std::mem::replace(&mut half_done, true) {
                 let settled = self.agree(Instant::now() + CHANGE, |_| (None, ())).await;
                 log::info!("event=settled_half_done_change ok={}", settled.is_some());
@@ -210,7 +222,7 @@
                 half_done = false;
             }
             self.lend(&keeper).await;
-            sleep(LOOK).await;
+            sleep(if fresh { LOOK } else { LOOK_AGAIN }).await;
         }
     }
 
--- a/crates/starlinghill-patternbook/src/program.rs
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// How long a question for news waits for some.
 const HOLD: Duration = Duration::from_millis(400);
@@ -124,10 +124,14 @@
         Question::Voters => Answer::Voters(voters.to_vec()),
         Question::Change(body) => Answer::Changed(stores.change(&body).await),
         Question::Read => stores.read().await.map_or(Answer::NotNow, Answer::Whole),
-        Question::News(have) => {
-            let mut chosen = stores.chosen();
+        Question::News(have, was_fresh) => {
+            let (mut chosen, mut fresh) = (stores.chosen(), stores.fresh());
             // Without news it says after a while that there is none.
-            let _ = timeout(HOLD, chosen.wait_for(|known| known.0 != have)).await;
+            tokio::select! {
+                _ = chosen.wait_for(|known| known.0 != have) => {}
+                _ = fresh.wait_for(|fresh| *fresh && !was_fresh) => {}
+                () = sleep(HOLD) => {}
+            }
             let (ballot, value) = chosen.borrow().clone();
             let items = (ballot != have).then(|| value.as_ref().clone());
             Answer::News { ballot, fresh: stores.is_fresh(), items }
--- a/crates/starlinghill-patternbook/src/wire.rs
+++ b/crates/starlinghill-patternbook/src/wire.rs
@@ -19,8 +19,9 @@
     Change(Vec<u8>),
     /// All that was agreed on until now.
     Read,
-    /// What was agreed on since that ballot; the answer may take a while.
-    News(Ballot),
+    /// What was agreed on since that ballot, or whether it is fresh, where the one who asks last heard otherwise; the answer
+    /// may take a while.
+    News(Ballot, bool),
 }
 
 /// An answer.
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -143,8 +143,9 @@
                 let _ = reply.send(peg);
             }
             Command::Store(items, fresh) => {
-                if fresh {
-                    self.fresh = Some(Instant::now());
+                if fresh && self.fresh.replace(Instant::now()).is_none_or(|at| at.elapsed() >= FRESH) {
+                    // Gateways that have just started wait for this word.
+                    self.board.number();
                 }
                 self.store(items.unwrap_or_default());
             }
@@ -152,7 +153,7 @@
                 let due = self.tick(now);
                 let _ = reply.send(due);
             }
-            Command::Duty(from, asked, ask, tell) => self.duty.told(from, asked, ask, tell),
+            Command::Duty(from, asked, ask, tell) => self.duty.told(now, from, asked, ask, tell),
             Command::End(reply) => {
                 let me = self.duty.holder().map(|(_, holder)| holder);
                 let next = (0..self.racks.len()).find(|i| Some(*i) != me);
--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -126,11 +126,11 @@
 /// Follows the store on this machine.
 pub async fn follow_store(address: SocketAddr, owner: Owner) {
     let caller = Caller::new(address);
-    let (mut have, mut silent) = (Ballot::default(), false);
+    let (mut have, mut was_fresh, mut silent) = (Ballot::default(), false, false);
     loop {
-        match caller.call(&store::Question::News(have), STORE).await {
+        match caller.call(&store::Question::News(have, was_fresh), STORE).await {
             Ok(store::Answer::News { ballot, fresh, items }) => {
-                silent = false;
+                (silent, was_fresh) = (false, fresh);
                 // A store that begins anew may know less than it did: nothing of that is news.
                 let items = items.filter(|_| ballot > have);
                 have = if items.is_some() { ballot } else { have };
--- a/crates/starlinghill-workbench/src/desk.rs
+++ b/crates/starlinghill-workbench/src/desk.rs
@@ -23,6 +23,8 @@
 const ON_THE_WAY: Micros = Micros(12_000);
 /// When to come back where no backend has room.
 const SOON: Micros = Micros(200_000);
+/// When to come back to a process that has just started: it takes some half a second to be told of all.
+const STARTED: Micros = Micros(500_000);
 /// The platform asks once a second whether a gateway is ready, and gives up on it after two misses: until then new
 /// connections come.
 const LAST_CALL: Duration = Duration::from_millis(2_800);
@@ -130,7 +132,7 @@
             Err((status, problem)) => {
                 let mut response = plain(status, problem).map(AnswerBody::Left);
                 if status == StatusCode::SERVICE_UNAVAILABLE {
-                    come_back(response.headers_mut(), Some(SOON));
+                    come_back(response.headers_mut(), Some(STARTED));
                 }
                 // What stands in its body is nobody's.
                 return if hyper::body::Body::is_end_stream(&body) { response } else { last(response) };
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -25,7 +25,7 @@
 
 /// A registry answers within half a second, news or not; one that takes longer is asked anew.
 const PATIENCE: Duration = Duration::from_millis(1_000);
-const PAUSE: Duration = Duration::from_millis(120);
+const PAUSE: Duration = Duration::from_millis(80);
 /// News that wait to be taken in.
 const QUEUE: usize = 64;
 /// The most gateways of the last so many seconds count: guards against a side of a cut that sees half of them, and takes
