--- a/crates/starlinghill-decision/src/scattered.rs
+++ b/crates/starlinghill-decision/src/scattered.rs
@@ -40,7 +40,8 @@
     pub(crate) fn first_question(&self, cx: &Context, a: &Arrival) -> Purpose {
         match cx.set.gateways {
             _ if cx.set.plans[a.plan.0].rate <= 0.0 => Purpose::Open,
-            MANY.. => Purpose::Demand,
+            // A counter that keeps the stores answers many draws with one word.
+            MANY.. if !cx.set.levels => Purpose::Demand,
             _ => Purpose::Window,
         }
     }
