A terminal console: how the system stands, and orders for scripts

Need: the operators' first tool beside the daemons. Change: starlinghill-console shows registries, gateways with what is in force there, backends by service, items, the count with tenants' use, events; and as commands get, diff, apply, drain, explain. Registries answer Status and Drain; gateways tell what stands for their items. Log lines are key=value from end to end. A drain ordered within half a second of a backend's first beat is said to be uncertain.

--- /dev/null
+++ b/crates/starlinghill-console/src/lib.rs
@@ -0,0 +1,6 @@
+//! The operators' terminal: how things stand over all registries, and orders for scripts.
+
+pub mod ask;
+pub mod explain;
+pub mod picture;
+pub mod screen;
--- /dev/null
+++ b/crates/starlinghill-console/tests/words.rs
@@ -0,0 +1,121 @@
+//! What the console says of how things stand.
+
+use starlinghill_console::explain::{book, differences, explain, Asked};
+use starlinghill_console::picture::Picture;
+use starlinghill_decision::api::CustomerId;
+use starlinghill_decision::store_name;
+use starlinghill_pegboard::{Gateway, Peg, State, Told};
+use starlinghill_template::book::digest;
+use starlinghill_template::{Change, Item, Kind};
+use starlinghill_toolrack::wire::{Count, Status};
+use std::net::{IpAddr, SocketAddr};
+use test_case::test_case;
+use xxhash_rust::xxh3::xxh3_64;
+
+const ITEMS: &str = r#"{"customers":[{"name":"studio","api_keys":["k-1"],"priority":0,"rate_per_s":10,"burst":10,
+    "version":"r7"}],"ports":[{"hostname":"a.example","policy":[{"name":"r-1","kind":"mutating","target_time":"400ms",
+    "priority":1,"public":false,"version":"r7","when":{"path_prefix":"/x/"},"then":{"split":[
+    {"service":"ledger","weight":9},{"service":"lobby","weight":1}],"timeout":"2s","tries":2}}]}],"groups":[
+    {"name":"ledger","health_path":"/h","max_conns":1,"protocol":"h1","tls":false,"version":"r7"},
+    {"name":"lobby","health_path":"/h","max_conns":1,"protocol":"h1","tls":false,"version":"r7"}]}"#;
+
+fn items() -> simd_json::OwnedValue {
+    simd_json::to_owned_value(&mut ITEMS.as_bytes().to_vec()).unwrap_or_default()
+}
+
+fn ip(last: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, last])
+}
+
+fn told(id: &str, state: State, silent: bool) -> (Told, u64) {
+    let (version, zone, service) = ("v1".into(), "a".into(), "ledger".into());
+    let address = SocketAddr::new(ip(9), 80);
+    let peg =
+        Peg { id: id.into(), service, address, zone, version, capacity: 2, state, calls: 1, warm_at: 0 };
+    (Told { peg, silent }, 5)
+}
+
+fn item(name: &str, version: u64) -> Item {
+    Item { kind: Kind::Route, name: name.into(), version, host: "a".into(), body: Some("{}".into()) }
+}
+
+fn status(rack: u8, items: &[Item]) -> Status {
+    let gateway = Gateway { ip: ip(20), life: 1, zone: "a".into(), node: "edge-1".into() };
+    let list = items.iter().map(|item| (item.kind, item.name.clone(), item.version, true)).collect();
+    Status {
+        ip: ip(rack),
+        life: 1,
+        time: 0,
+        fresh: true,
+        items: list,
+        digest: digest(items.iter()),
+        backends: vec![told("i-1", State::Ready, false)],
+        gateways: vec![(gateway, 100, digest([item("r-1", 8)].iter()))],
+        holder: Some((3, ip(1))),
+        count: None,
+    }
+}
+
+fn at(rack: u8) -> SocketAddr {
+    SocketAddr::new(ip(rack), 7560)
+}
+
+#[test_case("b.example", "/x/1", None, "404"; "no route")]
+#[test_case("a.example", "/x/1", Some("k-9"), "401"; "no such key")]
+#[test_case("a.example", "/x/1", Some("k-1"), "429 for most"; "beyond its quota")]
+#[test_case("a.example", "/x/1", Some("k-1"), "service ledger: 90 in a hundred, 1 backends ready"; "its services")]
+#[test_case("a.example", "/x/1", Some("k-1"), "service lobby: 10 in a hundred, 0 backends ready, 0 draining - 503";
+    "a service without backends")]
+fn a_request_is_explained(host: &str, path: &str, key: Option<&str>, wanted: &str) {
+    let mut status = status(1, &[]);
+    let store = store_name(CustomerId(xxh3_64(b"studio"))).0;
+    status.count = Some(Count { silent: 0, stores: vec![(store, 0.2, 10.0, 55.0)] });
+    let said = explain(&items(), &[status], Asked { host, path, key }).unwrap_or_default();
+    assert!(said.iter().any(|line| line.contains(wanted)), "{said:#?}");
+}
+
+#[test]
+fn a_gateway_with_older_items_is_told_from_one_with_the_newest() {
+    let newest = [item("r-1", 8)];
+    let old = status(2, &[item("r-1", 7)]);
+    let all = [(at(1), Some(status(1, &newest))), (at(2), Some(old.clone())), (at(3), None)];
+    let picture = Picture::of(&all);
+    assert!(picture.gateways[&ip(20)].current && picture.racks[2].1.is_none());
+    let mut behind = status(1, &newest);
+    behind.gateways[0].2 = old.digest;
+    assert!(!Picture::of(&[(at(1), Some(behind))]).gateways[&ip(20)].current);
+}
+
+#[test]
+fn a_drain_that_one_registry_knows_of_holds_and_silence_counts_only_where_nobody_hears() {
+    let (mut one, mut two) = (status(1, &[]), status(2, &[]));
+    one.backends = vec![told("i-1", State::Draining, false), told("i-2", State::Ready, true)];
+    two.backends = vec![told("i-1", State::Ready, false), told("i-2", State::Ready, false)];
+    let picture = Picture::of(&[(at(1), Some(one)), (at(2), Some(two))]);
+    let ledger = &picture.services["ledger"];
+    assert!(ledger.draining.contains("i-1") && !ledger.ready.contains("i-1"));
+    assert!(ledger.ready.contains("i-2") && ledger.silent.is_empty());
+}
+
+#[test]
+fn what_changed_is_said_once() {
+    let before = Picture::of(&[(at(1), Some(status(1, &[item("r-1", 7)])))]);
+    let mut next = status(1, &[item("r-1", 8)]);
+    next.backends = vec![told("i-1", State::Draining, false)];
+    next.holder = Some((4, ip(2)));
+    next.gateways[0].0.life = 2;
+    let after = Picture::of(&[(at(1), Some(next))]);
+    let said = after.changes(&before);
+    for wanted in ["edge-1 has started anew", "i-1 drains", "r-1 set in r8", "kept at 10.0.0.2, term 4"] {
+        assert!(said.iter().any(|line| line.contains(wanted)), "{wanted}: {said:#?}");
+    }
+    assert!(after.changes(&after).is_empty());
+}
+
+#[test]
+fn a_file_is_compared_with_what_stands() {
+    let stand = book(&items()).unwrap_or_default();
+    let change = r#"{"upsert":{},"remove":{"routes":[{"name":"r-1","version":"r9"}]}}"#;
+    let next = Change::read(change.as_bytes()).and_then(|change| stand.with(&change)).unwrap_or_default();
+    assert_eq!(differences(&stand, &next), ["- Route r-1 r7", "+ Route r-1 r9 dropped"]);
+}
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -128,6 +128,11 @@
         (self.stores.len(), self.silent.len())
     }
 
+    /// The stores by their names: what they hold, the tenant's rate, and what was asked for of late a second.
+    pub fn stores(&self, now: Duration) -> Vec<(u64, f64, f64, f64)> {
+        self.stores.iter().map(|(name, store)| store.told(now, *name)).collect()
+    }
+
     /// A gateway says what it last heard of stores.
     pub fn recall(&mut self, now: Duration, from: u64, readings: &[Reading]) {
         for reading in readings {
--- a/crates/starlinghill-gauge/src/store.rs
+++ b/crates/starlinghill-gauge/src/store.rs
@@ -40,6 +40,12 @@
         self.at = self.at.max(now);
     }
 
+    /// What it holds, the rate, and what was asked for of late a second.
+    pub(crate) fn told(&self, now: Duration, name: u64) -> (u64, f64, f64, f64) {
+        let faded = (-now.saturating_sub(self.drew_at).as_secs_f64() / RECENT).exp();
+        (name, self.level, self.rate, self.drew.values().sum::<f64>() * faded / RECENT)
+    }
+
     /// The share of a gateway, out of so many.
     fn share(&self, gateway: u64, all: usize) -> f64 {
         let drew = self.drew.get(&gateway).copied().unwrap_or_default();
--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -183,6 +183,16 @@
         recent.map(|entry| (entry.peg.clone(), ago(entry).as_millis() as u64)).collect()
     }
 
+    /// All backends that are not gone, and how long ago each was heard of, in milliseconds.
+    pub fn all(&self, now: Duration) -> Vec<(Told, u64)> {
+        let here = self.backends.values().filter(|entry| entry.peg.state != State::Gone);
+        let told = |entry: &Entry| {
+            let ago = now.saturating_sub(entry.heard).as_millis() as u64;
+            (Told { peg: entry.peg.clone(), silent: entry.silent }, ago)
+        };
+        here.map(told).collect()
+    }
+
     /// All gateways that asked within that time, likewise.
     pub fn asked_within(&self, now: Duration, within: Duration) -> Vec<(Gateway, u64)> {
         let recent = self.gateways.values().filter(|(_, at)| now.saturating_sub(*at) <= within);
--- a/crates/starlinghill-template/src/book.rs
+++ b/crates/starlinghill-template/src/book.rs
@@ -41,6 +41,17 @@
     pub body: Option<String>,
 }
 
+/// A number that stands for items in their versions, whatever their order.
+pub fn digest<'a>(items: impl Iterator<Item = &'a Item>) -> u64 {
+    let one = |item: &Item| {
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        let bytes = item.name.bytes().chain([item.kind as u8]).chain(item.version.to_le_bytes());
+        bytes.for_each(|byte| hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
+        hash
+    };
+    items.map(one).fold(0, u64::wrapping_add)
+}
+
 /// Why a change is not taken.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum Refusal {
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -1,11 +1,12 @@
 //! The owner of the registry's tables: one task, which works through a queue of commands. Nothing here waits.
 
-use crate::wire::{Answer, Have, Heard, News, Question};
+use crate::wire::{Answer, Count, Have, Heard, News, Question, Status};
 use starlinghill_dovetail::settings::Node;
 use starlinghill_gauge::Gauge;
 use starlinghill_holdfast::{self as holdfast, Holdfast};
 use starlinghill_patternbook::wire::Value;
 use starlinghill_pegboard::{Board, Peg, State};
+use starlinghill_template::book::digest;
 use starlinghill_template::{Item, Kind};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -67,6 +68,9 @@
     items: BTreeMap<(Kind, String), (Item, u64)>,
     fresh: Option<Instant>,
     racks: Vec<IpAddr>,
+    me: usize,
+    /// What stands for the items in force at each gateway.
+    in_force: BTreeMap<IpAddr, u64>,
     duty: Holdfast,
     gauge: Option<Gauge>,
     told_holder: Option<(u64, usize)>,
@@ -91,6 +95,8 @@
         fresh: None,
         duty: Holdfast::new(me, racks.len(), Duration::ZERO),
         racks,
+        me,
+        in_force: BTreeMap::new(),
         gauge: None,
         told_holder: None,
         holder_changed: 0,
@@ -187,6 +193,7 @@
             Question::News(have) => {
                 self.hear_time(have.time);
                 self.duty.seen(have.term);
+                self.in_force.insert(have.gateway.ip, have.digest);
                 if have.leaving {
                     self.board.leaves(&have.gateway);
                 } else {
@@ -230,6 +237,19 @@
                 self.board.left(now, &id);
                 answer(reply, Answer::Noted);
             }
+            Question::Status => {
+                let status = self.status(now);
+                answer(reply, Answer::Status(Box::new(status)));
+            }
+            Question::Drain(id) => match self.board.get(&id).cloned() {
+                Some(peg) => {
+                    log::info!("event=drain_ordered id={id}");
+                    let state = peg.state.max(State::Draining);
+                    self.board.heard(now, Peg { state, ..peg }, Duration::ZERO);
+                    answer(reply, Answer::Noted);
+                }
+                None => answer(reply, Answer::Unknown),
+            },
             Question::All => answer(
                 reply,
                 Answer::All(Heard {
@@ -245,6 +265,33 @@
         }
     }
 
+    fn status(&self, now: Duration) -> Status {
+        let holder = self.duty.holder().and_then(|(term, i)| Some((term, *self.racks.get(i)?)));
+        let item =
+            |(item, _): &(Item, u64)| (item.kind, item.name.clone(), item.version, item.body.is_some());
+        let in_force = |ip: &IpAddr| self.in_force.get(ip).copied().unwrap_or_default();
+        let gateways = self.board.asked_within(now, Duration::MAX);
+        let told = |count: &Gauge| Count { silent: count.state().1 as u64, stores: count.stores(now) };
+        Status {
+            ip: self.racks[self.me],
+            life: self.life,
+            time: self.time(),
+            fresh: self.fresh.is_some_and(|at| at.elapsed() < FRESH),
+            items: self.items.values().map(item).collect(),
+            digest: digest(self.items.values().map(|(item, _)| item)),
+            backends: self.board.all(now),
+            gateways: gateways
+                .into_iter()
+                .map(|(gateway, ago)| {
+                    let digest = in_force(&gateway.ip);
+                    (gateway, ago, digest)
+                })
+                .collect(),
+            holder,
+            count: self.gauge.as_ref().filter(|_| self.duty.holds(now).is_some()).map(told),
+        }
+    }
+
     fn heard(&mut self, now: Duration, heard: Heard) {
         self.hear_time(heard.time);
         for (peg, ago) in heard.backends {
@@ -286,6 +333,8 @@
 
     fn tick(&mut self, now: Duration) -> Due {
         self.board.tick(now);
+        let board = &self.board;
+        self.in_force.retain(|ip, _| board.gateways().any(|gateway| gateway.ip == *ip));
         if let Some(gauge) = &mut self.gauge {
             let lives = self.board.gateways().map(|gateway| gateway.life).collect();
             let before = gauge.state().1;
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -4,7 +4,7 @@
 use starlinghill_gauge::{Draw, Level, Reading};
 use starlinghill_holdfast as holdfast;
 use starlinghill_pegboard::{Gateway, Peg, Told};
-use starlinghill_template::Item;
+use starlinghill_template::{Item, Kind};
 use std::net::IpAddr;
 
 /// A question.
@@ -38,6 +38,10 @@
     Left(String),
     /// By a registry that has just started: all that is known.
     All,
+    /// By a console: how things stand.
+    Status,
+    /// By a console: that backend is to take no new work.
+    Drain(String),
 }
 
 /// What a gateway has.
@@ -55,6 +59,8 @@
     pub term: u64,
     /// It is about to end.
     pub leaving: bool,
+    /// What stands for the items that are in force there (`Book::digest`).
+    pub digest: u64,
 }
 
 /// What a registry heard.
@@ -102,6 +108,44 @@
     Duty(holdfast::Tell),
     /// All that is known.
     All(Heard),
+    /// How things stand.
+    Status(Box<Status>),
+    /// Nobody has a backend of that id.
+    Unknown,
     /// It was noted.
     Noted,
 }
+
+/// How things stand at a registry.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Status {
+    /// Its address.
+    pub ip: IpAddr,
+    /// The life of its process.
+    pub life: u64,
+    /// The system's time, in microseconds.
+    pub time: u64,
+    /// The store beside it heard a majority of stores a moment ago.
+    pub fresh: bool,
+    /// Items: kind, name, version, and whether they stand.
+    pub items: Vec<(Kind, String, u64, bool)>,
+    /// What stands for them.
+    pub digest: u64,
+    /// Backends, each heard of so many milliseconds ago.
+    pub backends: Vec<(Told, u64)>,
+    /// Gateways, likewise, each with what stands for the items in force there.
+    pub gateways: Vec<(Gateway, u64, u64)>,
+    /// Who keeps the count, and its term, as far as is known here.
+    pub holder: Option<(u64, IpAddr)>,
+    /// The count, where it is kept here.
+    pub count: Option<Count>,
+}
+
+/// The count at its holder.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Count {
+    /// Gateways that it does not hear.
+    pub silent: u64,
+    /// Stores by their names: what they hold, the tenant's rate, and what was drawn of late a second.
+    pub stores: Vec<(u64, f64, f64, f64)>,
+}
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -10,6 +10,7 @@
 use starlinghill_dovetail::TOOLRACK;
 use starlinghill_gateway::inbox::{Clock, Inbox, Input, Listing};
 use starlinghill_pegboard::{Change, Gateway, State, Wall};
+use starlinghill_template::book::digest;
 use starlinghill_template::table::Tenant;
 use starlinghill_template::{Book, Table};
 use starlinghill_toolrack::wire::{Answer, Have, News, Question};
@@ -87,12 +88,14 @@
     racks.dedup();
     let me = Gateway { ip: node.ip, life, zone: node.zone.clone(), node: node.name.clone() };
     let term = Rc::new(std::cell::Cell::new(0));
+    let in_force = Rc::new(std::cell::Cell::new(0));
     for (i, ip) in racks.iter().enumerate() {
         let asking = Asking {
             rack: i,
             caller: Caller::new(node.port(*ip, TOOLRACK)),
             me: me.clone(),
             term: term.clone(),
+            digest: in_force.clone(),
             clock: counter.clone(),
             tell: tell.clone(),
             stopping: shared.stopping.clone(),
@@ -107,6 +110,7 @@
         counter,
         holder,
         term,
+        in_force,
         start: Instant::now(),
         book: Book::default(),
         wall: Wall::default(),
@@ -123,6 +127,7 @@
     caller: Caller,
     me: Gateway,
     term: Rc<std::cell::Cell<u64>>,
+    digest: Rc<std::cell::Cell<u64>>,
     clock: Rc<Counter>,
     tell: mpsc::Sender<(usize, News)>,
     stopping: watch::Receiver<bool>,
@@ -139,6 +144,7 @@
                 time: *self.clock.time.borrow(),
                 term: self.term.get(),
                 leaving: *self.stopping.borrow(),
+                digest: self.digest.get(),
             };
             match self.caller.call(&Question::News(have), PATIENCE).await {
                 Ok(Answer::News(news)) => {
@@ -167,6 +173,8 @@
     counter: Rc<Counter>,
     holder: watch::Sender<Holder>,
     term: Rc<std::cell::Cell<u64>>,
+    /// What stands for the items in force here.
+    in_force: Rc<std::cell::Cell<u64>>,
     start: Instant,
     book: Book,
     wall: Wall,
@@ -236,6 +244,7 @@
         let routes = table.routes().count();
         log::info!("event=configuration routes={routes} tenants={}", table.tenants.len());
         self.shared.view.borrow_mut().table = table;
+        self.in_force.set(digest(self.book.items().map(|held| &held.item)));
     }
 
     async fn tell_rules(&mut self, changed: bool) {
