Gateways watch each other on a ring: shares are kept for the cut off, not for the dead

Need: the house style's heartbeats to a few watchers that the place on a ring names; and a counter that keeps the shares of dead gateways keeps them from the living. Change: starlinghill-grindstone (pure) and a UDP port of each proxy: three watchers, every 300 ms, told to registries with the questions. Dead is who nobody heard for 2.2 s though two watchers could tell; one that hears nobody uses no share.

--- a/crates/starlinghill-decision/src/context.rs
+++ b/crates/starlinghill-decision/src/context.rs
@@ -25,6 +25,8 @@
     /// When this gateway was first told something.
     pub(crate) started: Option<Micros>,
     pub(crate) out: Vec<Action>,
+    /// It hears nobody: others may use its shares.
+    pub(crate) alone: bool,
     /// All that is open must have its answer by then.
     pub(crate) closing: Option<Micros>,
     pub(crate) timers: BTreeMap<TimerId, Timer>,
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -47,6 +47,16 @@
     pub(crate) scattered: Scattered,
 }
 
+impl Customer {
+    /// Its share of the quota while a counter that keeps the stores is silent.
+    pub(crate) fn own_share(&self, cx: &Context) -> f64 {
+        match cx.alone {
+            true => 0.0,
+            false => self.share.unwrap_or(1.0 / self.spread.max(1.0)),
+        }
+    }
+}
+
 /// What a gateway keeps of a customer that comes through many.
 #[derive(Debug, Default)]
 pub(crate) struct Scattered {
--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -52,7 +52,7 @@
         // Of one that comes through many gateways no store is followed, but its demand was heard of.
         let flows = c.account.store.flows().or_else(|| c.scattered.flows(c.asked.now(now)));
         let base = by_flows(flows, p.rate, c.spread, unknown, NEED_SPARE);
-        let base = if cx.set.levels { c.share.unwrap_or(1.0 / c.spread) } else { base };
+        let base = if cx.set.levels { c.own_share(cx) } else { base };
         let share = (base + c.shares.moved(c.spread as u32)).clamp(0.0, 1.0);
         // Guards against shares of less than one request, which would refuse everything: at least that much,
         // as far as it is left.
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -302,6 +302,7 @@
             }
             Input::Post(post) => self.post = Some(post),
             Input::Rules(rules) => self.batch.push(Event::Rules(rules)),
+            Input::Alone(alone) => self.batch.push(Event::Alone(alone)),
             Input::Zones(parts) => {
                 let parts = parts.into_iter().map(|(zone, part)| (self.site.zone(&zone), part)).collect();
                 self.batch.push(Event::Zones(parts));
--- a/crates/starlinghill-gateway/src/inbox.rs
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -53,6 +53,8 @@
     Post(Rc<dyn Post>),
     /// New rules for what comes from now on.
     Rules(Rules),
+    /// Whether this gateway hears nobody, so that others may use its shares.
+    Alone(bool),
     /// The parts that zones get from now on, by name.
     Zones(Vec<(String, ZonePart)>),
     /// All that is open must have its answer by then.
--- /dev/null
+++ b/crates/starlinghill-grindstone/src/lib.rs
@@ -0,0 +1,154 @@
+//! Workshop: a grindstone turns, and every tool comes past it. Here it is the ring of gateways: each tells the few that come
+//! next on it that it lives, and they tell the registries whom they heard.
+//!
+//! Registries hear gateways themselves, by their questions. What the watchers add is the difference between one that is
+//! cut off from the core, which serves on by its shares of the quotas, and one that is dead, which needs none. The one
+//! must not be taken for the other: a gateway that hears neither a registry nor any of those that it should hear knows
+//! that others may take it for dead, and uses no share.
+//!
+//! No I/O and no clock.
+
+use bitcode::{Decode, Encode};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// How many watch each gateway. Two may be lost with it.
+pub const WATCHERS: usize = 3;
+/// How often a gateway says that it lives.
+pub const EVERY: Duration = Duration::from_millis(300);
+/// One of whom nobody heard for so long is dead: some six words in a row were lost.
+pub const DEAD: Duration = Duration::from_millis(2_200);
+/// One that heard nobody for so long takes itself for cut off from all: sooner than others take it for dead, by what a
+/// word may be on its way.
+pub const ALONE: Duration = Duration::from_millis(1_500);
+/// The most gateways that are followed. Guards memory.
+const MOST: usize = 20_000;
+
+/// What a gateway says to its watchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Beat {
+    /// The life of its process.
+    pub life: u64,
+}
+
+/// Of whom a watcher heard.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Seen {
+    /// The gateway.
+    pub ip: IpAddr,
+    /// Its life.
+    pub life: u64,
+    /// How long ago, in milliseconds.
+    pub ago_ms: u64,
+}
+
+/// The place of a gateway on the ring: spread evenly, and the same wherever it is reckoned.
+fn place(ip: &IpAddr) -> u64 {
+    let mut x = match ip {
+        IpAddr::V4(ip) => u64::from(u32::from(*ip)),
+        IpAddr::V6(ip) => u128::from(*ip) as u64 ^ (u128::from(*ip) >> 64) as u64,
+    };
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Those who watch a gateway: the next on the ring.
+pub fn watchers(of: IpAddr, all: &BTreeSet<IpAddr>) -> Vec<IpAddr> {
+    let mut ring: Vec<(u64, IpAddr)> = all.iter().map(|ip| (place(ip), *ip)).collect();
+    ring.sort_unstable();
+    let own = (place(&of), of);
+    let from = ring.partition_point(|at| *at <= own);
+    let next = ring.iter().cycle().skip(from).take(ring.len()).map(|(_, ip)| *ip);
+    next.filter(|ip| *ip != of).take(WATCHERS).collect()
+}
+
+/// A gateway's part in the ring.
+#[derive(Debug)]
+pub struct Watch {
+    me: IpAddr,
+    ring: BTreeSet<IpAddr>,
+    heard: BTreeMap<IpAddr, (u64, Duration)>,
+    began: Duration,
+}
+
+impl Watch {
+    /// Of a gateway that starts now and knows nobody.
+    pub fn new(me: IpAddr, now: Duration) -> Watch {
+        Watch { me, ring: BTreeSet::from([me]), heard: BTreeMap::new(), began: now }
+    }
+
+    /// These gateways there are, as registries tell.
+    pub fn follow(&mut self, gateways: impl IntoIterator<Item = IpAddr>) {
+        self.ring = gateways.into_iter().take(MOST).chain([self.me]).collect();
+        let ring = &self.ring;
+        self.heard.retain(|ip, _| ring.contains(ip));
+    }
+
+    /// Whom to tell that this one lives.
+    pub fn to_tell(&self) -> Vec<IpAddr> {
+        watchers(self.me, &self.ring)
+    }
+
+    /// Another one has said that it lives. Strangers are no gateways yet, and forgotten.
+    pub fn heard(&mut self, now: Duration, from: IpAddr, beat: Beat) {
+        if self.ring.contains(&from) && from != self.me {
+            self.heard.insert(from, (beat.life, now));
+        }
+    }
+
+    /// Of whom it heard, for registries.
+    pub fn seen(&self, now: Duration) -> Vec<Seen> {
+        let lately = self.heard.iter().filter(|(_, (_, at))| now.saturating_sub(*at) < DEAD);
+        let ago = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        lately.map(|(ip, (life, at))| Seen { ip: *ip, life: *life, ago_ms: ago(*at) }).collect()
+    }
+
+    /// It has heard nobody for a while, where there are some to be heard.
+    pub fn is_alone(&self, now: Duration) -> bool {
+        let last = self.heard.values().map(|(_, at)| *at).max().unwrap_or(self.began);
+        self.ring.len() > 1 && now.saturating_sub(last) > ALONE
+    }
+}
+
+/// What a registry makes of its watchers' words.
+#[derive(Debug, Default)]
+pub struct Sight {
+    /// When each gateway was last heard of, by anybody, and in which life.
+    heard: BTreeMap<IpAddr, (u64, Duration)>,
+    /// When each gateway last told of others.
+    told: BTreeMap<IpAddr, Duration>,
+}
+
+impl Sight {
+    /// A gateway asks, and tells of whom it heard.
+    pub fn told(&mut self, now: Duration, by: IpAddr, life: u64, seen: &[Seen]) {
+        if self.heard.len() >= MOST {
+            return;
+        }
+        self.told.insert(by, now);
+        let own = Seen { ip: by, life, ago_ms: 0 };
+        for Seen { ip, life, ago_ms } in seen.iter().chain([&own]).take(MOST) {
+            let at = now.saturating_sub(Duration::from_millis(*ago_ms));
+            let known = self.heard.entry(*ip).or_insert((*life, at));
+            if known.1 <= at {
+                *known = (*life, at);
+            }
+        }
+    }
+
+    /// Which of these gateways are dead: nobody heard them, though two of their watchers could tell.
+    pub fn dead(&mut self, now: Duration, gateways: &BTreeSet<IpAddr>) -> BTreeSet<IpAddr> {
+        self.heard.retain(|ip, _| gateways.contains(ip));
+        self.told.retain(|ip, _| gateways.contains(ip));
+        let lately = |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) < DEAD);
+        let is_dead = |ip: &IpAddr| {
+            let could = watchers(*ip, gateways).into_iter();
+            let could = could.filter(|watcher| lately(self.told.get(watcher).copied())).count();
+            let heard = self.heard.get(ip).is_some_and(|(_, at)| lately(Some(*at)));
+            !heard && could >= 2
+        };
+        gateways.iter().copied().filter(is_dead).collect()
+    }
+}
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::wire::{Answer, Count, Have, Heard, News, Question, Status};
 use starlinghill_dovetail::settings::Node;
 use starlinghill_gauge::Gauge;
+use starlinghill_grindstone::Sight;
 use starlinghill_holdfast::{self as holdfast, Holdfast};
 use starlinghill_patternbook::wire::Value;
 use starlinghill_pegboard::{Board, Peg, State};
@@ -71,6 +72,8 @@
     me: usize,
     /// What stands for the items in force at each gateway.
     in_force: BTreeMap<IpAddr, u64>,
+    /// What gateways say of each other.
+    sight: Sight,
     duty: Holdfast,
     gauge: Option<Gauge>,
     told_holder: Option<(u64, usize)>,
@@ -97,6 +100,7 @@
         racks,
         me,
         in_force: BTreeMap::new(),
+        sight: Sight::default(),
         gauge: None,
         told_holder: None,
         holder_changed: 0,
@@ -194,6 +198,7 @@
                 self.hear_time(have.time);
                 self.duty.seen(have.term);
                 self.in_force.insert(have.gateway.ip, have.digest);
+                self.sight.told(now, have.gateway.ip, have.gateway.life, &have.seen);
                 if have.leaving {
                     self.board.leaves(&have.gateway);
                 } else {
@@ -336,7 +341,11 @@
         let board = &self.board;
         self.in_force.retain(|ip, _| board.gateways().any(|gateway| gateway.ip == *ip));
         if let Some(gauge) = &mut self.gauge {
-            let lives = self.board.gateways().map(|gateway| gateway.life).collect();
+            let all = self.board.gateways().map(|gateway| gateway.ip).collect();
+            // What the dead had as their share is for the others.
+            let dead = self.sight.dead(now, &all);
+            let living = self.board.gateways().filter(|gateway| !dead.contains(&gateway.ip));
+            let lives = living.map(|gateway| gateway.life).collect();
             let before = gauge.state().1;
             gauge.tick(now, &lives);
             if gauge.state().1 != before {
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -2,6 +2,7 @@
 
 use bitcode::{Decode, Encode};
 use starlinghill_gauge::{Draw, Level, Reading};
+use starlinghill_grindstone::Seen;
 use starlinghill_holdfast as holdfast;
 use starlinghill_pegboard::{Gateway, Peg, Told};
 use starlinghill_template::{Item, Kind};
@@ -61,6 +62,8 @@
     pub leaving: bool,
     /// What stands for the items that are in force there (`Book::digest`).
     pub digest: u64,
+    /// Of which gateways it heard on the ring.
+    pub seen: Vec<Seen>,
 }
 
 /// What a registry heard.
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -183,6 +183,11 @@
         why
     }
 
+    /// The counter can be asked.
+    pub fn is_reached(&self) -> bool {
+        self.reached.get()
+    }
+
     /// Somebody has told the system's time.
     pub fn hear_time(&self, time: u64) {
         self.time.send_if_modified(|known| {
--- a/crates/starlinghill-workbench/src/lib.rs
+++ b/crates/starlinghill-workbench/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod news;
 pub mod program;
 pub mod ready;
+pub mod ring;
 pub mod rules;
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -1,6 +1,7 @@
 //! What the registries tell, and the owner of what this gateway makes of it: one task, which works through a queue.
 
 use crate::count::{Counter, Holder};
+use crate::ring::Ring;
 use crate::rules::{Fleet, Places, COLD};
 use hyper::header::HeaderValue;
 use starlinghill_decision::api::*;
@@ -72,16 +73,23 @@
     ZoneId(number(name) as u32)
 }
 
+/// Where news go.
+pub struct Ways {
+    /// To the driver.
+    pub driver: Inbox,
+    /// The module's clock.
+    pub clock: Clock,
+    /// The count, which hears of time and quotas.
+    pub counter: Rc<Counter>,
+    /// Who keeps it.
+    pub holder: watch::Sender<Holder>,
+    /// The ring of gateways.
+    pub ring: Rc<Ring>,
+}
+
 /// Asks all registries, again and again, and takes in what they tell.
-pub fn start(
-    node: &Node,
-    shared: Rc<Shared>,
-    driver: Inbox,
-    clock: Clock,
-    counter: Rc<Counter>,
-    holder: watch::Sender<Holder>,
-    life: u64,
-) {
+pub fn start(node: &Node, shared: Rc<Shared>, ways: Ways, life: u64) {
+    let Ways { driver, clock, counter, holder, ring } = ways;
     let (tell, told) = mpsc::channel(QUEUE);
     let mut racks: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
     racks.sort_unstable();
@@ -96,6 +104,7 @@
             me: me.clone(),
             term: term.clone(),
             digest: in_force.clone(),
+            ring: ring.clone(),
             clock: counter.clone(),
             tell: tell.clone(),
             stopping: shared.stopping.clone(),
@@ -111,6 +120,8 @@
         holder,
         term,
         in_force,
+        ring,
+        alone: false,
         start: Instant::now(),
         book: Book::default(),
         wall: Wall::default(),
@@ -128,6 +139,7 @@
     me: Gateway,
     term: Rc<std::cell::Cell<u64>>,
     digest: Rc<std::cell::Cell<u64>>,
+    ring: Rc<Ring>,
     clock: Rc<Counter>,
     tell: mpsc::Sender<(usize, News)>,
     stopping: watch::Receiver<bool>,
@@ -145,6 +157,7 @@
                 term: self.term.get(),
                 leaving: *self.stopping.borrow(),
                 digest: self.digest.get(),
+                seen: self.ring.seen(),
             };
             match self.caller.call(&Question::News(have), PATIENCE).await {
                 Ok(Answer::News(news)) => {
@@ -175,6 +188,9 @@
     term: Rc<std::cell::Cell<u64>>,
     /// What stands for the items in force here.
     in_force: Rc<std::cell::Cell<u64>>,
+    ring: Rc<Ring>,
+    /// It hears neither the counter nor another gateway, as the module was told last.
+    alone: bool,
     start: Instant,
     book: Book,
     wall: Wall,
@@ -189,7 +205,7 @@
 
 impl Owner {
     async fn run(mut self, mut told: mpsc::Receiver<(usize, News)>) {
-        let mut tick = interval(Duration::from_secs(1));
+        let mut tick = interval(Duration::from_millis(500));
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -202,6 +218,7 @@
                     self.backends(gone).await;
                     self.count_gateways();
                     self.tell_rules(false).await;
+                    self.look_around().await;
                 }
             }
             self.look_ready();
@@ -302,9 +319,19 @@
         let _ = self.driver.send(Input::Backends(ListScope::Changes, listings)).await;
     }
 
+    /// Others may take it for dead, and use its shares.
+    async fn look_around(&mut self) {
+        let alone = self.ring.is_alone() && !self.counter.is_reached();
+        if std::mem::replace(&mut self.alone, alone) != alone {
+            log::warn!("event=alone alone={alone}");
+            let _ = self.driver.send(Input::Alone(alone)).await;
+        }
+    }
+
     fn count_gateways(&mut self) {
         let mut all: BTreeSet<IpAddr> = self.lists.values().flatten().map(|gateway| gateway.ip).collect();
         all.insert(self.node.ip);
+        self.ring.follow(all.iter().copied());
         let (now, count) = (Instant::now(), all.len() as u32);
         self.counts.retain(|(at, _)| now.duration_since(*at) < REMEMBERED);
         match self.counts.back_mut() {
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -3,11 +3,13 @@
 use crate::answers::System;
 use crate::count::Counter;
 use crate::desk::Front;
-use crate::news::{self, Shared, View};
+use crate::news::{self, Shared, View, Ways};
+use crate::ring::Ring;
 use crate::rules::{self, Places};
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_decision::api::Micros;
 use starlinghill_dovetail::settings::{Node, SettingsError};
+use starlinghill_dovetail::WORKBENCH;
 use starlinghill_gateway::backend::Pool;
 use starlinghill_gateway::config::ConfigError;
 use starlinghill_gateway::driver::Driver;
@@ -18,7 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::spawn_local;
@@ -99,7 +101,12 @@
     let settings = rules::settings(news::zone(&node.zone), &node.bounds);
     let driver = Driver::hosted(settings, life, clock, pool, counter.clone()).context(ModuleSnafu)?;
     let inbox = driver.inbox();
-    news::start(&node, shared.clone(), inbox.clone(), clock, counter, holder, life);
+    let at = node.port(node.ip, WORKBENCH);
+    let socket = UdpSocket::bind(at).await.context(SystemSnafu { what: format!("listen on {at}") })?;
+    let ring = Rc::new(Ring::new(at, life));
+    spawn_local(ring.clone().run(socket));
+    let ways = Ways { driver: inbox.clone(), clock, counter, holder, ring };
+    news::start(&node, shared.clone(), ways, life);
     spawn_local(crate::ready::serve(asked, shared.clone()));
     let bodies = (node.memory_mb << 20) / BODIES_PART;
     let intake = Intake {
