Who bids for the count in vain is no holder, and unseats none when it is back

Lines at fault: tick and asked of holdfast. Change: who holds is said once it does; a bid raises its own term only if it wins; late votes don't win. The histories check that nobody is said to hold who never did, and that a cut that heals moves nothing (both fail before).

--- a/crates/starlinghill-holdfast/src/lib.rs
+++ b/crates/starlinghill-holdfast/src/lib.rs
@@ -139,8 +139,9 @@
                 let free = now >= self.bound || left;
                 let yes = term > self.term && free && self.holds(now).is_none() && by < self.of;
                 if yes {
-                    (self.term, self.bid) = (term, None);
-                    self.bind(now, term, by);
+                    // Who holds is known once somebody does: a bid may fail.
+                    (self.term, self.bid, self.holder) = (term, None, None);
+                    self.bind(now);
                 }
                 yes
             }
@@ -150,8 +151,8 @@
                     if self.bid.as_ref().is_some_and(|bid| bid.term < term) {
                         self.bid = None;
                     }
-                    self.term = term;
-                    self.bind(now, term, by);
+                    (self.term, self.holder) = (term, Some((term, by)));
+                    self.bind(now);
                 }
                 yes
             }
@@ -164,8 +165,7 @@
         Tell { yes, term: self.term }
     }
 
-    fn bind(&mut self, now: Duration, term: u64, by: usize) {
-        self.holder = Some((term, by));
+    fn bind(&mut self, now: Duration) {
         self.bound = now + LEASE + MARGIN;
         self.patience = self.bound + RANK * (1 + self.me as u32);
     }
@@ -197,15 +197,17 @@
         if leave.is_none() && (now < self.bound || now < self.patience) {
             return None;
         }
-        self.term = (self.term + 1).max(least);
+        // Its own term rises if it wins: guards against one that is cut off, bids in vain, and by its high terms would
+        // unseat the holder when it is back.
+        let term = (self.term + 1).max(least);
         let votes = BTreeSet::from([self.me]);
         let (before, refused) = (self.bound, BTreeSet::new());
         let latest = (now, votes.clone());
-        self.bid = Some(Bid { term: self.term, votes, until: None, latest, refused, before });
+        self.bid = Some(Bid { term, votes, until: None, latest, refused, before });
         self.asked = now;
-        self.bind(now, self.term, self.me);
-        self.count();
-        Some(Ask::Want { term: self.term, by: self.me, leave: leave.unwrap_or_default() })
+        self.bind(now);
+        self.count(now);
+        Some(Ask::Want { term, by: self.me, leave: leave.unwrap_or_default() })
     }
 
     /// Another one has answered what was asked at that moment.
@@ -232,14 +234,20 @@
         if tell.yes && bid.term == term && bid.latest.0 == asked {
             bid.votes.insert(from);
             bid.latest.1.insert(from);
-            self.count();
+            self.count(now);
         }
     }
 
-    fn count(&mut self) {
+    fn count(&mut self, now: Duration) {
         let majority = self.majority();
         let Some(bid) = &mut self.bid else { return };
-        if bid.latest.1.len() >= majority {
+        // Yes that comes when the lease which it would begin is over counts for nothing.
+        if bid.latest.1.len() >= majority && now < bid.latest.0 + LEASE {
+            if bid.until.is_none() {
+                // The others hear of it with the next question, which goes out at once.
+                (self.term, self.holder) = (bid.term, Some((bid.term, self.me)));
+                self.asked = Duration::ZERO;
+            }
             bid.until = Some(bid.until.unwrap_or_default().max(bid.latest.0 + LEASE));
         }
     }
--- a/crates/starlinghill-holdfast/tests/duty.rs
+++ b/crates/starlinghill-holdfast/tests/duty.rs
@@ -93,6 +93,10 @@
             (0..OF).filter_map(|i| self.all[i].holds(now).map(|term| (term, i))).collect();
         assert!(holders.len() <= 1, "two hold at {now:?}: {holders:?}");
         self.held.extend(holders);
+        // Nobody is said to hold who never did.
+        for who in (0..OF).filter_map(|i| self.all[i].holder()) {
+            assert!(self.held.contains(&who), "{who:?} is said to hold at {now:?}");
+        }
     }
 
     fn run(&mut self, span: Duration, troubles: bool) {
@@ -151,3 +155,21 @@
     assert!(!new.asked(ms(11), want).yes);
     assert!(new.asked(ms(11) + LEASE + MARGIN, want).yes);
 }
+
+#[test]
+fn one_that_was_cut_off_and_bid_in_vain_unseats_nobody_when_it_is_back() {
+    for seed in 0..50 {
+        let mut world = World::new(seed);
+        world.run(ms(3_000), false);
+        let Some(holder) = world.holder() else { panic!("nobody holds") };
+        let term = world.all[holder].holds(world.now);
+        let cut = (holder + 1) % OF;
+        let until = world.now + ms(4_000);
+        for other in 0..OF {
+            world.cut[cut][other] = until;
+            world.cut[other][cut] = until;
+        }
+        world.run(ms(6_000), false);
+        assert_eq!(world.all[holder].holds(world.now), term, "seed {seed}");
+    }
+}
