--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -325,6 +325,8 @@
     Counted(CountName, usize, Outcome, f64),
     /// The counter has told this gateway's share of what that name counts, for when it can't be reached.
     Share(CountName, f64),
+    /// What other gateways have out at servers, where that changed; said again and again while it can be told.
+    Loads(Vec<(ServerId, f64)>),
     /// Whether this gateway hears nobody: others may use its shares meanwhile.
     Alone(bool),
     /// A message from another gateway, by its number.
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -46,6 +46,7 @@
             Event::ClientGone(id) => self.finish(id, None),
             Event::Probed(..) => {}
             Event::Counted(name, nth, outcome, total) => self.on_counted(name, nth, outcome, total),
+            Event::Loads(loads) => self.fleet.told_loads(&mut self.cx, loads),
             Event::Alone(alone) => self.cx.alone = alone,
             Event::Share(name, share) => self.admission.told_share(name, share),
             Event::Peer(from, message) => self.admission.on_peer(&mut self.cx, from, &message),
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -128,3 +128,25 @@
     let mine = set().any(|gateway| gateway == me);
     set().filter(move |gateway| mine && *gateway != me)
 }
+
+/// Sets what the bucket beyond the quota holds: a part of what the ceiling holds above the quota or, while
+/// all gateways are bound by promises, of the whole ceiling.
+pub(crate) fn set_beyond(c: &mut Customer, p: &Plan) {
+    let part = (1.0 / c.spread + c.shares.moved(c.spread as u32)).max(0.0);
+    let quota = if c.quiet > Micros(0) { (0.0, 0.0) } else { (p.rate, p.burst) };
+    c.beyond.rate = (p.ceiling_rate - quota.0).max(0.0) * part;
+    c.beyond.depth = (p.ceiling_burst - quota.1).max(0.0) * part;
+}
+
+/// Fills both buckets up to a moment at the rates that held until then. Guards against filling the time
+/// before a share came, or after it went, at the rate of another. May hurt customers seldom asked for, if
+/// left out.
+pub(crate) fn settle(c: &mut Customer, p: &Plan, at: Micros) {
+    c.bucket.iter_mut().for_each(|bucket| bucket.fill(at));
+    if c.quiet > Micros(0) && c.quiet <= at {
+        c.beyond.fill(c.quiet);
+        c.quiet = Micros(0);
+        set_beyond(c, p);
+    }
+    c.beyond.fill(at);
+}
--- a/crates/starlinghill-decision/src/messages.rs
+++ b/crates/starlinghill-decision/src/messages.rs
@@ -5,8 +5,7 @@
 use crate::admission::Admission;
 use crate::api::*;
 use crate::context::Context;
-use crate::customer::{others, span, Customer, WINDOW};
-use crate::sharing::{set_beyond, settle};
+use crate::customer::{others, set_beyond, settle, span, Customer, WINDOW};
 use starlinghill_ledger::shares::{decode, spare, Given, Said, WHOLE};
 
 /// Part of what the others take in that one gateway sends.
--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -5,7 +5,7 @@
 use crate::api::*;
 use crate::bucket::TokenBucket;
 use crate::context::Context;
-use crate::customer::{others, Customer};
+use crate::customer::{others, set_beyond, settle};
 use starlinghill_ledger::shares::by_flows;
 
 /// Part of its quota that a customer is taken to use elsewhere before anything was heard of it, while the
@@ -15,27 +15,6 @@
 const NEED_SPARE: f64 = 2.0;
 /// What a new life waits before it goes by totals under a ceiling: the one before may have promised as much.
 const NEW_LIFE: Micros = Micros(1_200_000);
-/// Sets what the bucket beyond the quota holds: a part of what the ceiling holds above the quota or, while
-/// all gateways are bound by promises, of the whole ceiling.
-pub(crate) fn set_beyond(c: &mut Customer, p: &Plan) {
-    let part = (1.0 / c.spread + c.shares.moved(c.spread as u32)).max(0.0);
-    let quota = if c.quiet > Micros(0) { (0.0, 0.0) } else { (p.rate, p.burst) };
-    c.beyond.rate = (p.ceiling_rate - quota.0).max(0.0) * part;
-    c.beyond.depth = (p.ceiling_burst - quota.1).max(0.0) * part;
-}
-
-/// Fills both buckets up to a moment at the rates that held until then. Guards against filling the time
-/// before a share came, or after it went, at the rate of another. May hurt customers seldom asked for, if
-/// left out.
-pub(crate) fn settle(c: &mut Customer, p: &Plan, at: Micros) {
-    c.bucket.iter_mut().for_each(|bucket| bucket.fill(at));
-    if c.quiet > Micros(0) && c.quiet <= at {
-        c.beyond.fill(c.quiet);
-        c.quiet = Micros(0);
-        set_beyond(c, p);
-    }
-    c.beyond.fill(at);
-}
 
 impl Admission {
     /// A customer's local bucket, and the part of the quota that is this gateway's. What the other gateways
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
-use starlinghill_decision::api::{CountName, Micros, Outcome};
+use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::Future;
@@ -31,6 +31,8 @@
     fn draw(self: Rc<Self>, _: CountName, _owed: f64, _units: f64) -> Counting {
         Box::pin(async { Outcome::Moot.into() })
     }
+    /// An attempt went out to a server, or came back.
+    fn load(&self, _: ServerId, _out: bool) {}
     /// Where the counter is, where it is at an address.
     fn at(&self) -> Option<SocketAddr> {
         None
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -302,6 +302,7 @@
             }
             Input::Post(post) => self.post = Some(post),
             Input::Rules(rules) => self.batch.push(Event::Rules(rules)),
+            Input::Loads(loads) => self.batch.push(Event::Loads(loads)),
             Input::Alone(alone) => self.batch.push(Event::Alone(alone)),
             Input::Zones(parts) => {
                 let parts = parts.into_iter().map(|(zone, part)| (self.site.zone(&zone), part)).collect();
@@ -334,7 +335,11 @@
             Input::Broke(server) => self.batch.push(Event::Broke(server)),
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
-                open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
+                let was_out =
+                    open.attempts.get_mut(attempt).is_some_and(|a| std::mem::replace(&mut a.out, false));
+                if let Some(counter) = self.counter.as_ref().filter(|_| was_out) {
+                    counter.load(server, false);
+                }
                 if let Some(watched) = &self.watched {
                     let class = self.site.settings.classes.get(open.class.0);
                     watched.ended(server, ended.outcome, ended.refused, class.is_some_and(|c| took > c.aim));
@@ -541,6 +546,7 @@
         };
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
+        self.counter.iter().for_each(|counter| counter.load(server, true));
         let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
--- a/crates/starlinghill-gateway/src/inbox.rs
+++ b/crates/starlinghill-gateway/src/inbox.rs
@@ -53,6 +53,8 @@
     Post(Rc<dyn Post>),
     /// New rules for what comes from now on.
     Rules(Rules),
+    /// What other gateways have out at servers, where that changed.
+    Loads(Vec<(ServerId, f64)>),
     /// Whether this gateway hears nobody, so that others may use its shares.
     Alone(bool),
     /// The parts that zones get from now on, by name.
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -12,10 +12,12 @@
 //! No I/O and no clock.
 
 mod bound;
+mod loads;
 mod readings;
 mod store;
 
 pub use bound::{fill_part, most_in, own_share, Excess};
+pub use loads::Loads;
 pub use readings::Readings;
 
 use bitcode::{Decode, Encode};
@@ -90,6 +92,8 @@
     gateways: usize,
     silent: BTreeSet<u64>,
     excess: f64,
+    /// What gateways have out at backends.
+    pub loads: Loads,
 }
 
 impl Gauge {
@@ -115,6 +119,7 @@
             gateways: 1,
             silent: BTreeSet::new(),
             excess,
+            loads: Loads::default(),
         }
     }
 
@@ -167,6 +172,7 @@
         };
         let silent: BTreeSet<u64> = gateways.iter().filter(is_silent).copied().collect();
         self.gateways = gateways.len().max(1);
+        self.loads.keep(&gateways.difference(&silent).copied().collect());
         if silent != self.silent {
             let (all, excess) = (self.gateways, self.excess);
             self.stores.values_mut().for_each(|store| store.reserve(now, &silent, all, excess));
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -212,16 +212,21 @@
                     answer(reply, Answer::News(Box::new(news)));
                 }
             }
-            Question::Count { term, from, draws } => {
+            Question::Count { term, from, draws, loads } => {
                 let levels = match (&mut self.gauge, self.duty.holds(now)) {
                     (Some(gauge), Some(held)) if held == term && gauge.term == term => {
-                        gauge.draw(now, from, &draws)
+                        gauge.loads.tell(from, &loads);
+                        gauge.draw(now, from, &draws).map(|levels| (levels, gauge.loads.hear(from)))
                     }
                     _ => None,
                 };
                 let time = self.time();
                 let term = self.duty.holder().map_or(0, |(term, _)| term);
-                answer(reply, levels.map_or(Answer::NotMine(term), |levels| Answer::Levels(levels, time)));
+                answer(
+                    reply,
+                    levels
+                        .map_or(Answer::NotMine(term), |(levels, loads)| Answer::Levels(levels, time, loads)),
+                );
             }
             Question::Recall { term, from, readings } => match &mut self.gauge {
                 Some(gauge) if gauge.term == term => {
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -21,6 +21,8 @@
         from: u64,
         /// What it draws; may be nothing, where it only keeps in touch.
         draws: Vec<Draw>,
+        /// What it has out at backends, by their numbers, where that changed.
+        loads: Vec<(u64, u16)>,
     },
     /// By a gateway: what it heard in earlier terms.
     Recall {
@@ -104,7 +106,8 @@
     /// What is new.
     News(Box<News>),
     /// What the stores hold, in the order of the draws, and the system's time.
-    Levels(Vec<Level>, u64),
+    /// With them, what others have out at backends, where that changed.
+    Levels(Vec<Level>, u64, Vec<(u64, u16)>),
     /// This registry does not keep the count in that term, or can't yet; the term that it knows.
     NotMine(u64),
     /// On the duty.
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -1,18 +1,18 @@
 //! The way to the shared count: draws go to whoever keeps it, many in one message, and what the stores hold comes back.
 
-use starlinghill_decision::api::{CountName, Micros, Outcome};
+use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId};
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_gateway::counter::{Count, Counting};
-use starlinghill_gateway::inbox::Counted;
+use starlinghill_gateway::inbox::{Counted, Inbox, Input};
 use starlinghill_gauge::{Draw, Level, Readings, KEEP_IN_TOUCH};
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A call that is not answered by then is decided here. A round trip takes some 3 ms, and a core machine has a third of a
@@ -26,6 +26,12 @@
 /// A counter that says nothing for so long, with calls under way, is gone.
 const SILENCE: Duration = Duration::from_millis(450);
 
+/// A gateway tells what it has out no more often than this, times the number of gateways: what the counter hears of all
+/// stays the same.
+const TELL: Duration = Duration::from_micros(700);
+/// With more gateways each has too little out for the others to go by, and the lists would fill thin links.
+const MOST_TELLING: u32 = 32;
+
 struct Waiting {
     draw: Draw,
     reply: oneshot::Sender<Counted>,
@@ -38,6 +44,14 @@
     pub quotas: RefCell<HashMap<u64, (f64, f64)>>,
     calls: mpsc::Sender<Waiting>,
     reached: Cell<bool>,
+    /// What this gateway has out at backends, and where that is not told yet.
+    out: RefCell<HashMap<u64, u16>>,
+    changed: RefCell<HashSet<u64>>,
+    new_loads: Notify,
+    /// Where what the others have out goes, once there is a driver.
+    driver: RefCell<Option<Inbox>>,
+    /// How many gateways there are.
+    pub gateways: Cell<u32>,
     /// The system's time, the highest that was heard.
     pub time: watch::Sender<u64>,
 }
@@ -54,6 +68,11 @@
             quotas: RefCell::default(),
             calls,
             reached: Cell::new(false),
+            out: RefCell::default(),
+            changed: RefCell::default(),
+            new_loads: Notify::new(),
+            driver: RefCell::new(None),
+            gateways: Cell::new(1),
             time: watch::channel(0).0,
         });
         tokio::task::spawn_local(counter.clone().run(life, holder, queue));
@@ -112,6 +131,8 @@
         if !self.reached.replace(true) {
             log::info!("event=count_reached term={term} at={address}");
         }
+        // Another counter knows nothing of what is out.
+        self.changed.borrow_mut().extend(self.out.borrow().keys());
         let (mut from, mut to) = stream.into_split();
         let mut out: VecDeque<Vec<Waiting>> = VecDeque::new();
         let mut last_word = Instant::now();
@@ -125,8 +146,9 @@
                     let Ok(Some(answer)) = answer else { break "broken" };
                     let Some(calls) = out.pop_front() else { break "nonsense" };
                     match answer {
-                        Answer::Levels(levels, time) if levels.len() == calls.len() => {
+                        Answer::Levels(levels, time, loads) if levels.len() == calls.len() => {
                             self.hear_time(time);
+                            self.hear_loads(loads);
                             for (call, Level { level: total, share }) in calls.into_iter().zip(levels) {
                                 let unused = if total < 0.0 { call.draw.units } else { 0.0 };
                                 self.readings.borrow_mut().heard(call.draw.name, total + unused, time);
@@ -151,7 +173,7 @@
                         last_word = Instant::now();
                     }
                     let draws = batch.iter().map(|call| call.draw).collect();
-                    let question = Question::Count { term, from: life, draws };
+                    let question = Question::Count { term, from: life, draws, loads: self.loads() };
                     out.push_back(std::mem::take(&mut batch));
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
@@ -165,8 +187,9 @@
                     }
                 }
                 () = tokio::time::sleep_until(silent), if !out.is_empty() => break "silent",
-                () = sleep(KEEP_IN_TOUCH), if out.is_empty() => {
-                    let question = Question::Count { term, from: life, draws: Vec::new() };
+                () = self.pause(), if out.is_empty() => {
+                    let loads = self.loads();
+                    let question = Question::Count { term, from: life, draws: Vec::new(), loads };
                     out.push_back(Vec::new());
                     last_word = Instant::now();
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
@@ -183,6 +206,47 @@
         why
     }
 
+    /// What has to be told of what is out.
+    fn loads(&self) -> Vec<(u64, u16)> {
+        let out = self.out.borrow();
+        let changed = std::mem::take(&mut *self.changed.borrow_mut());
+        if self.gateways.get() > MOST_TELLING {
+            return Vec::new();
+        }
+        changed.into_iter().map(|name| (name, out.get(&name).copied().unwrap_or(0))).collect()
+    }
+
+    /// Until something has to be told: at once where nothing was for a moment, so that all gateways together tell the
+    /// counter no more than so often; or to keep in touch.
+    async fn pause(&self) {
+        let told = async {
+            sleep(TELL * self.gateways.get()).await;
+            while self.changed.borrow().is_empty() || self.gateways.get() > MOST_TELLING {
+                self.new_loads.notified().await;
+            }
+        };
+        tokio::select! {
+            () = told => {}
+            () = sleep(KEEP_IN_TOUCH) => {}
+        }
+    }
+
+    fn hear_loads(&self, loads: Vec<(u64, u16)>) {
+        if self.gateways.get() > MOST_TELLING {
+            return;
+        }
+        let loads = loads.into_iter().map(|(name, out)| (ServerId(name), f64::from(out))).collect();
+        if let Some(driver) = &*self.driver.borrow() {
+            // One that has no room has older news than these to take in; the next ones hold them.
+            let _ = driver.try_send(Input::Loads(loads));
+        }
+    }
+
+    /// From now on there is a driver to hear what the others have out.
+    pub fn tell_loads(&self, driver: Inbox) {
+        *self.driver.borrow_mut() = Some(driver);
+    }
+
     /// The counter can be asked.
     pub fn is_reached(&self) -> bool {
         self.reached.get()
@@ -210,6 +274,17 @@
         Box::pin(async { Outcome::Moot.into() })
     }
 
+    fn load(&self, server: ServerId, out: bool) {
+        let mut all = self.out.borrow_mut();
+        let entry = all.entry(server.0).or_default();
+        *entry = if out { entry.saturating_add(1) } else { entry.saturating_sub(1) };
+        if *entry == 0 {
+            all.remove(&server.0);
+        }
+        self.changed.borrow_mut().insert(server.0);
+        self.new_loads.notify_one();
+    }
+
     fn draw(self: Rc<Self>, name: CountName, owed: f64, units: f64) -> Counting {
         if !self.reached.get() {
             return Box::pin(async { Outcome::ConnectFailed.into() });
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -283,6 +283,7 @@
         let rules = {
             let mut view = self.shared.view.borrow_mut();
             view.gateways = gateways;
+            self.counter.gateways.set(gateways);
             view.places.rules(&fleet, &self.node.bounds)
         };
         // Without a driver nothing is decided any more.
