--- /dev/null
+++ b/crates/starlinghill-decision/tests/system.rs
@@ -0,0 +1,170 @@
+//! What the whole system adds to the module: services, a counter that keeps the stores, shares that it tells, what others
+//! have out, and a budget of further tries that is told.
+
+mod common;
+
+use common::{entry, settings, Rig, MS, S};
+use starlinghill_decision::api::*;
+use starlinghill_decision::store_name;
+
+const RATED: usize = 0;
+const FREE: usize = 3;
+
+/// As a proxy of the system sets it.
+fn system(gateways: u32) -> Settings {
+    let retries = Some(Retries { share: 0.2, saved: 2.0 });
+    Settings {
+        gateways,
+        levels: true,
+        patient: true,
+        most_units: 1.0,
+        cooldown: Some(Micros(250 * MS)),
+        retries,
+        ..settings()
+    }
+}
+
+fn served_by(i: u32, service: u32) -> ServerEntry {
+    ServerEntry { service: ServiceId(service), ..entry(i, Listed::InService, None) }
+}
+
+fn ask(rig: &mut Rig, plan: usize, service: u32, effect: usize) -> (RequestId, Vec<Action>) {
+    let id = RequestId(rig.next);
+    rig.next += 1;
+    let arrival = Arrival {
+        id,
+        class: ClassId(effect),
+        service: ServiceId(service),
+        plan: PlanId(plan),
+        customer: CustomerId(5),
+        spread: 10,
+        deadline: Micros(rig.now + 3 * S),
+        units: 1.0,
+        ..Arrival::default()
+    };
+    (id, rig.tell(Event::Request(arrival)))
+}
+
+fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send(_, server, _) => Some(*server),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse(..)))
+}
+
+/// The counter answers the oldest draw: what the store holds, and this gateway's share.
+fn answer(rig: &mut Rig, outcome: Outcome, level: f64, share: f64) -> Vec<Action> {
+    let name = store_name(CustomerId(5));
+    rig.tell(Event::Share(name, share));
+    rig.tell(Event::Counted(name, 0, outcome, level))
+}
+
+#[test]
+fn a_request_goes_to_a_backend_of_its_service_and_to_no_other() {
+    let mut rig = Rig::new(system(10), 0);
+    let entries = (0..12).map(|i| served_by(i, 1 + i % 3)).collect();
+    rig.tell(Event::Servers(ListScope::Changes, entries));
+    for i in 0..60 {
+        let service = 1 + i % 3;
+        let (id, led) = ask(&mut rig, FREE, service, 0);
+        let Some(server) = sent(&led) else { panic!("it waits: {led:?}") };
+        assert_eq!(server.0 as u32 % 3, service - 1);
+        rig.ended(id, 0, server, Outcome::Ok);
+    }
+    // Of a service without backends nothing is sent anywhere.
+    assert_eq!(sent(&ask(&mut rig, FREE, 9, 0).1), None);
+}
+
+#[test]
+fn each_request_draws_from_the_store_and_goes_on_only_if_that_held_it() {
+    let mut rig = Rig::new(system(10), 4);
+    let (_, led) = ask(&mut rig, RATED, 0, 0);
+    assert!(led.contains(&Action::Draw(store_name(CustomerId(5)), 0.0, 1.0)) && sent(&led).is_none());
+    assert!(sent(&answer(&mut rig, Outcome::Ok, 3.0, 0.1)).is_some());
+    ask(&mut rig, RATED, 0, 0);
+    let led = answer(&mut rig, Outcome::Ok, -0.4, 0.1);
+    assert!(refused(&led) && sent(&led).is_none());
+    // What was not taken is not given back.
+    assert!(!led.iter().any(|a| matches!(a, Action::Draw(..))), "{led:?}");
+    assert!(led.iter().any(|a| matches!(a, Action::Refuse(_, Some(wait)) if wait.0 > 0)));
+}
+
+#[test]
+fn while_the_counter_is_silent_a_gateway_lets_through_its_share_as_it_was_told_and_none_alone() {
+    for (share, alone) in [(0.3, false), (0.1, false), (0.3, true)] {
+        let mut rig = Rig::new(system(10), 8);
+        ask(&mut rig, RATED, 0, 0);
+        answer(&mut rig, Outcome::Ok, 0.0, share);
+        rig.tell(Event::Alone(alone));
+        let (mut went, began) = (0.0, rig.now);
+        while rig.now < began + 20 * S {
+            rig.pass(25 * MS);
+            let (_, mut led) = ask(&mut rig, RATED, 0, 0);
+            if led.iter().any(|a| matches!(a, Action::Draw(..))) {
+                led = answer(&mut rig, Outcome::ConnectFailed, 0.0, share);
+            }
+            if let Some(server) = sent(&led) {
+                went += 1.0;
+                let id = RequestId(rig.next - 1);
+                rig.ended(id, 0, server, Outcome::Ok);
+            }
+        }
+        // Ten units a second.
+        let most = if alone { 1.0 } else { 10.0 * share * 20.0 + 2.0 };
+        let least = if alone { 0.0 } else { 10.0 * share * 20.0 * 0.8 - 2.0 };
+        assert!(went <= most && went >= least, "{went} of {most} at share {share}, alone {alone}");
+    }
+}
+
+#[test]
+fn told_what_others_have_out_a_request_goes_where_it_waits_least() {
+    let mut rig = Rig::new(system(30), 4);
+    for round in 0..40 {
+        let free = round % 4;
+        let loads = (0..4).map(|i| (ServerId(i), if i == free { 0.0 } else { 6.0 })).collect();
+        rig.tell(Event::Loads(loads));
+        let (id, led) = ask(&mut rig, FREE, 0, 0);
+        assert_eq!(sent(&led), Some(ServerId(free)), "round {round}");
+        rig.ended(id, 0, ServerId(free), Outcome::Ok);
+        rig.pass(20 * MS);
+    }
+    // Old news are none: by chance again.
+    rig.tell(Event::Loads((1..4).map(|i| (ServerId(i), 6.0)).collect()));
+    rig.pass(S);
+    let mut others = 0;
+    for _ in 0..40 {
+        let (id, led) = ask(&mut rig, FREE, 0, 0);
+        let Some(server) = sent(&led) else { continue };
+        others += u32::from(server != ServerId(0));
+        rig.ended(id, 0, server, Outcome::Ok);
+    }
+    assert!(others > 10, "{others}");
+}
+
+#[test]
+fn further_tries_come_from_the_service_s_own_budget_and_what_reached_nobody_is_free() {
+    let mut rig = Rig::new(system(10), 0);
+    let entries = (0..12).map(|i| served_by(i, 1 + i % 2)).collect();
+    rig.tell(Event::Servers(ListScope::Changes, entries));
+    // A new process has none: one request earns a fifth.
+    let (id, led) = ask(&mut rig, FREE, 1, 0);
+    let Some(server) = sent(&led) else { panic!("{led:?}") };
+    assert!(sent(&rig.ended(id, 0, server, Outcome::Full)).is_none());
+    let (id, led) = ask(&mut rig, FREE, 1, 0);
+    let Some(server) = sent(&led) else { panic!("{led:?}") };
+    assert!(sent(&rig.ended(id, 0, server, Outcome::ConnectFailed)).is_some());
+    // Another service's requests earn nothing for this one.
+    for _ in 0..30 {
+        let (id, led) = ask(&mut rig, FREE, 2, 0);
+        if let Some(server) = sent(&led) {
+            rig.ended(id, 0, server, Outcome::Ok);
+        }
+    }
+    let (id, led) = ask(&mut rig, FREE, 1, 0);
+    let Some(server) = sent(&led) else { panic!("{led:?}") };
+    assert!(sent(&rig.ended(id, 0, server, Outcome::Full)).is_none());
+}
