--- a/crates/starlinghill-dovetail/src/check.rs
+++ b/crates/starlinghill-dovetail/src/check.rs
@@ -3,6 +3,7 @@
 
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
+use starlinghill_template::table::time;
 use std::time::Duration;
 
 /// The most faults that are named of one document.
@@ -144,14 +145,3 @@
         found
     }
 }
-
-/// A time as it is written on the wire.
-pub fn time(text: &str) -> Option<Duration> {
-    let text = text.trim();
-    let (number, unit) = match text.strip_suffix("ms") {
-        Some(number) => (number, 1e-3),
-        None => (text.strip_suffix('s')?, 1.0),
-    };
-    let seconds = number.trim().parse::<f64>().ok()? * unit;
-    (seconds.is_finite() && (0.0..1e9).contains(&seconds)).then(|| Duration::from_secs_f64(seconds))
-}
--- a/crates/starlinghill-dovetail/src/program.rs
+++ b/crates/starlinghill-dovetail/src/program.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::LocalSet;
 
 /// Reads the command line, and runs the program or checks a settings file.
@@ -75,3 +76,32 @@
         }
     }
 }
+
+/// The signals that the platform sends.
+pub struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Heard from now on: by themselves they would end the process.
+    pub fn listen() -> std::io::Result<Signals> {
+        let (terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+        Ok(Signals { terminate, hang_up })
+    }
+
+    /// Waits for SIGTERM. At SIGHUP the settings file is read and checked; all that may change while a process runs is who
+    /// else there is, which it hears from them.
+    pub async fn end(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.hang_up.recv() => match Node::from_environment() {
+                    Ok(node) => log::info!("event=settings_read node={}", node.name),
+                    Err(error) => log::warn!("event=settings_unusable error=\"{error}\" action=kept_old"),
+                },
+            }
+        }
+        log::info!("event=stopping");
+    }
+}
--- /dev/null
+++ b/crates/starlinghill-dovetail/tests/settings.rs
@@ -0,0 +1,110 @@
+//! Settings files with faults, and messages that are none.
+
+use starlinghill_dovetail::frame::{encode, Reader, LONGEST, VERSION};
+use starlinghill_dovetail::settings::Node;
+use std::io::ErrorKind;
+use test_case::test_case;
+
+const GOOD: &str = r#"
+[self]
+node = "edge-1"
+ip = "10.1.0.37"
+zone = "a"
+first_start = true
+unknown = "ignored"
+[self.limits]
+memory_mb = 260
+open_files = 4100
+[network]
+local_ports = [7560,7575]
+seeds = ["10.1.0.40:8381"]
+[network.listen]
+front = "10.1.0.37:8388"
+[provider]
+beat = "1500ms"
+[terms.bounds]
+drain = "2500ms"
+apply = "2.5s"
+grace = "6s"
+retry_ratio = 0.2
+retry_extra = 62
+quota_window = "5s"
+quota_excess = 0.1
+quota_extra = 20
+"#;
+
+fn check(text: &str) -> Result<Node, Vec<String>> {
+    let value = toml::from_str(text).unwrap_or_else(|error| panic!("{error}"));
+    Node::check(&value).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+#[test]
+fn a_sound_file_is_read_and_fields_that_are_not_known_are_ignored() {
+    let node = check(GOOD).unwrap_or_else(|faults| panic!("{faults:?}"));
+    assert_eq!(node.bounds.apply, node.bounds.drain);
+    assert_eq!(node.port(node.ip, 1).to_string(), "10.1.0.37:7561");
+    assert!(node.control.is_none() && node.data_dir.is_none() && node.first_start);
+}
+
+#[test_case("ip = \"10.1.0.37\"", "ip = \"ten\"", "self.ip: found \"ten\", allowed: an IP address"; "no address")]
+#[test_case("node = \"edge-1\"", "", "self.node: found nothing, allowed: a text that is not empty"; "missing")]
+#[test_case("\"2500ms\"", "\"2500\"", "terms.bounds.drain: found \"2500\", allowed: a time"; "a time without unit")]
+#[test_case("[7560,7575]", "[7560,7561]", "network.local_ports: found [7560,7561], allowed: two ports"; "few ports")]
+#[test_case("[\"10.1.0.40:8381\"]", "[7]", "network.seeds[0]: found 7, allowed: an IP address with a port"; "no seed")]
+#[test_case("retry_ratio = 0.2", "retry_ratio = -1", "terms.bounds.retry_ratio: found -1, allowed: a number"; "below 0")]
+fn a_fault_is_named_with_its_key_what_was_found_and_what_is_allowed(old: &str, new: &str, said: &str) {
+    let faults = check(&GOOD.replace(old, new)).err().unwrap_or_default();
+    assert!(faults.len() == 1 && faults[0].starts_with(said), "{faults:?}");
+}
+
+#[test]
+fn all_faults_are_named_at_once() {
+    let text = GOOD.replace("zone = \"a\"", "").replace("grace = \"6s\"", "grace = 6");
+    assert_eq!(check(&text).err().unwrap_or_default().len(), 2);
+}
+
+#[tokio::test]
+async fn messages_come_as_they_went_in_whatever_pieces() {
+    let sent: Vec<(u64, String)> = (0..50).map(|i| (i, "x".repeat(i as usize * 7))).collect();
+    let wire: Vec<u8> = sent.iter().flat_map(encode).collect();
+    for piece in [1, 3, 64, wire.len()] {
+        let mut reader = Reader::default();
+        let mut stream = tokio_test_stream(&wire, piece);
+        for message in &sent {
+            assert_eq!(reader.read(&mut stream).await.ok().flatten().as_ref(), Some(message));
+        }
+        assert!(matches!(reader.read::<(u64, String)>(&mut stream).await, Ok(None)));
+    }
+}
+
+#[test_case(vec![0, 0, 0, 0, VERSION + 1]; "another version")]
+#[test_case(((LONGEST + 1) as u32).to_le_bytes().into_iter().chain([VERSION]).collect(); "too long")]
+#[test_case(vec![3, 0, 0, 0, VERSION, 255, 255, 255]; "nonsense")]
+#[tokio::test]
+async fn what_is_no_message_is_refused(wire: Vec<u8>) {
+    let mut stream = tokio_test_stream(&wire, wire.len());
+    let read = Reader::default().read::<(u64, String)>(&mut stream).await;
+    assert_eq!(read.err().map(|error| error.kind()), Some(ErrorKind::InvalidData));
+}
+
+/// Bytes that come in pieces.
+fn tokio_test_stream(bytes: &[u8], piece: usize) -> impl tokio::io::AsyncRead + Unpin {
+    struct Pieces(std::collections::VecDeque<Vec<u8>>);
+    impl tokio::io::AsyncRead for Pieces {
+        fn poll_read(
+            mut self: std::pin::Pin<&mut Self>,
+            _: &mut std::task::Context,
+            buffer: &mut tokio::io::ReadBuf,
+        ) -> std::task::Poll<std::io::Result<()>> {
+            if let Some(mut next) = self.0.pop_front() {
+                let rest = next.split_off(next.len().min(buffer.remaining()));
+                buffer.put_slice(&next);
+                if !rest.is_empty() {
+                    self.0.push_front(rest);
+                }
+            }
+            std::task::Poll::Ready(Ok(()))
+        }
+    }
+    Pieces(bytes.chunks(piece).map(<[u8]>::to_vec).collect())
+}
--- a/crates/starlinghill-gauge/src/bound.rs
+++ b/crates/starlinghill-gauge/src/bound.rs
@@ -1,14 +1,5 @@
 //! What can go on in all, as a function of the settings: what tests and pages go by.
 
-/// What the rules let a quota be passed by.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Excess {
-    /// As a part of it.
-    pub part: f64,
-    /// Requests beyond that.
-    pub extra: f64,
-}
-
 /// Of the excess so much is for gateways that the counter does not hear; the rest is for what is on its way.
 const FOR_SILENT: f64 = 0.8;
 /// What came through a gateway of late says more of what will than their number; but clients move.
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -16,7 +16,7 @@
 mod readings;
 mod store;
 
-pub use bound::{fill_part, most_in, own_share, Excess};
+pub use bound::{fill_part, most_in, own_share};
 pub use loads::Loads;
 pub use readings::Readings;
 
--- /dev/null
+++ b/crates/starlinghill-patternbook/tests/shelf.rs
@@ -0,0 +1,102 @@
+//! What is on disk after writes, kills of the process, and files that were cut short.
+
+use starlinghill_clamp::{Ballot, Kept};
+use starlinghill_patternbook::shelf::Shelf;
+use starlinghill_template::{Item, Kind};
+use std::net::IpAddr;
+use std::path::Path;
+
+fn item(name: &str, version: u64) -> Item {
+    Item {
+        kind: Kind::Route,
+        name: name.into(),
+        version,
+        host: "a".into(),
+        body: Some(format!("{{\"v\":{version}}}")),
+    }
+}
+
+fn kept(round: u64) -> Kept {
+    let ballot = Ballot { round, by: 1 };
+    Kept { promised: ballot, accepted: ballot, chosen: Ballot::default(), lives: vec![0, 0, 1] }
+}
+
+fn voters() -> Vec<IpAddr> {
+    (1..4).map(|i| IpAddr::from([10, 0, 0, i])).collect()
+}
+
+fn open(folder: &Path) -> (Shelf, Option<starlinghill_patternbook::shelf::Found>) {
+    Shelf::open(folder).unwrap_or_else(|error| panic!("{error}"))
+}
+
+#[test]
+fn what_was_saved_is_found_and_an_empty_folder_says_that_it_is() {
+    let folder = tempfile::tempdir().unwrap_or_else(|error| panic!("{error}"));
+    let (mut shelf, found) = open(folder.path());
+    assert!(found.is_none());
+    let items = vec![item("r-1", 7), item("r-2", 7)];
+    assert!(shelf.save(&voters(), &kept(1), Some(&items)).is_ok());
+    // Of the next value one item is new, one is gone, as when a change that nobody took is replaced.
+    let items = vec![item("r-1", 8)];
+    assert!(shelf.save(&voters(), &kept(2), Some(&items)).is_ok());
+    // A promise alone leaves the value.
+    assert!(shelf.save(&voters(), &kept(3), None).is_ok());
+    drop(shelf);
+    let (_, found) = open(folder.path());
+    let Some(found) = found else { panic!("nothing is there") };
+    assert_eq!((found.voters, found.kept, found.value), (voters(), kept(3), items));
+}
+
+/// The last save was not synced to its end when power went: what was acknowledged before it stands, whole.
+#[test]
+fn a_journal_that_was_cut_short_holds_what_was_saved_before() {
+    for cut in [1, 9, 40, 200] {
+        let folder = tempfile::tempdir().unwrap_or_else(|error| panic!("{error}"));
+        let (mut shelf, _) = open(folder.path());
+        for round in 1..=5 {
+            assert!(shelf.save(&voters(), &kept(round), Some(&vec![item("r-1", round)])).is_ok());
+        }
+        let before = written(folder.path());
+        assert!(shelf.save(&voters(), &kept(6), Some(&vec![item("r-1", 6)])).is_ok());
+        let after = written(folder.path());
+        drop(shelf);
+        tear(&before, &after, cut);
+        let (_, found) = open(folder.path());
+        let Some(found) = found else { panic!("cut by {cut}: nothing is there") };
+        let round = found.kept.promised.round;
+        assert!((5..=6).contains(&round), "cut by {cut}: round {round}");
+        assert_eq!(found.value, [item("r-1", round)], "cut by {cut}: what belongs together comes together");
+    }
+}
+
+/// All files of the store, with their bytes.
+fn written(folder: &Path) -> Vec<(std::path::PathBuf, Vec<u8>)> {
+    let mut all = Vec::new();
+    let mut open = vec![folder.to_path_buf()];
+    while let Some(folder) = open.pop() {
+        let entries = std::fs::read_dir(&folder).unwrap_or_else(|error| panic!("{error}"));
+        for entry in entries.flatten() {
+            match entry.path().is_dir() {
+                true => open.push(entry.path()),
+                false => all.push((entry.path(), std::fs::read(entry.path()).unwrap_or_default())),
+            }
+        }
+    }
+    all.sort();
+    all
+}
+
+/// Of the bytes that the last save changed, the last ones never came to the disk.
+fn tear(before: &[(std::path::PathBuf, Vec<u8>)], after: &[(std::path::PathBuf, Vec<u8>)], cut: usize) {
+    for (path, new) in after {
+        let Some((_, old)) = before.iter().find(|(known, _)| known == path) else { continue };
+        let same = |i: usize| old.get(i) == new.get(i);
+        let Some(last) = (0..new.len()).rev().find(|i| !same(*i)) else { continue };
+        let mut torn = new.clone();
+        let lost = last.saturating_sub(cut)..=last;
+        for (i, byte) in torn.iter_mut().enumerate().filter(|(i, _)| lost.contains(i)) {
+            *byte = old.get(i).copied().unwrap_or(0);
+        }
+        std::fs::write(path, torn).unwrap_or_else(|error| panic!("{error}"));
+    }
+}
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -7,13 +7,13 @@
 use crate::wire::Answer;
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_dovetail::call;
+use starlinghill_dovetail::program::Signals;
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::{PATTERNBOOK, TOOLRACK};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -52,9 +52,7 @@
     let node = Node::from_environment().context(SettingsSnafu)?;
     let control = listen(node.control.context(UnreachableSnafu)?).await?;
     let own = listen(node.port(node.ip, TOOLRACK)).await?;
-    let mut terminate =
-        signal(SignalKind::terminate()).context(SystemSnafu { what: "SIGTERM".to_string() })?;
-    let mut hang_up = signal(SignalKind::hangup()).context(SystemSnafu { what: "SIGHUP".to_string() })?;
+    let mut signals = Signals::listen().context(SystemSnafu { what: "signals".to_string() })?;
     let mut racks: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
     racks.push(node.ip);
     racks.sort_unstable();
@@ -80,17 +78,7 @@
             answer.await.unwrap_or(Answer::NotMine(0))
         }
     }));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => match Node::from_environment() {
-                // All that may change while it runs is who else there is, which it hears from them.
-                Ok(node) => log::info!("event=settings_read node={}", node.name),
-                Err(error) => log::warn!("event=settings_unusable error=\"{error}\" action=kept_old"),
-            },
-        }
-    }
-    log::info!("event=stopping node={}", node.name);
+    signals.end().await;
     // Nobody may be left to hear it.
     let _ = stop.send(true);
     let (reply, end) = oneshot::channel();
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -8,6 +8,7 @@
 use crate::rules::{self, Places};
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_decision::api::Micros;
+use starlinghill_dovetail::program::Signals;
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::WORKBENCH;
 use starlinghill_gateway::backend::Pool;
@@ -21,7 +22,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::spawn_local;
 
@@ -83,9 +83,7 @@
     let node = Node::from_environment().context(SettingsSnafu)?;
     let front_at = node.front.context(UnreachableSnafu { which: "front" })?;
     let ready_at = node.ready.context(UnreachableSnafu { which: "ready" })?;
-    let mut terminate =
-        signal(SignalKind::terminate()).context(SystemSnafu { what: "SIGTERM".to_string() })?;
-    let mut hang_up = signal(SignalKind::hangup()).context(SystemSnafu { what: "SIGHUP".to_string() })?;
+    let mut signals = Signals::listen().context(SystemSnafu { what: "signals".to_string() })?;
     let (clients, asked) = (listen(front_at).await?, listen(ready_at).await?);
     log::info!("event=start program=workbench node={} zone={}", node.name, node.zone);
     let (stop, stopping) = watch::channel(false);
@@ -120,17 +118,7 @@
     let front = Rc::new(Front { intake, shared, grace: node.bounds.grace, draw });
     let last_answer = front.last_answer();
     spawn_local(async move {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = hang_up.recv() => match Node::from_environment() {
-                    // All that may change while it runs is who else there is, which the registries tell.
-                    Ok(node) => log::info!("event=settings_read node={}", node.name),
-                    Err(error) => log::warn!("event=settings_unusable error=\"{error}\" action=kept_old"),
-                },
-            }
-        }
-        log::info!("event=stopping");
+        signals.end().await;
         // It may have ended by itself.
         let _ = stop.send(true);
         let left = last_answer.saturating_sub(GIVE_UP);
