A broken settings file and an address that is another's, as processes

Need: two hard cases of the issue's list without a test: SIGHUP with a file that breaks, 421 from another life.

--- a/crates/starlinghill-rig/src/system.rs
+++ b/crates/starlinghill-rig/src/system.rs
@@ -60,10 +60,15 @@
 
     /// Starts those that do not run. It is not the system's first start any more.
     pub fn start(&mut self) {
+        self.settings(|text| text.replace("first_start = true", "first_start = false"));
+        self.processes.iter_mut().for_each(Process::start);
+    }
+
+    /// Its settings file says that from now on.
+    pub fn settings(&self, change: impl FnOnce(String) -> String) {
         let file = self.folder.join("node.toml");
         let text = std::fs::read_to_string(&file).expect("written");
-        std::fs::write(&file, text.replace("first_start = true", "first_start = false")).expect("written");
-        self.processes.iter_mut().for_each(Process::start);
+        std::fs::write(&file, change(text)).expect("written");
     }
 
     /// Its disk is empty from now on. Its processes must not run.
@@ -286,6 +291,8 @@
     AnswerAnother,
     /// It runs them and answers 500.
     Fail,
+    /// Another one has its address: 421.
+    Elsewhere,
 }
 
 /// A backend that beats, and notes what it ran.
@@ -302,8 +309,15 @@
     calls: Arc<AtomicU64>,
 }
 
-const ALL: [Does; 6] =
-    [Does::Serve, Does::TurnAway, Does::LoseAnswer, Does::Garble, Does::AnswerAnother, Does::Fail];
+const ALL: [Does; 7] = [
+    Does::Serve,
+    Does::TurnAway,
+    Does::LoseAnswer,
+    Does::Garble,
+    Does::AnswerAnother,
+    Does::Fail,
+    Does::Elsewhere,
+];
 
 impl Backend {
     /// Starts one, which calls these registries in turn.
@@ -407,7 +421,7 @@
         response
     };
     let attempt = attempt.unwrap_or_default();
-    if target.is_some_and(|target| target != id) {
+    if what == Does::Elsewhere || target.is_some_and(|target| target != id) {
         return Ok(answer(StatusCode::MISDIRECTED_REQUEST, String::new()));
     }
     if what == Does::TurnAway {
--- a/crates/starlinghill-rig/tests/system.rs
+++ b/crates/starlinghill-rig/tests/system.rs
@@ -105,10 +105,12 @@
     }
 }
 
+#[test_case(Does::TurnAway; "full")]
+#[test_case(Does::Elsewhere; "another one has its address")]
 #[tokio::test]
-async fn what_was_turned_away_goes_to_another_backend() {
+async fn what_was_turned_away_goes_to_another_backend(does: Does) {
     let (system, backends) = serving(1, 2, 0).await;
-    backends[0].does(Does::TurnAway);
+    backends[0].does(does);
     let client = Client::new("key-1");
     // The budget of further tries begins with nothing: requests earn it.
     let mut served = 0;
@@ -133,6 +135,20 @@
     assert!(unready && system.edges[0].processes[0].ended(Duration::from_secs(8)) == Some(0));
 }
 
+#[tokio::test]
+async fn a_settings_file_that_breaks_changes_nothing() {
+    let (mut system, _backends) = serving(1, 1, 0).await;
+    let (client, front) = (Client::new("key-1"), system.edges[0].front());
+    system.edges[0].settings(|text| text.replace("grace = ", "grace == "));
+    system.edges[0].processes[0].hang_up();
+    system.edges[0].processes[0].wait_for_log("event=settings_unusable", Duration::from_secs(5));
+    let (_, answer) = client.try_once(front, "GET", "/read/1").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    system.edges[0].settings(|text| text.replace("grace == ", "grace = "));
+    system.edges[0].processes[0].hang_up();
+    system.edges[0].processes[0].wait_for_log("event=settings_read", Duration::from_secs(5));
+}
+
 #[tokio::test]
 async fn two_operators_with_one_version_and_two_contents_are_not_both_told_yes() {
     let (system, _backends) = serving(1, 1, 0).await;
