What a majority of stores holds is agreed on, though all have forgotten that it was told

Change: the same ballot accepted by a majority is agreed on, and learned with the first look (agree.rs, follow).

--- a/crates/starlinghill-patternbook/src/agree.rs
+++ b/crates/starlinghill-patternbook/src/agree.rs
@@ -6,6 +6,7 @@
 use starlinghill_dovetail::call::Caller;
 use starlinghill_template::{Book, Change, Refusal};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -192,22 +193,28 @@
             let asked = Instant::now();
             let have = self.chosen.borrow().0;
             let mut told = self.ask_all(Ask::Look(have));
-            let (mut heard, mut unsettled, mut newest) = (0, false, Ballot::default());
+            let (mut heard, mut newest) = (0, Ballot::default());
+            let mut accepted_by: BTreeMap<Ballot, (usize, Option<Value>)> = BTreeMap::new();
             while let Ok(Some((_, tell))) = timeout_at(asked + PATIENCE, told.recv()).await {
                 let Tell::Has { promised, accepted, chosen, value, .. } = tell else { continue };
                 heard += 1;
                 self.seen.set(self.seen.get().max(promised));
                 newest = newest.max(chosen);
-                unsettled |= accepted > chosen.max(self.chosen.borrow().0);
-                if let Some(value) = value.filter(|_| accepted == chosen) {
-                    self.learn(chosen, Rc::new(value));
-                }
+                let (same, held) = accepted_by.entry(accepted).or_default();
+                // What one calls agreed on is; so is what a majority holds, though all have forgotten that it was told.
+                *same = if accepted == chosen { self.places.len() } else { *same + 1 };
+                *held = value.or(held.take());
                 // Before it is fresh a majority will do; others are heard the next time.
                 if heard == self.places.len() || heard > self.places.len() / 2 && !*self.fresh.borrow() {
                     break;
                 }
             }
             let majority = heard > self.places.len() / 2;
+            let agreed = accepted_by.iter_mut().rev().find(|(_, (same, _))| *same > self.places.len() / 2);
+            if let Some((ballot, (_, Some(value)))) = agreed {
+                self.learn(*ballot, Rc::new(std::mem::take(value)));
+            }
+            let unsettled = accepted_by.keys().next_back().is_some_and(|last| *last > self.chosen.borrow().0);
             // What is newer and not had here, or not known to be agreed on: guards against telling of the old.
             if majority && !unsettled && newest <= self.chosen.borrow().0 {
                 self.fresh_until.set(Some(asked + FRESH));
