--- a/crates/starlinghill-gateway/src/backend.rs
+++ b/crates/starlinghill-gateway/src/backend.rs
@@ -220,15 +220,17 @@
     async fn answer(
         self: &Rc<Self>,
         backend: &Rc<Backend>,
-        Reading { outcome, pass, .. }: Reading,
+        Reading { outcome, pass, head: keeps_head, .. }: Reading,
         mut head: Head,
         mut body: Incoming,
         mut connection: Connection,
         place: OwnedSemaphorePermit,
     ) -> Ended {
         let length = body.size_hint().exact();
-        strip_hop_by_hop(&mut head.headers);
-        let head = pass.then(|| Box::new(head));
+        let head = keeps_head.then(|| {
+            strip_hop_by_hop(&mut head.headers);
+            Box::new(head)
+        });
         let (mut held, mut size) = (VecDeque::new(), 0);
         let soon = sleep(HELD_BACK);
         tokio::pin!(soon);
--- a/crates/starlinghill-gateway/src/dialect.rs
+++ b/crates/starlinghill-gateway/src/dialect.rs
@@ -22,6 +22,8 @@
     pub outcome: Outcome,
     /// The body may be the client's: it is held, or passed on.
     pub pass: bool,
+    /// So is its head, which is kept for that.
+    pub head: bool,
     /// The answer belongs to this request. Guards against what a backend sends late, or twice: the connection is of no
     /// further use.
     pub own: bool,
@@ -47,6 +49,6 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
             _ => Outcome::Error,
         };
-        Reading { outcome, pass: outcome == Outcome::Ok, own: true }
+        Reading { outcome, pass: outcome == Outcome::Ok, head: false, own: true }
     }
 }
--- a/crates/starlinghill-gateway/src/server.rs
+++ b/crates/starlinghill-gateway/src/server.rs
@@ -62,6 +62,8 @@
     ) -> impl Future<Output = Response<AnswerBody>>;
     /// Set by SIGTERM.
     fn stopping(&self) -> watch::Receiver<bool>;
+    /// It is set.
+    fn is_stopping(&self) -> bool;
     /// Other processes accept from the same socket.
     fn is_shared(&self) -> bool;
     /// So long after SIGTERM new connections are taken, where no other process does.
@@ -104,12 +106,6 @@
     pub shared: bool,
 }
 
-impl Front {
-    fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
-    }
-}
-
 impl Desk for Front {
     async fn respond(&self, request: Request<Incoming>, line: &Rc<Line>) -> Response<AnswerBody> {
         match request.uri().path() {
@@ -127,6 +123,9 @@
     fn stopping(&self) -> watch::Receiver<bool> {
         self.stopping.clone()
     }
+    fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
     fn is_shared(&self) -> bool {
         self.shared
     }
@@ -246,7 +245,7 @@
     // Guards against what stands behind a body of which there may be two readings.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = front.respond(request, line).await;
-    if *front.stopping().borrow() || chunked {
+    if front.is_stopping() || chunked {
         response = last(response);
     }
     if line.phase.get() != Phase::Passing {
--- a/crates/starlinghill-workbench/src/answers.rs
+++ b/crates/starlinghill-workbench/src/answers.rs
@@ -38,12 +38,12 @@
             // Another one has the address: this backend is not there any more.
             let elsewhere = head.status == StatusCode::MISDIRECTED_REQUEST;
             let outcome = if elsewhere { Outcome::ConnectFailed } else { Outcome::Full };
-            return Reading { outcome, pass: false, own };
+            return Reading { outcome, pass: false, head: false, own };
         }
         // A success without its stamp, or encoded, is not what the backend made.
         let sound = head.headers.contains_key(SEAL) && !head.headers.contains_key(CONTENT_ENCODING);
         let success = head.status.is_success();
         let outcome = if head.status.is_server_error() { Outcome::Error } else { Outcome::Ok };
-        Reading { outcome, pass: true, own: own && (sound || !success) }
+        Reading { outcome, pass: true, head: true, own: own && (sound || !success) }
     }
 }
--- a/crates/starlinghill-workbench/src/desk.rs
+++ b/crates/starlinghill-workbench/src/desk.rs
@@ -165,6 +165,9 @@
     fn stopping(&self) -> watch::Receiver<bool> {
         self.shared.stopping.clone()
     }
+    fn is_stopping(&self) -> bool {
+        *self.shared.stopping.borrow()
+    }
     fn is_shared(&self) -> bool {
         false
     }
