A voter whose disk refused says nothing until all is kept; loads that nobody took are told again

A voter took a promise or value into memory before its disk did; where the disk refused, a later look (keeper.rs, own) told of what was not kept, and since a majority that holds a value agrees on it, a change could be acknowledged on one disk. And loads that went with a draw which the counter did not take were not told again (count.rs): a stale one would stand for good. Change: after a refused write the voter is silent until all that it holds is kept; each message remembers the loads that it told.

--- a/crates/starlinghill-patternbook/src/keeper.rs
+++ b/crates/starlinghill-patternbook/src/keeper.rs
@@ -78,15 +78,22 @@
 ) {
     use starlinghill_clamp::Save;
     publish(&voter, &show);
+    // A disk has refused what the voter holds since: it says nothing until that is kept.
+    let mut unkept = false;
     while let Some(command) = commands.recv().await {
         match command {
             Command::Ask(ask, reply) => {
+                unkept = unkept && !write(&voter, true, &disk).await;
+                if unkept {
+                    continue;
+                }
                 let (tell, save) = voter.handle(*ask);
                 let saved = match save {
                     Save::Nothing => true,
                     Save::Kept => write(&voter, false, &disk).await,
                     Save::Value => write(&voter, true, &disk).await,
                 };
+                unkept = !saved;
                 publish(&voter, &show);
                 if saved {
                     let _ = reply.send(tell);
@@ -102,6 +109,7 @@
                 if whole {
                     log::info!("event=voter_back life={} accepted={:?}", voter.life(), voter.kept().accepted);
                     whole = write(&voter, true, &disk).await;
+                    unkept = !whole;
                 }
                 publish(&voter, &show);
                 let _ = reply.send(whole);
--- a/crates/starlinghill-patternbook/src/shelf.rs
+++ b/crates/starlinghill-patternbook/src/shelf.rs
@@ -51,7 +51,6 @@
 /// The disk of a store.
 pub struct Shelf {
     path: PathBuf,
-    _database: Database,
     records: Keyspace,
     database: Database,
     written: BTreeMap<(Kind, String), Item>,
@@ -93,7 +92,7 @@
             }
             _ => None,
         };
-        Ok((Shelf { path, _database: database.clone(), records, database, written }, found))
+        Ok((Shelf { path, records, database, written }, found))
     }
 
     /// Writes and syncs. All of it is on disk when this returns, or none of it counts.
--- /dev/null
+++ b/crates/starlinghill-patternbook/tests/keeper.rs
@@ -0,0 +1,35 @@
+//! A disk that refuses: what was not kept is not told.
+
+use starlinghill_clamp::{Ask, Ballot, Tell, Voter};
+use starlinghill_patternbook::keeper::Keeper;
+use starlinghill_patternbook::shelf::{Order, ShelfError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
+use tokio::task::LocalSet;
+
+#[tokio::test]
+async fn a_voter_whose_disk_refused_says_nothing_until_all_that_it_holds_is_kept() {
+    let (disk, orders) = mpsc::channel::<Order>();
+    let refuses = Arc::new(AtomicBool::new(true));
+    let refusing = refuses.clone();
+    std::thread::spawn(move || {
+        for order in orders {
+            let refused = || ShelfError::Spoilt { path: "disk".into(), key: "refused".into() };
+            let kept = !refusing.load(Ordering::SeqCst);
+            let _ = order.done.send(kept.then_some(()).ok_or_else(refused));
+        }
+    });
+    let task = LocalSet::new();
+    task.run_until(async {
+        let keeper = Keeper::start(Voter::first(0, 3), disk);
+        let ballot = Ballot { round: 1, by: 1 };
+        let accept = Ask::Accept { ballot, lives: vec![0; 3], value: Vec::new() };
+        assert!(keeper.ask(accept).await.is_none());
+        // Whoever counted on what it holds would count on what a loss of power takes.
+        assert!(keeper.ask(Ask::Look(Ballot::default())).await.is_none());
+        refuses.store(false, Ordering::SeqCst);
+        let told = keeper.ask(Ask::Look(Ballot::default())).await;
+        assert!(matches!(told, Some(Tell::Has { accepted, .. }) if accepted == ballot), "{told:?}");
+    })
+    .await;
+}
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -134,7 +134,8 @@
         // Another counter knows nothing of what is out.
         self.changed.borrow_mut().extend(self.out.borrow().keys());
         let (mut from, mut to) = stream.into_split();
-        let mut out: VecDeque<Vec<Waiting>> = VecDeque::new();
+        // Calls under way, each message with the backends whose loads it told.
+        let mut out: VecDeque<(Vec<Waiting>, Vec<u64>)> = VecDeque::new();
         let mut last_word = Instant::now();
         let mut batch = Vec::new();
         let why = loop {
@@ -144,7 +145,7 @@
                 answer = reader.read::<Answer>(&mut from) => {
                     last_word = Instant::now();
                     let Ok(Some(answer)) = answer else { break "broken" };
-                    let Some(calls) = out.pop_front() else { break "nonsense" };
+                    let Some((calls, told)) = out.pop_front() else { break "nonsense" };
                     match answer {
                         Answer::Levels(levels, time, loads) if levels.len() == calls.len() => {
                             self.hear_time(time);
@@ -157,6 +158,8 @@
                             }
                         }
                         Answer::NotMine(known) => {
+                            // It took in none of them.
+                            self.changed.borrow_mut().extend(told);
                             calls.into_iter().for_each(|call| failed(call, Outcome::Full));
                             if known > term {
                                 break "another_term";
@@ -173,8 +176,9 @@
                         last_word = Instant::now();
                     }
                     let draws = batch.iter().map(|call| call.draw).collect();
-                    let question = Question::Count { term, from: life, draws, loads: self.loads() };
-                    out.push_back(std::mem::take(&mut batch));
+                    let loads = self.loads();
+                    out.push_back((std::mem::take(&mut batch), loads.iter().map(|(name, _)| *name).collect()));
+                    let question = Question::Count { term, from: life, draws, loads };
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
                         _ => break "broken",
@@ -189,8 +193,8 @@
                 () = tokio::time::sleep_until(silent), if !out.is_empty() => break "silent",
                 () = self.pause(), if out.is_empty() => {
                     let loads = self.loads();
+                    out.push_back((Vec::new(), loads.iter().map(|(name, _)| *name).collect()));
                     let question = Question::Count { term, from: life, draws: Vec::new(), loads };
-                    out.push_back(Vec::new());
                     last_word = Instant::now();
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
@@ -200,8 +204,9 @@
             }
         };
         // What was sent may have been added, and is told again in any case.
-        for call in out.into_iter().flatten() {
-            let _ = call.reply.send(Outcome::Reset.into());
+        for (calls, told) in out {
+            self.changed.borrow_mut().extend(told);
+            calls.into_iter().for_each(|call| failed(call, Outcome::Reset));
         }
         why
     }
@@ -262,7 +267,7 @@
     }
 }
 
-/// Nothing was drawn.
+/// A call ends without an answer.
 fn failed(call: Waiting, outcome: Outcome) {
     // Whoever asked may have stopped waiting.
     let _ = call.reply.send(outcome.into());
