Gateways that come and go are told as differences; the console sees the room

Ruled out: processor (0.006 of 0.1), backends (none turned away), the count (held throughout).

One that left is remembered, so that an older word of another registry does not bring it back. Messages have version 2. The console and `status` show what is out at backends, and which are slow or ill.

--- a/crates/starlinghill-console/src/main.rs
+++ b/crates/starlinghill-console/src/main.rs
@@ -107,7 +107,11 @@
     }
     for (name, s) in &picture.services {
         let (ready, draining, silent) = (s.ready.len(), s.draining.len(), s.silent.len());
-        println!("service name={name} ready={ready} draining={draining} silent={silent}");
+        let (out, places, slow, ill) = (s.out, s.places, s.slow.len(), s.ill.len());
+        println!(
+            "service name={name} ready={ready} draining={draining} silent={silent} out={out} places={places} \
+             slow={slow} ill={ill}"
+        );
     }
     if let Some((ip, term, silent)) = picture.holder {
         println!("count at={ip} term={term} silent={silent} stores={}", picture.stores.len());
--- a/crates/starlinghill-console/src/picture.rs
+++ b/crates/starlinghill-console/src/picture.rs
@@ -1,11 +1,15 @@
 //! How things stand over all registries, as one picture, and what changed since the last one.
 
-use starlinghill_pegboard::State;
+use starlinghill_gauge::Seen;
+use starlinghill_pegboard::{Peg, State};
 use starlinghill_template::Kind;
 use starlinghill_toolrack::wire::Status;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 
+/// From here on a backend is called slow, and ill.
+const SLOW: f32 = 2.0;
+const ILL: f32 = 0.25;
 /// Events that are kept.
 const EVENTS: usize = 200;
 
@@ -33,6 +37,14 @@
     pub draining: BTreeSet<String>,
     /// Those of whom nothing was heard for some beats.
     pub silent: BTreeSet<String>,
+    /// What all gateways have out there, and the requests that can be worked on at once.
+    pub out: u32,
+    /// The same.
+    pub places: u32,
+    /// Those that are twice as slow as the rest, and those where a quarter of attempts come to nothing.
+    pub slow: BTreeSet<String>,
+    /// The same.
+    pub ill: BTreeSet<String>,
 }
 
 /// One picture.
@@ -101,6 +113,8 @@
                 }
             }
             if let Some(count) = &status.count {
+                let names = status.backends.iter().map(|(told, _)| (told.peg.number(), &told.peg));
+                picture.see(&names.collect(), &count.rooms);
                 picture.stores = count.stores.clone();
                 picture.holder.iter_mut().for_each(|holder| holder.2 = count.silent);
             }
@@ -113,6 +127,22 @@
         picture
     }
 
+    /// How backends do, as whoever keeps the count sees it.
+    fn see(&mut self, pegs: &HashMap<u64, &Peg>, rooms: &[Seen]) {
+        for room in rooms {
+            let Some(peg) = pegs.get(&room.backend) else { continue };
+            let service = self.services.entry(peg.service.clone()).or_default();
+            service.out += room.out;
+            service.places += room.capacity;
+            if room.slow >= SLOW {
+                service.slow.insert(peg.id.clone());
+            }
+            if room.ill >= ILL {
+                service.ill.insert(peg.id.clone());
+            }
+        }
+    }
+
     /// What is other than it was, a line each.
     pub fn changes(&self, before: &Picture) -> Vec<String> {
         let mut said = Vec::new();
@@ -142,6 +172,10 @@
             said.extend(new.map(|id| format!("{name}: {id} drains")));
             let new = service.silent.difference(&was.silent);
             said.extend(new.map(|id| format!("{name}: {id} is silent")));
+            let new = service.ill.difference(&was.ill);
+            said.extend(new.map(|id| format!("{name}: attempts at {id} come to nothing")));
+            let new = service.slow.difference(&was.slow);
+            said.extend(new.map(|id| format!("{name}: {id} is slow")));
             let new = service.ready.difference(&was.ready);
             said.extend(new.map(|id| format!("{name}: {id} takes work")));
         }
--- a/crates/starlinghill-console/src/screen.rs
+++ b/crates/starlinghill-console/src/screen.rs
@@ -63,10 +63,12 @@
     let mut lines = Vec::new();
     for (name, service) in &picture.services {
         lines.push(Line::from(format!(
-            "{name:<20} {:>4} ready {:>4} draining {:>4} silent",
+            "{name:<20} {:>4} ready {:>4} draining {:>4} silent   {} out at {} places",
             service.ready.len(),
             service.draining.len(),
-            service.silent.len()
+            service.silent.len(),
+            service.out,
+            service.places
         )));
         let some = |ids: &std::collections::BTreeSet<String>| {
             ids.iter().take(6).cloned().collect::<Vec<_>>().join(" ")
@@ -74,6 +76,12 @@
         if !service.draining.is_empty() {
             lines.push(Line::styled(format!("  draining {}", some(&service.draining)), Color::Yellow));
         }
+        if !service.slow.is_empty() {
+            lines.push(Line::styled(format!("  slow     {}", some(&service.slow)), Color::Yellow));
+        }
+        if !service.ill.is_empty() {
+            lines.push(Line::styled(format!("  ill      {}", some(&service.ill)), bad));
+        }
         if !service.silent.is_empty() {
             lines.push(Line::styled(format!("  silent   {}", some(&service.silent)), bad));
         }
--- a/crates/starlinghill-console/tests/words.rs
+++ b/crates/starlinghill-console/tests/words.rs
@@ -4,6 +4,7 @@
 use starlinghill_console::picture::Picture;
 use starlinghill_decision::api::CustomerId;
 use starlinghill_decision::store_name;
+use starlinghill_gauge::Seen;
 use starlinghill_pegboard::{Gateway, Peg, State, Told};
 use starlinghill_template::book::digest;
 use starlinghill_template::{Change, Item, Kind};
@@ -69,7 +70,7 @@
 fn a_request_is_explained(host: &str, path: &str, key: Option<&str>, wanted: &str) {
     let mut status = status(1, &[]);
     let store = store_name(CustomerId(xxh3_64(b"studio"))).0;
-    status.count = Some(Count { silent: 0, stores: vec![(store, 0.2, 10.0, 55.0)] });
+    status.count = Some(Count { silent: 0, stores: vec![(store, 0.2, 10.0, 55.0)], rooms: Vec::new() });
     let said = explain(&items(), &[status], Asked { host, path, key }).unwrap_or_default();
     assert!(said.iter().any(|line| line.contains(wanted)), "{said:#?}");
 }
@@ -97,6 +98,28 @@
     assert!(ledger.ready.contains("i-2") && ledger.silent.is_empty());
 }
 
+#[test]
+fn backends_that_are_slow_or_ill_are_named_as_the_counter_sees_them() {
+    let mut status = status(1, &[]);
+    status.backends = (1..=3).map(|i| told(&format!("i-{i}"), State::Ready, false)).collect();
+    let before = Picture::of(&[(at(1), Some(status.clone()))]);
+    let seen = |i: usize, slow: f32, ill: f32| {
+        let backend = status.backends[i].0.peg.number();
+        Seen { backend, out: 2, capacity: 3, slow, ill }
+    };
+    let unknown = Seen { backend: 7, out: 9, capacity: 9, slow: 9.0, ill: 1.0 };
+    let rooms = vec![seen(0, 1.0, 0.0), seen(1, 2.5, 0.1), seen(2, 0.8, 0.4), unknown];
+    status.count = Some(Count { silent: 0, stores: Vec::new(), rooms });
+    let after = Picture::of(&[(at(1), Some(status))]);
+    let ledger = &after.services["ledger"];
+    assert_eq!((ledger.out, ledger.places), (6, 9));
+    assert!(ledger.slow.iter().eq(["i-2"]) && ledger.ill.iter().eq(["i-3"]), "{ledger:?}");
+    let said = after.changes(&before);
+    for wanted in ["i-2 is slow", "attempts at i-3 come to nothing"] {
+        assert!(said.iter().any(|line| line.contains(wanted)), "{wanted}: {said:#?}");
+    }
+}
+
 #[test]
 fn what_changed_is_said_once() {
     let before = Picture::of(&[(at(1), Some(status(1, &[item("r-1", 7)])))]);
--- a/crates/starlinghill-dovetail/src/frame.rs
+++ b/crates/starlinghill-dovetail/src/frame.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 /// The version of all messages; another one is refused.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// The longest message.
 pub const LONGEST: usize = 8 << 20;
 const HEAD: usize = 5;
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -17,7 +17,7 @@
 mod store;
 
 pub use bound::{fill_part, most_in, own_share};
-pub use loads::{Listed, Loads, Room, Word};
+pub use loads::{Listed, Loads, Room, Seen, Word};
 pub use readings::Readings;
 
 use bitcode::{Decode, Encode};
--- a/crates/starlinghill-gauge/src/loads.rs
+++ b/crates/starlinghill-gauge/src/loads.rs
@@ -90,6 +90,21 @@
     pub takes_ms: u16,
 }
 
+/// A backend as the counter sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
+pub struct Seen {
+    /// Which one.
+    pub backend: u64,
+    /// What all gateways have out there.
+    pub out: u32,
+    /// Requests that it works on at once.
+    pub capacity: u32,
+    /// How many times slower it is than its service.
+    pub slow: f32,
+    /// The part of attempts that came to nothing of late.
+    pub ill: f32,
+}
+
 #[derive(Debug)]
 struct Backend {
     listed: Listed,
@@ -330,6 +345,18 @@
         }
     }
 
+    /// All backends as they are seen from here.
+    pub fn seen(&self) -> Vec<Seen> {
+        let seen = |backend: &Backend| Seen {
+            backend: backend.listed.backend,
+            out: backend.all,
+            capacity: backend.listed.capacity,
+            slow: backend.slow as f32,
+            ill: backend.ill as f32,
+        };
+        self.backends.values().map(seen).collect()
+    }
+
     /// What all gateways have out at a backend, as far as they told.
     pub fn out(&self, backend: u64) -> u32 {
         self.by.get(&backend).and_then(|key| self.backends.get(*key)).map_or(0, |backend| backend.all)
--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -15,6 +15,15 @@
 /// A gateway that has not asked for so long is one no more. Long: a count that is too small doubles shares.
 const AWAY: Duration = Duration::from_secs(30);
 
+#[derive(Debug)]
+struct Member {
+    gateway: Gateway,
+    heard: Duration,
+    /// It carries traffic; else it has left, or was not heard of for long, and is only remembered.
+    here: bool,
+    changed: u64,
+}
+
 #[derive(Debug)]
 struct Entry {
     peg: Peg,
@@ -28,10 +37,10 @@
 pub struct Board {
     beat: Duration,
     backends: BTreeMap<String, Entry>,
-    gateways: BTreeMap<IpAddr, (Gateway, Duration)>,
-    /// When the set of gateways last changed.
-    gateways_changed: u64,
+    gateways: BTreeMap<IpAddr, Member>,
     seq: u64,
+    /// The last change that must be told at once.
+    urgent: u64,
 }
 
 /// What is new since a number.
@@ -39,15 +48,15 @@
 pub struct News {
     /// Backends.
     pub backends: Vec<Told>,
-    /// All gateways, where that set has changed.
-    pub gateways: Option<Vec<Gateway>>,
+    /// Gateways that changed, and whether they carry traffic now.
+    pub gateways: Vec<(Gateway, bool)>,
 }
 
 impl Board {
     /// An empty one.
     pub fn new(beat: Duration) -> Board {
         let (backends, gateways) = (BTreeMap::new(), BTreeMap::new());
-        Board { beat, backends, gateways, gateways_changed: 0, seq: 0 }
+        Board { beat, backends, gateways, seq: 0, urgent: 0 }
     }
 
     /// The number of the last change. Callers number changes of their own with [`Board::number`].
@@ -55,9 +64,16 @@
         self.seq
     }
 
-    /// A number for a change.
+    /// The number of the last change that must be told at once. That a gateway came or went can wait: guards against telling
+    /// hundreds of them of each one when many are started again, over links that have other things to carry.
+    pub fn urgent(&self) -> u64 {
+        self.urgent
+    }
+
+    /// A number for a change that must be told at once.
     pub fn number(&mut self) -> u64 {
         self.seq += 1;
+        self.urgent = self.seq;
         self.seq
     }
 
@@ -91,6 +107,7 @@
                 }
                 if news || moved {
                     self.seq += 1;
+                    self.urgent = self.seq;
                     entry.changed = self.seq;
                 }
                 news || moved
@@ -116,24 +133,29 @@
         let room = self.gateways.len() < MOST;
         let new = match self.gateways.get_mut(&gateway.ip) {
             None => room,
-            Some((known, at)) if *known == gateway => {
-                *at = (*at).max(heard);
+            // One that said that it leaves is not back because another registry heard of it before.
+            Some(known) if known.gateway == gateway && (known.here || known.heard >= heard) => {
+                known.heard = known.heard.max(heard);
                 return;
             }
             // Of two lives, the one heard of last.
-            Some((_, at)) => *at <= heard,
+            Some(known) => known.heard <= heard,
         };
         if new {
-            self.gateways.insert(gateway.ip, (gateway, heard));
-            self.gateways_changed = self.number();
+            self.seq += 1;
+            self.gateways.insert(gateway.ip, Member { gateway, heard, here: true, changed: self.seq });
         }
     }
 
     /// A gateway says that it leaves.
-    pub fn leaves(&mut self, gateway: &Gateway) {
-        if self.gateways.get(&gateway.ip).is_some_and(|(known, _)| known.life == gateway.life) {
-            self.gateways.remove(&gateway.ip);
-            self.gateways_changed = self.number();
+    pub fn leaves(&mut self, now: Duration, gateway: &Gateway) {
+        let known = self.gateways.get_mut(&gateway.ip).filter(|known| known.gateway.life == gateway.life);
+        if let Some(known) = known {
+            known.heard = now;
+            if std::mem::take(&mut known.here) {
+                self.seq += 1;
+                known.changed = self.seq;
+            }
         }
     }
 
@@ -150,16 +172,19 @@
             if lost || !entry.silent && entry.peg.state == State::Ready && since > silence {
                 entry.silent = true;
                 seq += 1;
+                self.urgent = seq;
                 entry.changed = seq;
             }
         }
         self.backends.retain(|_, entry| now.saturating_sub(entry.heard) < TOMB);
-        let before = self.gateways.len();
-        self.gateways.retain(|_, (_, heard)| now.saturating_sub(*heard) < AWAY);
-        if self.gateways.len() != before {
-            seq += 1;
-            self.gateways_changed = seq;
+        for member in self.gateways.values_mut() {
+            if member.here && now.saturating_sub(member.heard) >= AWAY {
+                member.here = false;
+                seq += 1;
+                member.changed = seq;
+            }
         }
+        self.gateways.retain(|_, member| now.saturating_sub(member.heard) < TOMB);
         self.seq = seq;
     }
 
@@ -167,13 +192,14 @@
     pub fn since(&self, seq: u64) -> News {
         let new = self.backends.values().filter(|entry| entry.changed > seq);
         let backends = new.map(|entry| Told { peg: entry.peg.clone(), silent: entry.silent }).collect();
-        let gateways = (self.gateways_changed > seq).then(|| self.gateways().cloned().collect());
+        let members = self.gateways.values().filter(|member| member.changed > seq);
+        let gateways = members.map(|member| (member.gateway.clone(), member.here)).collect();
         News { backends, gateways }
     }
 
     /// The gateways, in the order of their addresses.
     pub fn gateways(&self) -> impl Iterator<Item = &Gateway> {
-        self.gateways.values().map(|(gateway, _)| gateway)
+        self.gateways.values().filter(|member| member.here).map(|member| &member.gateway)
     }
 
     /// All backends that were heard of within that time, and how long ago: for another registry.
@@ -195,7 +221,8 @@
 
     /// All gateways that asked within that time, likewise.
     pub fn asked_within(&self, now: Duration, within: Duration) -> Vec<(Gateway, u64)> {
-        let recent = self.gateways.values().filter(|(_, at)| now.saturating_sub(*at) <= within);
-        recent.map(|(g, at)| (g.clone(), now.saturating_sub(*at).as_millis() as u64)).collect()
+        let ago = |member: &Member| now.saturating_sub(member.heard);
+        let recent = self.gateways.values().filter(|member| member.here && ago(member) <= within);
+        recent.map(|member| (member.gateway.clone(), ago(member).as_millis() as u64)).collect()
     }
 }
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -1,6 +1,7 @@
 //! Beats out of order at three registries, drains that are told late, registries that begin with nothing.
 
 use starlinghill_pegboard::{Board, Gateway, Peg, State, Told, Wall};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -131,8 +132,54 @@
 fn a_gateway_that_says_that_it_leaves_is_one_no_more() {
     let mut board = Board::new(BEAT);
     board.asks(ms(0), gateway(1, 5), Duration::ZERO);
-    board.leaves(&gateway(1, 4));
+    board.leaves(ms(100), &gateway(1, 4));
     assert_eq!(board.gateways().count(), 1);
-    board.leaves(&gateway(1, 5));
+    board.leaves(ms(100), &gateway(1, 5));
     assert_eq!(board.gateways().count(), 0);
+    // Another registry heard of it a moment before.
+    board.asks(ms(150), gateway(1, 5), ms(80));
+    assert_eq!(board.gateways().count(), 0);
+    board.asks(ms(3_000), gateway(1, 6), Duration::ZERO);
+    assert_eq!(board.gateways().count(), 1);
+}
+
+#[test]
+fn of_gateways_that_come_and_go_only_these_are_told_and_nobody_is_woken_for_them() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut board = Board::new(BEAT);
+        (0..85).for_each(|i| board.asks(ms(0), gateway(i, 1), Duration::ZERO));
+        // One that follows by differences, now and then, and what each difference held.
+        let mut known: BTreeMap<IpAddr, u64> = BTreeMap::new();
+        let (mut seq, mut told, mut changes) = (0, 0, 0);
+        let urgent = board.urgent();
+        for step in 1..=100u64 {
+            let (now, i) = (ms(step * 100), rng.u8(0..85));
+            match rng.u8(0..3) {
+                0 => board.asks(now, gateway(i, step + 1), Duration::ZERO),
+                1 => {
+                    let life = board.gateways().find(|g| g.ip == gateway(i, 0).ip).map_or(0, |g| g.life);
+                    board.leaves(now, &gateway(i, life));
+                }
+                _ => {}
+            }
+            changes += 1;
+            if rng.u8(0..5) == 0 {
+                let news = board.since(seq).gateways;
+                assert!(seq == 0 || news.len() <= changes, "seed {seed}: {} of {changes}", news.len());
+                told += news.len();
+                for (gateway, here) in news {
+                    match here {
+                        true => known.insert(gateway.ip, gateway.life),
+                        false => known.remove(&gateway.ip),
+                    };
+                }
+                (seq, changes) = (board.seq(), 0);
+                let all: BTreeMap<IpAddr, u64> = board.gateways().map(|g| (g.ip, g.life)).collect();
+                assert_eq!(known, all, "seed {seed}");
+            }
+        }
+        assert_eq!(board.urgent(), urgent);
+        assert!(told <= 85 + 100, "{told}");
+    }
 }
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -134,7 +134,7 @@
 
     fn take(&mut self, command: Command) {
         let now = self.now();
-        let before = self.board.seq();
+        let before = self.board.urgent();
         match command {
             Command::Ask(question, reply) => return self.asked(now, question, reply),
             Command::Beat(peg, warmup, reply) => {
@@ -176,7 +176,7 @@
         }
         self.look_at_duty(now);
         self.list_backends(now);
-        if self.board.seq() != before {
+        if self.board.urgent() != before {
             self.answer_waiting(true);
         }
     }
@@ -215,7 +215,7 @@
     }
 
     fn asked(&mut self, now: Duration, question: Question, reply: oneshot::Sender<Answer>) {
-        let before = self.board.seq();
+        let before = self.board.urgent();
         // Whoever asked may have gone.
         let answer = |reply: oneshot::Sender<Answer>, answer| drop(reply.send(answer));
         match question {
@@ -225,11 +225,11 @@
                 self.in_force.insert(have.gateway.ip, have.digest);
                 self.sight.told(now, have.gateway.ip, have.gateway.life, &have.seen);
                 if have.leaving {
-                    self.board.leaves(&have.gateway);
+                    self.board.leaves(now, &have.gateway);
                 } else {
                     self.board.asks(now, have.gateway.clone(), Duration::ZERO);
                 }
-                let nothing_new = have.rack == self.life && have.seq >= self.board.seq();
+                let nothing_new = have.rack == self.life && have.seq >= self.board.urgent();
                 if nothing_new && self.waiting.len() < MOST_WAITING {
                     self.waiting.push((have, Instant::now() + HOLD, reply));
                 } else {
@@ -292,7 +292,7 @@
         }
         self.look_at_duty(now);
         self.list_backends(now);
-        if self.board.seq() != before {
+        if self.board.urgent() != before {
             self.answer_waiting(true);
         }
     }
@@ -303,7 +303,11 @@
             |(item, _): &(Item, u64)| (item.kind, item.name.clone(), item.version, item.body.is_some());
         let in_force = |ip: &IpAddr| self.in_force.get(ip).copied().unwrap_or_default();
         let gateways = self.board.asked_within(now, Duration::MAX);
-        let told = |count: &Gauge| Count { silent: count.state().1 as u64, stores: count.stores(now) };
+        let told = |count: &Gauge| Count {
+            silent: count.state().1 as u64,
+            stores: count.stores(now),
+            rooms: count.loads.seen(),
+        };
         Status {
             ip: self.racks[self.me],
             life: self.life,
@@ -345,6 +349,7 @@
             fresh: self.fresh.is_some_and(|at| at.elapsed() < FRESH),
             items: items.map(|(item, _)| item.clone()).collect(),
             backends: new.backends,
+            whole: since == 0,
             gateways: new.gateways,
             holder: holder.filter(|_| self.holder_changed > since),
             time: self.time(),
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -1,7 +1,7 @@
 //! What a registry is asked by gateways and by other registries.
 
 use bitcode::{Decode, Encode};
-use starlinghill_gauge::{Draw, Level, Reading, Word};
+use starlinghill_gauge::{Draw, Level, Reading, Seen as Sight, Word};
 use starlinghill_grindstone::Seen;
 use starlinghill_holdfast as holdfast;
 use starlinghill_pegboard::{Gateway, Peg, Told};
@@ -92,8 +92,10 @@
     pub items: Vec<Item>,
     /// Backends that changed.
     pub backends: Vec<Told>,
-    /// All gateways, where that set has changed.
-    pub gateways: Option<Vec<Gateway>>,
+    /// These news hold all that is known, not only what changed.
+    pub whole: bool,
+    /// Gateways that changed, and whether they carry traffic now.
+    pub gateways: Vec<(Gateway, bool)>,
     /// Who keeps the count, and its term.
     pub holder: Option<(u64, IpAddr)>,
     /// The system's time.
@@ -153,4 +155,6 @@
     pub silent: u64,
     /// Stores by their names: what they hold, the tenant's rate, and what was drawn of late a second.
     pub stores: Vec<(u64, f64, f64, f64)>,
+    /// Backends.
+    pub rooms: Vec<Sight>,
 }
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -189,7 +189,7 @@
     book: Book,
     wall: Wall,
     /// The gateways as each registry last told them.
-    lists: BTreeMap<usize, Vec<Gateway>>,
+    lists: BTreeMap<usize, BTreeMap<IpAddr, Gateway>>,
     /// How many there were, and when that was last so.
     counts: VecDeque<(Instant, u32)>,
     fleet: Fleet,
@@ -230,8 +230,17 @@
         }
         let changes = self.wall.told(self.start.elapsed(), rack, news.rack, news.backends);
         self.backends(changes).await;
-        if let Some(gateways) = news.gateways {
-            self.lists.insert(rack, gateways);
+        if news.whole || !news.gateways.is_empty() {
+            let list = self.lists.entry(rack).or_default();
+            if news.whole {
+                list.clear();
+            }
+            for (gateway, here) in news.gateways {
+                match here {
+                    true => drop(list.insert(gateway.ip, gateway)),
+                    false => drop(list.remove(&gateway.ip)),
+                }
+            }
             self.count_gateways();
         }
         if let Some((term, ip)) = news.holder.filter(|(term, _)| *term >= self.term.get()) {
@@ -263,7 +272,7 @@
         let ahead = Micros(self.counter.time.borrow().saturating_sub(now.0));
         let skew = self.fleet.skew.max(ahead);
         let gateways = self.counts.iter().map(|(_, count)| *count).max().unwrap_or(1).max(1);
-        let mut all: BTreeSet<IpAddr> = self.lists.values().flatten().map(|gateway| gateway.ip).collect();
+        let mut all: BTreeSet<IpAddr> = self.lists.values().flat_map(|list| list.keys().copied()).collect();
         all.insert(self.node.ip);
         let me = all.iter().position(|ip| *ip == self.node.ip).unwrap_or_default() as u32;
         let fleet = Fleet { gateways, me, skew };
@@ -324,7 +333,7 @@
     }
 
     fn count_gateways(&mut self) {
-        let mut all: BTreeSet<IpAddr> = self.lists.values().flatten().map(|gateway| gateway.ip).collect();
+        let mut all: BTreeSet<IpAddr> = self.lists.values().flat_map(|list| list.keys().copied()).collect();
         all.insert(self.node.ip);
         self.ring.follow(all.iter().copied());
         let (now, count) = (Instant::now(), all.len() as u32);
