A gateway that leaves is in the count until it asks no more

Cause: after SIGTERM a proxy takes clients for 2.8 s and answers what it has, and says with each question that it leaves. The registry took it off the list at the first such word; the count then refused its draws, its breaker opened, and its last clients were served by its share and by chance; what it had out counted for nothing. Ruled out: lists (told as differences by then).

Change: one that leaves is on the list until it has asked nothing for 1.2 s (it asks twice a second).

Test: pegboard/tests/lists.rs.

--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -14,6 +14,8 @@
 const TOMB: Duration = Duration::from_secs(180);
 /// A gateway that has not asked for so long is one no more. Long: a count that is too small doubles shares.
 const AWAY: Duration = Duration::from_secs(30);
+/// The same of one that said that it leaves: it asks twice a second.
+const LEFT: Duration = Duration::from_millis(1_200);
 
 #[derive(Debug)]
 struct Member {
@@ -21,6 +23,8 @@
     heard: Duration,
     /// It carries traffic; else it has left, or was not heard of for long, and is only remembered.
     here: bool,
+    /// It said that it leaves. Until it asks no more it still carries what it has, and what comes.
+    leaving: bool,
     changed: u64,
 }
 
@@ -143,19 +147,17 @@
         };
         if new {
             self.seq += 1;
-            self.gateways.insert(gateway.ip, Member { gateway, heard, here: true, changed: self.seq });
+            let (here, leaving, changed) = (true, false, self.seq);
+            self.gateways.insert(gateway.ip, Member { gateway, heard, here, leaving, changed });
         }
     }
 
-    /// A gateway says that it leaves.
+    /// A gateway says that it leaves. It is one until it has asked nothing for a moment. Guards against one that takes
+    /// clients for seconds after SIGTERM and is refused by the count meanwhile.
     pub fn leaves(&mut self, now: Duration, gateway: &Gateway) {
         let known = self.gateways.get_mut(&gateway.ip).filter(|known| known.gateway.life == gateway.life);
         if let Some(known) = known {
-            known.heard = now;
-            if std::mem::take(&mut known.here) {
-                self.seq += 1;
-                known.changed = self.seq;
-            }
+            (known.heard, known.leaving) = (now, true);
         }
     }
 
@@ -178,7 +180,8 @@
         }
         self.backends.retain(|_, entry| now.saturating_sub(entry.heard) < TOMB);
         for member in self.gateways.values_mut() {
-            if member.here && now.saturating_sub(member.heard) >= AWAY {
+            let away = if member.leaving { LEFT } else { AWAY };
+            if member.here && now.saturating_sub(member.heard) >= away {
                 member.here = false;
                 seq += 1;
                 member.changed = seq;
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -129,17 +129,22 @@
 }
 
 #[test]
-fn a_gateway_that_says_that_it_leaves_is_one_no_more() {
+fn a_gateway_that_leaves_is_one_until_it_asks_no_more() {
     let mut board = Board::new(BEAT);
     board.asks(ms(0), gateway(1, 5), Duration::ZERO);
     board.leaves(ms(100), &gateway(1, 4));
-    assert_eq!(board.gateways().count(), 1);
-    board.leaves(ms(100), &gateway(1, 5));
+    // It takes clients for some seconds yet, and draws from the count.
+    for now in [100, 600, 1_100, 1_600, 2_100] {
+        board.leaves(ms(now), &gateway(1, 5));
+        board.tick(ms(now + 400));
+        assert_eq!(board.gateways().count(), 1);
+    }
+    board.tick(ms(3_400));
     assert_eq!(board.gateways().count(), 0);
-    // Another registry heard of it a moment before.
-    board.asks(ms(150), gateway(1, 5), ms(80));
+    // Another registry heard of it before.
+    board.asks(ms(3_450), gateway(1, 5), ms(1_500));
     assert_eq!(board.gateways().count(), 0);
-    board.asks(ms(3_000), gateway(1, 6), Duration::ZERO);
+    board.asks(ms(5_000), gateway(1, 6), Duration::ZERO);
     assert_eq!(board.gateways().count(), 1);
 }
 
@@ -160,6 +165,7 @@
                 1 => {
                     let life = board.gateways().find(|g| g.ip == gateway(i, 0).ip).map_or(0, |g| g.life);
                     board.leaves(now, &gateway(i, life));
+                    board.tick(now + ms(1_200));
                 }
                 _ => {}
             }
