A backend's leave counts also where no registry knows the backend any more

Cause: Board::left noted nothing of an id that it did not know, and the call was answered 200 all the same. Right after a restart of the registries (all power gone, or one after the other) gateways still had the backend from before and went on sending to it, for up to 20 s, though its DELETE was acknowledged.

Change: what leaves is noted as gone whether it is known or not; a late beat of it is no news.

--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -99,7 +99,9 @@
                 let state = entry.peg.state.max(peg.state);
                 let newer = peg.calls > entry.peg.calls;
                 let news = state != entry.peg.state || entry.silent && newer;
-                let moved = newer && (peg.address, &peg.service) != (entry.peg.address, &entry.peg.service);
+                let moved = newer
+                    && state != State::Gone
+                    && (peg.address, &peg.service) != (entry.peg.address, &entry.peg.service);
                 if newer {
                     // What a beat says of warmth is reckoned anew each time and shifts a little; that is no news.
                     let warm_at = entry.peg.warm_at;
@@ -119,11 +121,14 @@
         }
     }
 
-    /// A backend has left. Returns what is to be told to the others, if it was known.
-    pub fn left(&mut self, now: Duration, id: &str) -> Option<Peg> {
-        let peg = Peg { state: State::Gone, ..self.backends.get(id)?.peg.clone() };
-        self.heard(now, peg.clone(), Duration::ZERO);
-        Some(peg)
+    /// A backend has left. One that is not known here is noted all the same: gateways may know it, by what this registry
+    /// knew before it was started again, and its word counts once it is acknowledged. Returns whether it was known.
+    pub fn left(&mut self, now: Duration, id: &str) -> bool {
+        let known = self.backends.get(id).map(|entry| entry.peg.clone());
+        let was_known = known.is_some();
+        let peg = Peg { state: State::Gone, ..known.unwrap_or_else(|| Peg::gone(id)) };
+        self.heard(now, peg, Duration::ZERO);
+        was_known
     }
 
     /// A backend by its id.
--- a/crates/starlinghill-pegboard/src/lib.rs
+++ b/crates/starlinghill-pegboard/src/lib.rs
@@ -51,6 +51,21 @@
 }
 
 impl Peg {
+    /// One of which no more is known than that it has left.
+    fn gone(id: &str) -> Peg {
+        Peg {
+            id: id.into(),
+            service: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            zone: String::new(),
+            version: String::new(),
+            capacity: 1,
+            state: State::Gone,
+            calls: 0,
+            warm_at: 0,
+        }
+    }
+
     /// Its number.
     pub fn number(&self) -> u64 {
         number(&self.id)
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -96,6 +96,22 @@
     assert!(wall.served().is_empty());
 }
 
+#[test]
+fn one_that_leaves_is_noted_where_nobody_knows_it_any_more() {
+    let (mut before, mut wall) = (Board::new(BEAT), Wall::default());
+    before.heard(ms(0), peg("i-1", 1, State::Ready), Duration::ZERO);
+    wall.told(ms(0), 0, 1, before.since(0).backends);
+    // The registry is killed and knows nobody when the backend leaves.
+    let mut board = Board::new(BEAT);
+    assert!(!board.left(ms(100), "i-1"));
+    let changes = wall.told(ms(100), 0, 2, board.since(0).backends);
+    assert!(changes.len() == 1 && changes[0].peg.state == State::Gone, "{changes:?}");
+    assert!(wall.served().is_empty());
+    // A beat that was on its way brings it back nowhere.
+    assert!(!board.heard(ms(200), peg("i-1", 9, State::Ready), Duration::ZERO));
+    assert!(wall.told(ms(200), 0, 2, board.since(0).backends).is_empty() && wall.served().is_empty());
+}
+
 #[test]
 fn a_missed_beat_is_no_death_and_silence_counts_only_where_all_agree() {
     let mut board = Board::new(BEAT);
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -33,7 +33,7 @@
     /// A backend's beat, with what it says of warmth in microseconds.
     Beat(Peg, u64, oneshot::Sender<Peg>),
     /// A backend leaves.
-    Leave(String, oneshot::Sender<Option<Peg>>),
+    Leave(String, oneshot::Sender<()>),
     /// The store beside it says what was agreed on, with a majority's word on that, asked at that moment.
     Store(Option<Value>, Option<Contact>, Instant),
     /// It says, asked at that moment if it votes, who the members are, and whom it accepted beyond those.
@@ -180,9 +180,9 @@
                 let _ = reply.send(self.board.get(&id).cloned().unwrap_or(peg));
             }
             Command::Leave(id, reply) => {
-                let peg = self.board.left(now, &id);
-                log::info!("event=backend_left id={id} known={}", peg.is_some());
-                let _ = reply.send(peg);
+                let known = self.board.left(now, &id);
+                log::info!("event=backend_left id={id} known={known}");
+                let _ = reply.send(());
             }
             Command::Store(items, contact, asked) => {
                 let had = self.may_vouch(now);
