Gateways keep backends that they have known for long when all registries restart

Cause: a gateway forgets a backend that no registry knows in its present life after 20 s, and counted them from when it was last told of it. Registries tell changes only: of a backend that serves for an hour that was an hour ago. When all registries were killed and were back before its next beat, it was gone at the next half second, and with it the whole list.

Change: the 20 s count from when nobody knows it any more; after 5 s it yields to others of its service that are known, never where there are none.

--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-pegboard/src/wall.rs
@@ -4,8 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// A backend that no registry knows in its present life is forgotten after this; it may only have begun anew.
+/// A backend that no registry knows in its present life is forgotten after this; registries may only have begun anew.
 const UNKNOWN: Duration = Duration::from_secs(20);
+/// It gets no new work after this, where others of its service are known: time for a beat, for the second that a backend waits
+/// for its answer, and for the pauses until it has found a registry that is back. Guards against sending to one whose drain
+/// all registries have forgotten.
+const YIELDS: Duration = Duration::from_secs(5);
 /// How long a gateway remembers that a backend is gone.
 const TOMB: Duration = Duration::from_secs(180);
 
@@ -14,7 +18,12 @@
     peg: Peg,
     /// Who tells of it, in which life, and whether it is silent there.
     by: BTreeMap<usize, (u64, bool)>,
+    /// When somebody last told of it. Only what changes is told: that may be long ago.
     at: Duration,
+    /// Since when nobody has known it.
+    unknown: Option<Duration>,
+    /// Nobody has known it for long, while others of its service were known.
+    yields: bool,
 }
 
 /// All backends, as this gateway knows them.
@@ -45,6 +54,8 @@
                 peg: peg.clone(),
                 by: BTreeMap::new(),
                 at: now,
+                unknown: None,
+                yields: false,
             });
             // What once drained never serves again, whoever says so.
             let state = seen.peg.state.max(peg.state);
@@ -53,7 +64,7 @@
             }
             seen.peg.state = state;
             seen.by.insert(by, (life, silent));
-            seen.at = now;
+            (seen.at, seen.unknown, seen.yields) = (now, None, false);
             let Some(seen) = self.backends.get(&id) else { continue };
             let after = (seen.peg.clone(), self.silent(seen));
             let same = before.as_ref().is_some_and(|(peg, silent)| {
@@ -73,25 +84,42 @@
     }
 
     fn silent(&self, seen: &Seen) -> bool {
-        let mut known = seen.by.iter().filter(|(by, (life, _))| self.lives.get(by) == Some(life)).peekable();
-        known.peek().is_some() && known.all(|(_, (_, silent))| *silent)
+        let mut known = self.known(seen).peekable();
+        seen.yields || known.peek().is_some() && known.all(|silent| silent)
     }
 
-    /// Forgets what nobody tells of any more; returns it as gone.
+    /// Whether it is silent, by each registry that knows it in its present life.
+    fn known<'a>(&'a self, seen: &'a Seen) -> impl Iterator<Item = bool> + 'a {
+        let present = seen.by.iter().filter(|(by, (life, _))| self.lives.get(by) == Some(life));
+        present.map(|(_, (_, silent))| *silent)
+    }
+
+    /// What nobody tells of any more gets no new work, and is forgotten in the end. Returns what is other than it was.
     pub fn tick(&mut self, now: Duration) -> Vec<Change> {
-        let mut gone = Vec::new();
-        let lives = &self.lives;
-        self.backends.retain(|_, seen| {
-            let known = seen.by.iter().any(|(by, (life, _))| lives.get(by) == Some(life));
-            let age = now.saturating_sub(seen.at);
-            let lost = !known && age > UNKNOWN && seen.peg.state != State::Gone;
-            if lost {
+        let known = |seen: &Seen| self.known(seen).next().is_some();
+        let unknown: Vec<String> =
+            self.backends.iter().filter(|(_, seen)| !known(seen)).map(|(id, _)| id.clone()).collect();
+        let serves = |seen: &&Seen| seen.peg.state == State::Ready && known(seen) && !self.silent(seen);
+        let served: BTreeSet<String> =
+            self.backends.values().filter(serves).map(|seen| seen.peg.service.clone()).collect();
+        let mut changes = Vec::new();
+        for id in unknown {
+            let Some(seen) = self.backends.get_mut(&id) else { continue };
+            let since = now.saturating_sub(*seen.unknown.get_or_insert(now));
+            if seen.peg.state == State::Gone {
+                continue;
+            }
+            if since > UNKNOWN {
                 let peg = Peg { state: State::Gone, ..seen.peg.clone() };
-                gone.push(Change { peg, silent: true });
+                changes.push(Change { peg, silent: true });
+                self.backends.remove(&id);
+            } else if since > YIELDS && !seen.yields && served.contains(&seen.peg.service) {
+                seen.yields = true;
+                changes.push(Change { peg: seen.peg.clone(), silent: true });
             }
-            !lost && (seen.peg.state != State::Gone || age < TOMB)
-        });
-        gone
+        }
+        self.backends.retain(|_, seen| seen.peg.state != State::Gone || now.saturating_sub(seen.at) < TOMB);
+        changes
     }
 
     /// The services that have a backend which takes work.
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -96,6 +96,40 @@
     assert!(wall.served().is_empty());
 }
 
+#[test]
+fn backends_that_were_known_for_long_outlive_a_restart_of_all_registries() {
+    let mut wall = Wall::default();
+    for rack in 0..3 {
+        wall.told(ms(0), rack, 1, vec![Told { peg: peg("i-1", 1, State::Ready), silent: false }]);
+    }
+    // Nothing changed for an hour; then all registries are back in other lives, before any beat has come.
+    let hour = ms(3_600_000);
+    (0..3).for_each(|rack| drop(wall.told(hour, rack, 2, Vec::new())));
+    for step in 0..12 {
+        assert_eq!(wall.tick(hour + ms(500 * step)), Vec::new());
+        assert!(wall.served().contains("tally"), "after {step} ticks");
+    }
+    assert_eq!(wall.tick(hour + ms(30_000)).len(), 1);
+}
+
+#[test]
+fn what_nobody_tells_of_yields_to_others_of_its_service_that_are_known() {
+    let mut wall = Wall::default();
+    let told = |peg| vec![Told { peg, silent: false }];
+    wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
+    wall.told(ms(0), 0, 1, told(peg("i-2", 1, State::Ready)));
+    // The registry is back, and hears of one of them.
+    wall.told(ms(1_000), 0, 2, told(peg("i-2", 2, State::Ready)));
+    assert_eq!(wall.tick(ms(1_000)), Vec::new());
+    assert_eq!(wall.tick(ms(5_900)), Vec::new());
+    let changes = wall.tick(ms(6_100));
+    assert!(changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].silent, "{changes:?}");
+    assert_eq!(wall.tick(ms(6_600)), Vec::new());
+    // It was only slow to find the registry.
+    let changes = wall.told(ms(7_000), 0, 2, told(peg("i-1", 2, State::Ready)));
+    assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
+}
+
 #[test]
 fn one_that_leaves_is_noted_where_nobody_knows_it_any_more() {
     let (mut before, mut wall) = (Board::new(BEAT), Wall::default());
