A registry that starts asks the others for all they know until each has answered

Cause: it asked each once, for 350 ms. One that could not be reached just then, or over links that lose packets, was never asked again; registries tell each other only what they heard in the last half second.

Change: who did not answer is asked again each half second while it is a member.

--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -23,6 +23,8 @@
 /// How long another registry may take. A backend waits a second for its answer.
 const PATIENCE: Duration = Duration::from_millis(350);
 const PAUSE: Duration = Duration::from_millis(100);
+/// The pause before others are asked again for all that they know.
+const LEARN_AGAIN: Duration = Duration::from_millis(500);
 /// While the store here is silent, others are asked so often who the members are.
 const LEARN: Duration = Duration::from_secs(1);
 
@@ -166,21 +168,38 @@
     }
 
     /// One that has just started asks the others first: knowing none is not the same as there being none. So does each once
-    /// the members are others: what one of them was told before need not have come here.
-    pub async fn learn_all(&self, owner: &Owner) {
+    /// the members are others: what one of them was told before need not have come here. Who does not answer is asked
+    /// again, as long as it is a member: it may be the only one that still knows of a drain.
+    pub async fn learn_all(self: &Rc<Self>, owner: &Owner) {
+        let mut silent = Vec::new();
         for ip in self.others() {
-            let (_, caller) = self.lines(ip);
-            if let Ok(Answer::All(heard)) = caller.call(&Question::All, PATIENCE).await {
-                log::info!(
-                    "event=learned from={ip} backends={} gateways={}",
-                    heard.backends.len(),
-                    heard.gateways.len()
-                );
-                let (reply, noted) = oneshot::channel();
-                let _ = owner.send(Command::Ask(Question::Heard(heard), reply)).await;
-                let _ = noted.await;
+            if !self.learn(ip, owner).await {
+                silent.push(ip);
             }
         }
+        let (peers, owner) = (self.clone(), owner.clone());
+        spawn_local(async move {
+            while !silent.is_empty() && !owner.is_closed() {
+                sleep(LEARN_AGAIN).await;
+                let others = peers.others();
+                silent.retain(|ip| others.contains(ip));
+                for ip in std::mem::take(&mut silent) {
+                    if !peers.learn(ip, &owner).await {
+                        silent.push(ip);
+                    }
+                }
+            }
+        });
+    }
+
+    async fn learn(&self, ip: IpAddr, owner: &Owner) -> bool {
+        let (_, caller) = self.lines(ip);
+        let Ok(Answer::All(heard)) = caller.call(&Question::All, PATIENCE).await else { return false };
+        let (backends, gateways) = (heard.backends.len(), heard.gateways.len());
+        log::info!("event=learned from={ip} backends={backends} gateways={gateways}");
+        let (reply, noted) = oneshot::channel();
+        let _ = owner.send(Command::Ask(Question::Heard(heard), reply)).await;
+        noted.await.is_ok()
     }
 
     /// The holder of the count leaves: tells its successor.
