What another registry has not heard of for long is silent from the first word

Cause: a registry that learned of a backend from another one took it for one that serves until its next tick, however long ago it was heard there.

Change: its age is looked at when it is noted.

The new test of lists.rs fails before.

--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -91,7 +91,10 @@
                 }
                 let changed = self.number();
                 let id = peg.id.clone();
-                self.backends.insert(id, Entry { peg, heard, silent: false, changed });
+                // Another registry may tell of one that has been silent for long: nobody is to take it for one that serves
+                // until the next tick.
+                let silent = peg.state == State::Ready && ago > self.silence();
+                self.backends.insert(id, Entry { peg, heard, silent, changed });
                 true
             }
             Some(entry) => {
@@ -166,9 +169,13 @@
         }
     }
 
+    fn silence(&self) -> Duration {
+        self.beat.mul_f64(SILENT_BEATS)
+    }
+
     /// Notes who was not heard of for long.
     pub fn tick(&mut self, now: Duration) {
-        let silence = self.beat.mul_f64(SILENT_BEATS);
+        let silence = self.silence();
         let mut seq = self.seq;
         for entry in self.backends.values_mut() {
             let since = now.saturating_sub(entry.heard);
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -130,6 +130,15 @@
     assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
 }
 
+#[test]
+fn one_that_another_registry_has_not_heard_of_for_long_is_silent_from_the_first_word() {
+    let mut board = Board::new(BEAT);
+    board.heard(ms(60_000), peg("i-1", 1, State::Ready), BEAT * 4);
+    board.heard(ms(60_000), peg("i-2", 1, State::Ready), BEAT);
+    let silent: Vec<bool> = board.since(0).backends.iter().map(|told| told.silent).collect();
+    assert_eq!(silent, [true, false]);
+}
+
 #[test]
 fn one_that_leaves_is_noted_where_nobody_knows_it_any_more() {
     let (mut before, mut wall) = (Board::new(BEAT), Wall::default());
