Simulated control side: backends beat, drain, leave and crash; gateways' lists checked

Need: who confirms a drain, and what a gateway goes by afterwards, was in no simulated run.

Change: three backends at a time beat at one core machine after the other, drain, leave without having drained, or crash; what gateways are told of them is noted. A gateway in touch with every member of a majority for 2.5 s must not send to one whose drain or leave was acknowledged 2.5 s before, and none may begin to serve with such a one; at the end all that beat must be listed. New unit test of the check, and a directed test of a registry that starts while it is cut off.

--- a/crates/starlinghill-mockup/src/check.rs
+++ b/crates/starlinghill-mockup/src/check.rs
@@ -8,6 +8,11 @@
 /// A configuration takes hold within this.
 pub const APPLY: Duration = Duration::from_millis(2_500);
 
+/// Nothing goes to a backend so long after it was acknowledged that it drains or leaves.
+pub const DRAIN: Duration = Duration::from_millis(2_500);
+/// How often a backend says how it is.
+pub const BEAT: Duration = Duration::from_millis(500);
+
 /// The tenant whose quota gateways draw from. It never changes: its rate a second and its burst are its number.
 pub const RATIONED: &str = "rationed";
 /// That number.
@@ -76,8 +81,12 @@
     pub ready: bool,
     /// For how long it has been in touch, without a break, with one and the same member of a majority that runs.
     pub in_touch: Duration,
+    /// For how long it has been in touch with all members of a majority at once, without a break.
+    pub in_full_touch: Duration,
     /// What.
     pub items: Items,
+    /// The backends that it may send work to.
+    pub backends: BTreeSet<String>,
 }
 
 /// A registry said that it holds the count.
@@ -110,6 +119,8 @@
     pub granted: Vec<Duration>,
     /// How often members changed.
     pub epoch: u64,
+    /// When it was first acknowledged of a backend that it drains or leaves.
+    pub drained: BTreeMap<String, Duration>,
     /// What was done to the system, and when.
     pub troubles: Vec<(Duration, String)>,
     /// Faults that showed at once.
@@ -179,6 +190,7 @@
         self.check_gateways(&records, &mut faults);
         self.check_holders(&mut faults);
         self.check_quota(&mut faults);
+        self.check_drains(&mut faults);
         faults
     }
 
@@ -317,4 +329,24 @@
             }
         }
     }
+
+    /// A gateway in touch sends nothing to a backend that drains, and none begins to.
+    fn check_drains(&self, faults: &mut Vec<String>) {
+        let mut ready: BTreeMap<(usize, u64), bool> = BTreeMap::new();
+        for seen in &self.in_force {
+            let was = std::mem::replace(ready.entry((seen.gateway, seen.life)).or_default(), seen.ready);
+            let begins = seen.ready && !was;
+            if !begins && seen.in_full_touch < DRAIN {
+                continue;
+            }
+            for id in &seen.backends {
+                let drained = self.drained.get(id).filter(|at| **at + DRAIN < seen.at);
+                if let Some(at) = drained {
+                    let how = if begins { "begins to send" } else { "sends" };
+                    let (gateway, now) = (seen.gateway, seen.at);
+                    faults.push(format!("gateway {gateway} {how} to {id} in {now:?}, drained in {at:?}"));
+                }
+            }
+        }
+    }
 }
--- a/crates/starlinghill-mockup/src/lib.rs
+++ b/crates/starlinghill-mockup/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! One seed plays the same run again and again; `tests/control.rs` says how to play one.
 
+pub mod backends;
 pub mod check;
 pub mod links;
 pub mod lives;
--- a/crates/starlinghill-mockup/src/play.rs
+++ b/crates/starlinghill-mockup/src/play.rs
@@ -1,8 +1,8 @@
 //! A run: operators who order and read, troubles that a seed decides, and a quiet end after which all must be well.
 
 use crate::check::{Attempt, Held, History, InForce, Items, Order, Read, APPLY, RATION, RATIONED};
-use crate::trouble;
 use crate::world::{ip, World};
+use crate::{backends, trouble};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
@@ -45,9 +45,12 @@
 const FOUNDERS: usize = 3;
 const SPARES: usize = 3;
 const GATEWAYS: usize = 2;
+/// Backends at a time.
+const BACKENDS: usize = 3;
 /// Orders that are under way at once, by two operators.
 const SLOTS: usize = 6;
 const ITEMS: usize = 3;
+const CONFIG: &str = "/api/config";
 /// An operator goes elsewhere after this.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// So often an order is sent again where no clear answer came.
@@ -75,7 +78,10 @@
     /// Disks are lost whatever was lost before.
     pub losses_overlap: bool,
     highest: RefCell<BTreeMap<String, u64>>,
-    over: Cell<bool>,
+    /// Callers end.
+    pub over: Cell<bool>,
+    /// Backends that beat now, and since when one of their beats was acknowledged.
+    pub beating: RefCell<BTreeMap<String, Duration>>,
 }
 
 /// Plays it, and tells what was seen.
@@ -100,6 +106,7 @@
         losses_overlap: play.losses_overlap,
         highest: RefCell::default(),
         over: Cell::new(false),
+        beating: RefCell::default(),
     });
     run.world.cores.iter().for_each(|core| core.disk.borrow_mut().lies = play.disks_lie);
     for i in 0..FOUNDERS {
@@ -113,12 +120,22 @@
         callers.push(spawn_local(operator(run.clone(), ip(2, slot % 2))));
     }
     callers.push(spawn_local(reader(run.clone(), ip(2, 2))));
+    (0..BACKENDS).for_each(|slot| callers.push(spawn_local(backends::lives(run.clone(), slot))));
     spawn_local(watch_gateways(run.clone()));
     (0..FOUNDERS + SPARES).for_each(|i| drop(spawn_local(watch_holder(run.clone(), i))));
     sleep(CALM).await;
     run.give_ration().await;
     trouble::all(run.clone(), play.troubled).await;
     sleep(RECOVERY).await;
+    for i in 0..GATEWAYS {
+        let listed = run.world.listed(i);
+        for (id, since) in run.beating.borrow().iter() {
+            if run.now() - *since > APPLY && !listed.contains(id) {
+                let what = format!("gateway {i} does not know {id}, which beats since {since:?}");
+                run.seen.borrow_mut().at_once.push(what);
+            }
+        }
+    }
     run.over.set(true);
     for caller in callers {
         caller.await.expect("callers end");
@@ -226,7 +243,7 @@
         };
         let (asked, before) = (self.now(), self.disturbed.borrow()[core]);
         let net = self.world.fabric.at(from);
-        let answer = call(&net, self.world.control(core), Method::PATCH, body.into_bytes()).await;
+        let answer = call(&net, self.world.control(core), Method::PATCH, CONFIG, body.into_bytes()).await;
         let reachable = before == self.disturbed.borrow()[core]
             && self.world.fabric.is_calm()
             && self.world.is_well(core)
@@ -241,7 +258,7 @@
     async fn read(&self, from: IpAddr, core: usize) -> bool {
         let asked = self.now();
         let net = self.world.fabric.at(from);
-        let answer = call(&net, self.world.control(core), Method::GET, Vec::new()).await;
+        let answer = call(&net, self.world.control(core), Method::GET, CONFIG, Vec::new()).await;
         let Some((200, body)) = answer else { return false };
         let (at, answered) = (self.world.cores[core].ip, self.now());
         match items(&body) {
@@ -273,12 +290,19 @@
     }
 }
 
-async fn call(net: &Net, to: SocketAddr, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
+/// One call from outside, over a connection of its own; `None` where no answer came in time.
+pub async fn call(
+    net: &Net,
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(u16, Bytes)> {
     let called = async {
         let stream = net.connect(to).await.ok()?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let connection = spawn_local(connection);
-        let request = Request::builder().method(method).uri("/api/config").header("host", "core");
+        let request = Request::builder().method(method).uri(path).header("host", "core");
         let request = request.body(Full::new(Bytes::from(body))).ok()?;
         let answer = sender.send_request(request).await.ok();
         let answer = match answer {
@@ -319,7 +343,7 @@
                 since[i].fill(None);
                 continue;
             };
-            let mut longest = Duration::ZERO;
+            let (mut longest, mut all) = (Duration::ZERO, None::<Duration>);
             for (j, since) in since[i].iter_mut().enumerate() {
                 let touches = world.fabric.is_calm()
                     && world.has_majority(j)
@@ -329,9 +353,16 @@
                     true => longest = longest.max(now - began),
                     false => *since = None,
                 }
+                if world.has_majority(j) {
+                    let long = if touches { now - began } else { Duration::ZERO };
+                    all = Some(all.map_or(long, |all| all.min(long)));
+                }
             }
+            let in_full_touch = all.unwrap_or_default();
             let (life, at) = (gateway.life.get(), now);
-            let seen = InForce { gateway: i, life, at, ready, in_touch: longest, items };
+            let backends = world.listed(i);
+            let seen =
+                InForce { gateway: i, life, at, ready, in_touch: longest, in_full_touch, items, backends };
             run.seen.borrow_mut().in_force.push(seen);
         }
     }
--- a/crates/starlinghill-mockup/src/world.rs
+++ b/crates/starlinghill-mockup/src/world.rs
@@ -5,13 +5,14 @@
 use crate::links::Fabric;
 use crate::lives::{mount, Platter, Process};
 use starlinghill_clamp::Members;
-use starlinghill_decision::api::{CustomerId, Micros, Outcome, ServiceId};
+use starlinghill_decision::api::{CustomerId, Listed, Micros, Outcome, ServiceId};
 use starlinghill_decision::store_name;
 use starlinghill_dovetail::net::Net;
 use starlinghill_dovetail::settings::{Bounds, Node};
 use starlinghill_dovetail::{PATTERNBOOK, TOOLRACK, WORKBENCH};
 use starlinghill_gateway::counter::Count;
-use starlinghill_gateway::inbox::Clock;
+use starlinghill_gateway::inbox::{Clock, Input, Listing};
+
 use starlinghill_patternbook::program::store;
 use starlinghill_template::Table;
 use starlinghill_toolrack::program::registry;
@@ -20,6 +21,7 @@
 use starlinghill_workbench::ring::Ring;
 use starlinghill_workbench::rules::Places;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +68,8 @@
     /// In which life.
     pub life: Cell<u64>,
     shared: Rc<RefCell<Option<Rc<Shared>>>>,
+    /// The backends that it may send work to, by their ids.
+    listed: Rc<RefCell<BTreeSet<String>>>,
 }
 
 /// All of it.
@@ -105,6 +109,7 @@
             process: RefCell::default(),
             life: Cell::new(0),
             shared: Rc::default(),
+            listed: Rc::default(),
         };
         World {
             fabric: Fabric::new(seed),
@@ -132,9 +137,9 @@
             front: None,
             ready: None,
             control: Some(SocketAddr::new(ip, CONTROL)),
-            beat: Duration::from_millis(500),
+            beat: check::BEAT,
             bounds: Bounds {
-                drain: Duration::from_millis(2_500),
+                drain: check::DRAIN,
                 apply: check::APPLY,
                 sync_time: SYNC_TIME,
                 grace: Duration::from_secs(6),
@@ -338,6 +343,8 @@
         let life = fastrand::u64(1..);
         gateway.life.set(life);
         *gateway.shared.borrow_mut() = None;
+        gateway.listed.borrow_mut().clear();
+        let listed = gateway.listed.clone();
         let (node, net, slot) = (self.node(gateway.ip, false), self.net(gateway.ip), gateway.shared.clone());
         let (granted, begun) = (self.granted.clone(), self.begun);
         *gateway.process.borrow_mut() = Process::begin(async move {
@@ -354,7 +361,16 @@
             let ring = Rc::new(Ring::new(node.port(node.ip, WORKBENCH), life));
             spawn_local(draw(counter.clone(), granted, begun));
             news::start(&node, shared, Ways { net, driver, clock, counter, holder, ring }, life);
-            while inputs.recv().await.is_some() {}
+            while let Some(input) = inputs.recv().await {
+                let Input::Backends(_, listings) = input else { continue };
+                for Listing { entry, name, .. } in listings {
+                    let id = name.to_str().unwrap_or_default().to_string();
+                    match entry.listed {
+                        Listed::InService => listed.borrow_mut().insert(id),
+                        _ => listed.borrow_mut().remove(&id),
+                    };
+                }
+            }
         });
     }
 
@@ -373,6 +389,11 @@
         let ready = *shared.ready.borrow();
         Some((ready, view.table.tenants.iter().map(item).collect()))
     }
+
+    /// The backends that a gateway may send work to.
+    pub fn listed(&self, i: usize) -> BTreeSet<String> {
+        self.gateways[i].listed.borrow().clone()
+    }
 }
 
 /// Draws from the tenant with a quota as often as clients who want far more, one draw after the other.
--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -5,13 +5,22 @@
 //! `SEEDS=1000 cargo test --profile measure -p starlinghill-mockup --test control long_hunt -- --ignored --nocapture`
 //! (`SEED` is the first).
 
+use hyper::Method;
+use starlinghill_dovetail::call::Caller;
 use starlinghill_mockup::check::{Attempt, Held, History, InForce, Items, Order, Read, APPLY};
-use starlinghill_mockup::play::{play, Play};
+use starlinghill_mockup::play::{call, play, Play};
+use starlinghill_mockup::world::{ip, World};
+use starlinghill_pegboard::State;
+use starlinghill_toolrack::wire::{Answer, Question};
+use std::collections::BTreeSet;
+use std::future::Future;
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Duration;
 use test_case::test_case;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
 
 /// As many as CI has time for on two cores: one takes 2.4 s of a core in the dev profile.
 const SEEDS: u64 = 60;
@@ -148,7 +157,17 @@
 }
 
 fn in_force(at: u64, ready: bool, in_touch: Duration, seen: Option<(u64, u64)>) -> InForce {
-    InForce { gateway: 0, life: 1, at: s(at), ready, in_touch, items: items(seen) }
+    let (items, in_full_touch) = (items(seen), in_touch);
+    InForce {
+        gateway: 0,
+        life: 1,
+        at: s(at),
+        ready,
+        in_touch,
+        in_full_touch,
+        items,
+        backends: BTreeSet::new(),
+    }
 }
 
 /// Order 0 is r1, order 1 r2, order 2 the other content of r2, order 3 drops under r3.
@@ -198,6 +217,17 @@
     assert!(beyond.faults()[0].contains("quota passed"), "{:?}", beyond.faults());
 }
 
+#[test_case(true, s(0), true; "one that begins")]
+#[test_case(false, s(3), true; "one in touch")]
+#[test_case(false, s(1), false; "one that was cut off")]
+fn work_for_a_backend_that_drains_is_found(begins: bool, in_touch: Duration, found: bool) {
+    let look =
+        |at, ready| InForce { backends: BTreeSet::from(["b".into()]), ..in_force(at, ready, in_touch, None) };
+    let in_force = vec![look(1, !begins), look(9, true)];
+    let seen = History { in_force, drained: [("b".to_string(), s(5))].into(), ..History::default() };
+    assert_eq!(!seen.faults().is_empty(), found, "{:?}", seen.faults());
+}
+
 #[test]
 fn two_holders_at_one_time_are_found() {
     let held = |rack: u8, term, at| {
@@ -209,3 +239,42 @@
     let both = History { held: vec![held(1, 1, 1), held(2, 2, 2), held(1, 1, 3)], ..History::default() };
     assert!(!both.faults().is_empty());
 }
+
+/// Runs one in virtual time.
+fn simulated<F: Future>(play: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), play)
+}
+
+#[test]
+fn a_registry_that_starts_cut_off_learns_what_others_know_once_it_hears_them() {
+    simulated(async {
+        let world = World::new(1, 3, 0, 0);
+        (0..3).for_each(|i| world.start_store(i));
+        (0..3).for_each(|i| world.start_registry(i, true));
+        sleep(s(2)).await;
+        let net = world.fabric.at(ip(3, 0));
+        let beat = r#"{"address":"10.0.3.1:9000","details":{"service":"ledger","version":"v1","zone":"a","capacity":4},"observed":{"state":"ready","call_count":1,"warmup_left":"0ms"}}"#;
+        let path = "/api/backends/b";
+        let said = |method, body: &str| call(&net, world.control(0), method, path, body.as_bytes().to_vec());
+        assert_eq!(said(Method::PUT, beat).await.map(|answer| answer.0), Some(200));
+        sleep(s(1)).await;
+        for other in [0, 2] {
+            world.fabric.cut(ip(0, 1), ip(0, other));
+            world.fabric.cut(ip(0, other), ip(0, 1));
+        }
+        world.cores[1].registry.borrow().kill();
+        world.start_core(1);
+        sleep(s(1)).await;
+        assert_eq!(said(Method::DELETE, "").await.map(|answer| answer.0), Some(200));
+        // What registries tell each other is what they heard just now.
+        sleep(s(3)).await;
+        world.fabric.mend();
+        sleep(s(3)).await;
+        let at = world.fabric.at(ip(0, 1));
+        let asked = Caller::new(&at, world.own(1)).call(&Question::All, s(1)).await;
+        let Ok(Answer::All(heard)) = asked else { panic!("{asked:?}") };
+        let states: Vec<_> = heard.backends.iter().map(|(peg, _)| (peg.id.as_str(), peg.state)).collect();
+        assert_eq!(states, [("b", State::Gone)]);
+    });
+}
