People change the members: three to five, two lost at once, back to three, one lost

Need: core add and remove were tested by rules alone, not as the console gives them to processes; the operators' page (docs/operate/system.md) describes just this.

Change: a test with real processes and the console's own orders and words: a candidate waits and says why, two are added, two of five are lost with their disks, orders go on, both are removed, the last founder is lost with its disk, and what was confirmed is still there.

--- a/crates/starlinghill-rig/src/system.rs
+++ b/crates/starlinghill-rig/src/system.rs
@@ -89,9 +89,14 @@
         self.processes.iter_mut().for_each(Process::start);
     }
 
+    /// Its settings file.
+    pub fn file(&self) -> PathBuf {
+        self.folder.join("node.toml")
+    }
+
     /// Its settings file says that from now on.
     pub fn settings(&self, change: impl FnOnce(String) -> String) {
-        let file = self.folder.join("node.toml");
+        let file = self.file();
         let text = std::fs::read_to_string(&file).expect("written");
         std::fs::write(&file, change(text)).expect("written");
     }
--- /dev/null
+++ b/crates/starlinghill-rig/tests/members.rs
@@ -0,0 +1,81 @@
+//! Members of the core as people change them, by real processes and the console's own orders: `docs/operate/system.md`.
+
+use starlinghill_console::ask::Places;
+use starlinghill_console::membership::{list, why};
+use starlinghill_dovetail::settings::Node;
+use starlinghill_patternbook::wire::CoreOrder;
+use starlinghill_rig::system::{change, eventually, first_items, rule, System};
+use std::net::IpAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// The example beside this test, which is any part of the system when told its name.
+fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("a program");
+    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
+    folder.join("examples").join("system")
+}
+
+fn route(version: u64) -> String {
+    change(&rule("r-more", version, "safe", &format!("/more{version}/"), "1500ms"))
+}
+
+fn ip(system: &System, core: usize) -> IpAddr {
+    system.cores[core].ip.parse().expect("an address")
+}
+
+/// Gives an order as the console does, again where it has to wait.
+async fn order(places: &Places, order: CoreOrder) {
+    eventually(&format!("{order:?}"), || async { places.core(order).await.is_ok() }).await;
+}
+
+/// How the console names the state of each member.
+async fn states(places: &Places) -> Vec<String> {
+    let lines = list(&places.standings().await);
+    lines.iter().filter_map(|line| Some(line.split_once("state=")?.1.to_string())).collect()
+}
+
+#[tokio::test]
+async fn three_members_become_five_lose_two_at_once_and_are_three_that_can_lose_one_more() {
+    let mut system = System::start(&program(), 0);
+    for core in &system.cores {
+        core.processes[1].wait_for_log("event=start program=patternbook", PATIENCE);
+    }
+    assert_eq!(system.change(&first_items(0)).await.status, 200);
+    let places = Places::of(&Node::from_file(&system.cores[2].file()).expect("settings"));
+    for core in 3..5 {
+        system.add_core(&program());
+        // Nobody has gone: it waits, and says why, until people want it.
+        eventually("it waits", || async {
+            let lines = why(&places.standings().await);
+            let waits = format!("candidate ip={} ", ip(&system, core));
+            lines.iter().any(|line| line.contains(&waits) && line.contains("no member has been silent"))
+        })
+        .await;
+        order(&places, CoreOrder::Add(ip(&system, core))).await;
+        system.cores[core].processes[1].wait_for_log("event=voter_back", PATIENCE);
+    }
+    eventually("all five are fresh", || async { states(&places).await == ["fresh"; 5] }).await;
+    assert_eq!(system.change(&route(8)).await.status, 200);
+    // Two of five, with their disks.
+    for core in 0..2 {
+        system.cores[core].kill();
+        system.cores[core].wipe();
+    }
+    assert_eq!(system.change(&route(9)).await.status, 200);
+    let mut both = states(&places).await;
+    both.sort_unstable();
+    assert_eq!(both, ["fresh", "fresh", "fresh", "silent", "silent"]);
+    for core in 0..2 {
+        order(&places, CoreOrder::Remove(ip(&system, core))).await;
+    }
+    eventually("three are left", || async { states(&places).await == ["fresh"; 3] }).await;
+    // The last founder: what was confirmed is with those that came later.
+    system.cores[2].kill();
+    system.cores[2].wipe();
+    let read = system.read().await;
+    assert!(read.contains("/more9/"), "{read}");
+    assert_eq!(system.change(&route(10)).await.status, 200);
+}
