Backends that the registry with the count does not know get their part of the work

Cause: the counter names the backends that its own registry knows, and gateways go there. A core machine that is cut off from the others still hears its own backends; when the others are restarted meanwhile they know only who calls them. Ruled out: the gateways (all were ready and reached all three registries), the configuration, the count (reached again at 13.2 s).

Change: a gateway sees which backends that registry, in its present life, never told of, and by how much of the service's capacity; that part of its requests goes to some of them by chance. Nothing else changes where all registries know the same: the part is nothing. New log line: unknown_to_count.

--- a/crates/starlinghill-pegboard/src/lib.rs
+++ b/crates/starlinghill-pegboard/src/lib.rs
@@ -10,7 +10,7 @@
 mod wall;
 
 pub use board::{Board, News};
-pub use wall::{Change, Wall};
+pub use wall::{Change, Unknown, Wall};
 
 use bitcode::{Decode, Encode};
 use std::net::{IpAddr, SocketAddr};
--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-pegboard/src/wall.rs
@@ -42,6 +42,15 @@
     pub silent: bool,
 }
 
+/// Backends of a service that take work and that one registry does not know.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Unknown {
+    /// The part of the service's capacity that is theirs.
+    pub part: f64,
+    /// Their numbers.
+    pub backends: Vec<u64>,
+}
+
 impl Wall {
     /// A registry, in that life, tells of backends. Returns those that are other than they were.
     pub fn told(&mut self, now: Duration, by: usize, life: u64, told: Vec<Told>) -> Vec<Change> {
@@ -122,6 +131,27 @@
         changes
     }
 
+    /// What takes work and what that registry, in its present life, has never told of, by service: it began while it was cut off
+    /// from whom these backends call. Nothing where it has not told of anything yet.
+    pub fn unknown_to(&self, rack: usize) -> BTreeMap<&str, Unknown> {
+        let Some(life) = self.lives.get(&rack) else { return BTreeMap::new() };
+        let knows = |seen: &Seen| seen.by.get(&rack).is_some_and(|(of, _)| of == life);
+        let serves = |seen: &&Seen| seen.peg.state == State::Ready && !self.silent(seen);
+        let mut all: BTreeMap<&str, (u32, u32, Vec<u64>)> = BTreeMap::new();
+        for seen in self.backends.values().filter(serves) {
+            let (capacity, unknown, backends) = all.entry(&seen.peg.service).or_default();
+            *capacity += seen.peg.capacity;
+            if !knows(seen) {
+                *unknown += seen.peg.capacity;
+                backends.push(seen.peg.number());
+            }
+        }
+        let part = |unknown: u32, capacity: u32| f64::from(unknown) / f64::from(capacity.max(1));
+        let some = all.into_iter().filter(|(_, (_, _, backends))| !backends.is_empty());
+        some.map(|(of, (all, unknown, backends))| (of, Unknown { part: part(unknown, all), backends }))
+            .collect()
+    }
+
     /// The services that have a backend which takes work.
     pub fn served(&self) -> BTreeSet<&str> {
         let ready = self.backends.values().filter(|seen| seen.peg.state == State::Ready);
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -1,6 +1,6 @@
 //! Beats out of order at three registries, drains that are told late, registries that begin with nothing.
 
-use starlinghill_pegboard::{Board, Gateway, Peg, State, Told, Wall};
+use starlinghill_pegboard::{Board, Gateway, Peg, State, Told, Unknown, Wall};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -130,6 +130,28 @@
     assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
 }
 
+#[test]
+fn what_a_registry_that_began_while_it_was_cut_off_does_not_know_is_told_by_service() {
+    let mut wall = Wall::default();
+    let told = |id| vec![Told { peg: peg(id, 1, State::Ready), silent: false }];
+    let other =
+        vec![Told { peg: Peg { service: "other".into(), ..peg("o-1", 1, State::Ready) }, silent: false }];
+    (0..2).for_each(|rack| drop(wall.told(ms(0), rack, 1, told("i-1"))));
+    wall.told(ms(0), 0, 1, told("i-2"));
+    wall.told(ms(0), 1, 1, other);
+    // Of one that has told of nothing yet nothing is said.
+    assert!(wall.unknown_to(2).is_empty());
+    let unknown = wall.unknown_to(1);
+    let i_2 = Unknown { part: 0.5, backends: vec![peg("i-2", 1, State::Ready).number()] };
+    assert_eq!(unknown, [("tally", i_2)].into());
+    // Started again, it knows none of what it knew.
+    wall.told(ms(100), 1, 2, Vec::new());
+    let parts: Vec<f64> = wall.unknown_to(1).values().map(|unknown| unknown.part).collect();
+    assert_eq!(parts, [1.0, 1.0]);
+    wall.told(ms(200), 0, 1, vec![Told { peg: peg("i-2", 2, State::Draining), silent: false }]);
+    assert_eq!(wall.unknown_to(1)["tally"].backends.len(), 1);
+}
+
 #[test]
 fn one_that_another_registry_has_not_heard_of_for_long_is_silent_from_the_first_word() {
     let mut board = Board::new(BEAT);
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -6,6 +6,7 @@
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
 use starlinghill_gauge::{Draw, Level, Readings, Room, Word, KEEP_IN_TOUCH};
+use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -23,6 +24,8 @@
 /// Calls that may wait to be sent, and that go in one message.
 const QUEUE: usize = 4_096;
 const BATCH: usize = 512;
+/// How many backends are named to a request beside those that the counter names.
+const BESIDE: usize = 3;
 /// A counter that says nothing for so long, with calls under way, is gone.
 const SILENCE: Duration = Duration::from_millis(450);
 
@@ -65,6 +68,8 @@
     pub gateways: Cell<u32>,
     /// The system's time, the highest that was heard.
     pub time: watch::Sender<u64>,
+    /// Backends that this gateway knows and the registry with the count does not, by the numbers of their services.
+    pub unknown: RefCell<HashMap<u32, Unknown>>,
 }
 
 /// Who keeps the count: its term and where it is.
@@ -86,6 +91,7 @@
             new_words: Notify::new(),
             gateways: Cell::new(1),
             time: watch::channel(0).0,
+            unknown: RefCell::default(),
         });
         tokio::task::spawn_local(counter.clone().run(life, holder, queue));
         counter
@@ -171,7 +177,8 @@
                                 let unused = if total < 0.0 { call.draw.units } else { 0.0 };
                                 self.readings.borrow_mut().heard(call.draw.name, total + unused, time);
                                 // Whoever asked may have stopped waiting.
-                                let rooms = rooms.into_iter().map(named).collect();
+                                let named = || rooms.into_iter().map(named).collect();
+                                let rooms = self.beside(call.draw.service).unwrap_or_else(named);
                                 let counted = Counted { outcome: Outcome::Ok, total, share: Some(share), rooms };
                                 let _ = call.reply.send(counted);
                             }
@@ -247,6 +254,16 @@
         why
     }
 
+    /// The counter names those that its own registry knows. One that was started while it was cut off from others may know
+    /// less than half: the others get their part by chance. Guards against all work going to a few while the rest stands idle.
+    fn beside(&self, service: u32) -> Option<Vec<(ServerId, Micros)>> {
+        let unknown = self.unknown.borrow();
+        let unknown = unknown.get(&service).filter(|unknown| fastrand::f64() < unknown.part)?;
+        let mut some = fastrand::choose_multiple(unknown.backends.iter(), BESIDE);
+        fastrand::shuffle(&mut some);
+        Some(some.into_iter().map(|backend| (ServerId(*backend), Micros(0))).collect())
+    }
+
     /// What a counter that begins, or that has forgotten this gateway, must know.
     fn recall(&self, life: u64, term: u64) -> Question {
         let readings = self.readings.borrow_mut().all(*self.time.borrow());
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -274,6 +274,7 @@
                     self.count_gateways();
                     self.tell_rules(false).await;
                     self.look_around().await;
+                    self.look_beside();
                 }
                 news = told.recv() => match news {
                     Some((rack, asked, news)) => self.take(rack, asked, news).await,
@@ -408,6 +409,19 @@
         }
     }
 
+    /// What the registry with the count does not know.
+    fn look_beside(&self) {
+        let holder = self.holder.borrow().and_then(|(_, at)| Some(self.racks.all.get(&at.ip())?.0));
+        let unknown = holder.map(|rack| self.wall.unknown_to(rack)).unwrap_or_default();
+        let unknown = unknown.into_iter().map(|(of, unknown)| (service_number(of), unknown)).collect();
+        let before = self.counter.unknown.replace(unknown);
+        let now = self.counter.unknown.borrow();
+        if before.is_empty() != now.is_empty() {
+            let backends: usize = now.values().map(|unknown| unknown.backends.len()).sum();
+            log::info!("event=unknown_to_count backends={backends}");
+        }
+    }
+
     fn count_gateways(&mut self) {
         let mut all: BTreeSet<IpAddr> = self.lists.values().flat_map(|list| list.keys().copied()).collect();
         all.insert(self.node.ip);
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -1,10 +1,12 @@
 //! A gateway's line to the counter, against one that a test plays over a socket.
 
-use starlinghill_decision::api::{CountName, Micros, Outcome, ServiceId};
+use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId, ServiceId};
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_dovetail::net::tcp;
 use starlinghill_gateway::counter::Count;
-use starlinghill_gauge::{Draw, Level};
+use starlinghill_gateway::inbox::Counted;
+use starlinghill_gauge::{Draw, Level, Room};
+use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use starlinghill_workbench::count::Counter;
 use starlinghill_workbench::news::nowhere;
@@ -16,6 +18,7 @@
 
 const NAME: CountName = CountName(5);
 const TERM: u64 = 3;
+const SERVICE: ServiceId = ServiceId(9);
 
 /// A counter's answer to the so many-th draw after so many recalls.
 type Plays = fn(draws: &[Draw], recalls: u32, nth: u32) -> Answer;
@@ -26,6 +29,12 @@
 
 /// How draws end for so long, and over how many connections.
 fn drawn(plays: Plays, long: Duration) -> (Vec<Outcome>, u32) {
+    let (counted, connections) = counted(plays, long, None);
+    (counted.into_iter().map(|counted| counted.outcome).collect(), connections)
+}
+
+/// The same with all that came, for requests of a service of which the counter does not know those.
+fn counted(plays: Plays, long: Duration, unknown: Option<Unknown>) -> (Vec<Counted>, u32) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -58,12 +67,13 @@
         let (holder, held) = nowhere();
         let counter = Counter::start(tcp(), 7, held);
         counter.quotas.borrow_mut().insert(NAME.0, (10.0, 10.0));
+        counter.unknown.borrow_mut().extend(unknown.map(|unknown| (SERVICE.0, unknown)));
         holder.send_replace(Some((TERM, address)));
         let (until, mut ends) = (Instant::now() + long, Vec::new());
         while Instant::now() < until {
             if counter.is_reached() {
-                let draw = counter.clone().draw(NAME, 0.0, 1.0, (ServiceId(0), Micros(0)));
-                ends.push(draw.await.outcome);
+                let draw = counter.clone().draw(NAME, 0.0, 1.0, (SERVICE, Micros(0)));
+                ends.push(draw.await);
             }
             sleep(Duration::from_millis(20)).await;
         }
@@ -94,3 +104,25 @@
         assert!(connections > 1, "{connections}");
     }
 }
+
+#[test]
+fn backends_that_the_counter_does_not_know_get_their_part() {
+    let names_one: Plays = |draws, _, _| {
+        let rooms = vec![Room { backend: 1, takes_ms: 900 }];
+        Answer::Levels(
+            draws.iter().map(|_| Level { level: 5.0, share: 1.0, rooms: rooms.clone() }).collect(),
+            1,
+        )
+    };
+    let named = |part| {
+        let unknown = Unknown { part, backends: vec![7, 8, 9, 10] };
+        let (counted, _) = counted(names_one, Duration::from_millis(1_500), Some(unknown));
+        let first: Vec<_> = counted.iter().filter_map(|counted| counted.rooms.first().copied()).collect();
+        assert!(first.len() > 20, "{}", first.len());
+        let beside = first.iter().filter(|(id, takes)| *id != ServerId(1) && *takes == Micros(0)).count();
+        beside as f64 / first.len() as f64
+    };
+    assert_eq!((named(0.0), named(1.0)), (0.0, 1.0));
+    let half = named(0.5);
+    assert!((0.2..0.8).contains(&half), "{half}");
+}
