Registries that could not reach each other tell each other all once they do

Cause: a registry learned what it had missed at its start alone.

Change: who could not be told is noted, and asked for all that it knows as soon as it answers again; that takes the place of the loop at the start.

--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -23,8 +23,6 @@
 /// How long another registry may take. A backend waits a second for its answer.
 const PATIENCE: Duration = Duration::from_millis(350);
 const PAUSE: Duration = Duration::from_millis(100);
-/// The pause before others are asked again for all that they know.
-const LEARN_AGAIN: Duration = Duration::from_millis(500);
 /// While the store here is silent, others are asked so often who the members are.
 const LEARN: Duration = Duration::from_secs(1);
 
@@ -40,13 +38,15 @@
     /// Asked until the members are known: a beginning only.
     seeds: Vec<IpAddr>,
     lines: RefCell<BTreeMap<IpAddr, Lines>>,
+    /// Others that may know what was never told here: they did not answer.
+    missed: RefCell<BTreeSet<IpAddr>>,
 }
 
 impl Peers {
     /// On a network, without this one.
     pub fn new(net: &Net, me: IpAddr, port: u16, seeds: Vec<IpAddr>) -> Peers {
-        let (members, lines) = (RefCell::default(), RefCell::default());
-        Peers { net: net.clone(), me, port, members, seeds, lines }
+        let (members, lines, missed) = (RefCell::default(), RefCell::default(), RefCell::default());
+        Peers { net: net.clone(), me, port, members, seeds, lines, missed }
     }
 
     /// Those are the members, if they are newer. Returns whether that is news.
@@ -56,6 +56,7 @@
         if newer {
             *known = members.clone();
             self.lines.borrow_mut().retain(|ip, _| members.at(*ip).is_some());
+            self.missed.borrow_mut().retain(|ip| members.at(*ip).is_some());
         }
         newer
     }
@@ -144,7 +145,7 @@
             }
             let Ok(Due { duty, epoch, heard }) = due.await else { return };
             for ip in self.others() {
-                let (quick, caller) = self.lines(ip);
+                let (quick, _) = self.lines(ip);
                 if let Some((asked, ask)) = duty {
                     let owner = owner.clone();
                     spawn_local(async move {
@@ -157,39 +158,32 @@
                     });
                 }
                 if let Some(heard) = heard.clone() {
-                    let caller = caller.clone();
-                    spawn_local(async move {
-                        // What is lost is heard again with the next beat.
-                        let _ = caller.call::<_, Answer>(&Question::Heard(heard), PATIENCE).await;
-                    });
+                    let (peers, owner) = (self.clone(), owner.clone());
+                    spawn_local(async move { peers.pass_on(ip, heard, &owner).await });
                 }
             }
         }
     }
 
     /// One that has just started asks the others first: knowing none is not the same as there being none. So does each once
-    /// the members are others: what one of them was told before need not have come here. Who does not answer is asked
-    /// again, as long as it is a member: it may be the only one that still knows of a drain.
-    pub async fn learn_all(self: &Rc<Self>, owner: &Owner) {
-        let mut silent = Vec::new();
+    /// the members are others: what one of them was told before need not have come here.
+    pub async fn learn_all(&self, owner: &Owner) {
         for ip in self.others() {
             if !self.learn(ip, owner).await {
-                silent.push(ip);
+                self.missed.borrow_mut().insert(ip);
             }
         }
-        let (peers, owner) = (self.clone(), owner.clone());
-        spawn_local(async move {
-            while !silent.is_empty() && !owner.is_closed() {
-                sleep(LEARN_AGAIN).await;
-                let others = peers.others();
-                silent.retain(|ip| others.contains(ip));
-                for ip in std::mem::take(&mut silent) {
-                    if !peers.learn(ip, &owner).await {
-                        silent.push(ip);
-                    }
-                }
-            }
-        });
+    }
+
+    /// Tells another one what was heard. Mostly what is lost is heard again with the next beat; but who has left beats no more,
+    /// so one that could not be told, and could not tell either, is asked for all that it knows once it answers again.
+    async fn pass_on(&self, ip: IpAddr, heard: Heard, owner: &Owner) {
+        let (_, caller) = self.lines(ip);
+        let told = caller.call::<_, Answer>(&Question::Heard(heard), PATIENCE).await.is_ok();
+        let was_missed = told && self.missed.borrow_mut().remove(&ip);
+        if !told || was_missed && !self.learn(ip, owner).await {
+            self.missed.borrow_mut().insert(ip);
+        }
     }
 
     async fn learn(&self, ip: IpAddr, owner: &Owner) -> bool {
