A backend that no registry speaks for yields sooner where somebody was away

Change: the time that a gateway stood still counts as well; a registry that has not answered for 5 s, while others have, speaks for nobody until it does. Where none answers, all stays as it was.

Both new tests of lists.rs need the change.

--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-pegboard/src/wall.rs
@@ -10,6 +10,8 @@
 /// for its answer, and for the pauses until it has found a registry that is back. Guards against sending to one whose drain
 /// all registries have forgotten.
 const YIELDS: Duration = Duration::from_secs(5);
+/// A gateway that did not look at its list for so long stood still: it looks twice a second.
+const STOOD: Duration = Duration::from_secs(1);
 /// How long a gateway remembers that a backend is gone.
 const TOMB: Duration = Duration::from_secs(180);
 
@@ -31,6 +33,14 @@
 pub struct Wall {
     backends: BTreeMap<String, Seen>,
     lives: BTreeMap<usize, u64>,
+    /// When each registry last answered.
+    heard: BTreeMap<usize, Duration>,
+    /// Those that have not for long, while others have: what they said last counts no more.
+    absent: BTreeSet<usize>,
+    /// When it was last looked at.
+    looked: Duration,
+    /// From when to when it was not looked at for long: this gateway stood still.
+    stood: Option<(Duration, Duration)>,
 }
 
 /// A backend that changed.
@@ -55,6 +65,8 @@
     /// A registry, in that life, tells of backends. Returns those that are other than they were.
     pub fn told(&mut self, now: Duration, by: usize, life: u64, told: Vec<Told>) -> Vec<Change> {
         self.lives.insert(by, life);
+        self.heard.insert(by, now);
+        self.absent.remove(&by);
         let mut changes = Vec::new();
         for Told { peg, silent } in told {
             let id = peg.id.clone();
@@ -90,6 +102,8 @@
     /// A registry is asked no more: what it told counts as that of a life which has ended.
     pub fn left(&mut self, by: usize) {
         self.lives.remove(&by);
+        self.heard.remove(&by);
+        self.absent.remove(&by);
     }
 
     fn silent(&self, seen: &Seen) -> bool {
@@ -99,22 +113,34 @@
 
     /// Whether it is silent, by each registry that knows it in its present life.
     fn known<'a>(&'a self, seen: &'a Seen) -> impl Iterator<Item = bool> + 'a {
-        let present = seen.by.iter().filter(|(by, (life, _))| self.lives.get(by) == Some(life));
+        let is_present = |by: &usize, life| self.lives.get(by) == Some(life) && !self.absent.contains(by);
+        let present = seen.by.iter().filter(move |(by, (life, _))| is_present(by, life));
         present.map(|(_, (_, silent))| *silent)
     }
 
     /// What nobody tells of any more gets no new work, and is forgotten in the end. Returns what is other than it was.
     pub fn tick(&mut self, now: Duration) -> Vec<Change> {
+        // Where none answers this gateway may be the one that is cut off, and goes by what it has.
+        let newest = self.heard.values().max().copied().unwrap_or_default();
+        let late = |at: Duration| newest.saturating_sub(at) > YIELDS;
+        self.absent = self.heard.iter().filter(|(_, at)| late(**at)).map(|(by, _)| *by).collect();
         let known = |seen: &Seen| self.known(seen).next().is_some();
         let unknown: Vec<String> =
             self.backends.iter().filter(|(_, seen)| !known(seen)).map(|(id, _)| id.clone()).collect();
         let serves = |seen: &&Seen| seen.peg.state == State::Ready && known(seen) && !self.silent(seen);
         let served: BTreeSet<String> =
             self.backends.values().filter(serves).map(|seen| seen.peg.service.clone()).collect();
+        let before = std::mem::replace(&mut self.looked, now);
+        if now.saturating_sub(before) > STOOD {
+            self.stood = Some((before, now));
+        }
+        // What was said while this gateway stood still may be forgotten by all since: it has no time to wait for that.
+        let woken = self.stood.filter(|(_, woke)| now.saturating_sub(*woke) < YIELDS);
+        let from = woken.map_or(now, |(fell, _)| fell);
         let mut changes = Vec::new();
         for id in unknown {
             let Some(seen) = self.backends.get_mut(&id) else { continue };
-            let since = now.saturating_sub(*seen.unknown.get_or_insert(now));
+            let since = now.saturating_sub(*seen.unknown.get_or_insert(from));
             if seen.peg.state == State::Gone {
                 continue;
             }
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -104,6 +104,7 @@
     }
     // Nothing changed for an hour; then all registries are back in other lives, before any beat has come.
     let hour = ms(3_600_000);
+    (0..7_200).for_each(|step| assert!(wall.tick(ms(500 * step)).is_empty()));
     (0..3).for_each(|rack| drop(wall.told(hour, rack, 2, Vec::new())));
     for step in 0..12 {
         assert_eq!(wall.tick(hour + ms(500 * step)), Vec::new());
@@ -120,8 +121,8 @@
     wall.told(ms(0), 0, 1, told(peg("i-2", 1, State::Ready)));
     // The registry is back, and hears of one of them.
     wall.told(ms(1_000), 0, 2, told(peg("i-2", 2, State::Ready)));
-    assert_eq!(wall.tick(ms(1_000)), Vec::new());
-    assert_eq!(wall.tick(ms(5_900)), Vec::new());
+    (2..12).for_each(|step| assert_eq!(wall.tick(ms(500 * step)), Vec::new()));
+    assert_eq!(wall.tick(ms(6_000)), Vec::new());
     let changes = wall.tick(ms(6_100));
     assert!(changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].silent, "{changes:?}");
     assert_eq!(wall.tick(ms(6_600)), Vec::new());
@@ -130,6 +131,44 @@
     assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
 }
 
+#[test]
+fn what_a_registry_said_that_has_not_answered_for_long_counts_no_more_where_others_answer() {
+    let mut wall = Wall::default();
+    let told = |id| vec![Told { peg: peg(id, 1, State::Ready), silent: false }];
+    wall.told(ms(0), 0, 1, told("i-1"));
+    wall.told(ms(0), 1, 1, told("i-2"));
+    let unknown = |wall: &mut Wall, from: u64, to: u64, answers: bool| {
+        let mut changes = Vec::new();
+        for step in from..to {
+            if answers {
+                wall.told(ms(500 * step), 1, 1, Vec::new());
+            }
+            changes.extend(wall.tick(ms(500 * step)));
+        }
+        changes.into_iter().map(|change| (change.peg.id, change.silent)).collect::<Vec<_>>()
+    };
+    // Neither answers: this gateway may be the one that is cut off.
+    assert_eq!(unknown(&mut wall, 1, 100, false), []);
+    // One does, and the other one does not: what only that one knew yields in the end, until it is told again.
+    assert_eq!(unknown(&mut wall, 100, 110, true), []);
+    assert_eq!(unknown(&mut wall, 110, 125, true), [("i-1".to_string(), true)]);
+    let changes = wall.told(ms(62_500), 0, 1, told("i-1"));
+    assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
+}
+
+#[test]
+fn a_gateway_that_stood_still_does_not_wait_for_what_all_forgot_meanwhile() {
+    let mut wall = Wall::default();
+    let told = |peg| vec![Told { peg, silent: false }];
+    wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
+    wall.told(ms(0), 0, 1, told(peg("i-2", 1, State::Ready)));
+    (0..4).for_each(|step| assert_eq!(wall.tick(ms(500 * step)), Vec::new()));
+    // It stands still for six seconds: i-1 leaves, and the registry that noted it is killed.
+    wall.told(ms(7_500), 0, 2, told(peg("i-2", 2, State::Ready)));
+    let changes = wall.tick(ms(7_500));
+    assert!(changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].silent, "{changes:?}");
+}
+
 #[test]
 fn what_a_registry_that_began_while_it_was_cut_off_does_not_know_is_told_by_service() {
     let mut wall = Wall::default();
