An order whose caller has left is given up; refused only once nobody tries it any more

Cause: an order that was answered 400 came into force later. Likewise where a registry asked two stores: one refused it, the other one took it. 409 is for ever and can't be undone so.

Change: a store gives up an order whose connection has ended, as a registry does whose caller has left; a registry that has an answer ends what it asked other stores, and passes on a refusal by how things stand (400) only when no other store that it asked may still take it; else 503 in time.

Directed: an_order_that_a_member_finds_when_it_wakes... fails before; five new rows in toolrack/tests/orders.rs.

--- a/crates/starlinghill-dovetail/src/call.rs
+++ b/crates/starlinghill-dovetail/src/call.rs
@@ -95,15 +95,21 @@
     }
 }
 
-/// Serves calls for ever, those of one connection one after the other. So many peers may be connected.
-pub async fn serve<Q, A, F, W>(listener: Box<dyn Listener>, most_peers: usize, answer: F)
-where
+/// Serves calls for ever, those of one connection one after the other. So many peers may be connected. What `gives_up` names
+/// is given up where it stands once its caller has hung up: it may have been refused elsewhere since, and must not be done
+/// after that.
+pub async fn serve<Q, A, F, W>(
+    listener: Box<dyn Listener>,
+    most_peers: usize,
+    gives_up: impl Fn(&Q) -> bool + 'static,
+    answer: F,
+) where
     Q: DecodeOwned + 'static,
     A: Encode + 'static,
     F: Fn(Q, SocketAddr) -> W + 'static,
     W: Future<Output = A> + 'static,
 {
-    let (answer, peers) = (Rc::new(answer), Rc::new(Cell::new(0usize)));
+    let (answer, gives_up, peers) = (Rc::new(answer), Rc::new(gives_up), Rc::new(Cell::new(0usize)));
     loop {
         let (mut stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -119,7 +125,7 @@
         }
         stream.tune();
         peers.set(peers.get() + 1);
-        let (answer, peers) = (answer.clone(), peers.clone());
+        let (answer, gives_up, peers) = (answer.clone(), gives_up.clone(), peers.clone());
         spawn_local(async move {
             let mut reader = Reader::default();
             loop {
@@ -131,7 +137,14 @@
                     }
                     _ => break,
                 };
-                if frame::write(&mut stream, &answer(question, from).await).await.is_err() {
+                let given_up = gives_up(&question);
+                let answer = answer(question, from);
+                let answer = match given_up {
+                    true => reader.while_there(&mut stream, answer).await,
+                    false => Some(answer.await),
+                };
+                let Some(answer) = answer else { break };
+                if frame::write(&mut stream, &answer).await.is_err() {
                     break;
                 }
             }
--- a/crates/starlinghill-dovetail/src/frame.rs
+++ b/crates/starlinghill-dovetail/src/frame.rs
@@ -2,6 +2,7 @@
 
 use bitcode::{DecodeOwned, Encode};
 use bytes::{Buf, BytesMut};
+use std::future::Future;
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
@@ -26,6 +27,9 @@
     stream.write_all(&encode(message)).await
 }
 
+/// So many bytes of further questions are read while one is answered.
+const AHEAD: usize = 64 << 10;
+
 /// Reads messages one after the other. It may be dropped between two of them, and while one is waited for.
 #[derive(Default)]
 pub struct Reader {
@@ -51,6 +55,26 @@
         }
     }
 
+    /// Does something for the peer as long as it is there; `None` where it ended. What it asks meanwhile is kept, up to a bound:
+    /// one that asks more is not listened to until the first is done.
+    pub async fn while_there<T>(
+        &mut self,
+        stream: &mut (impl AsyncRead + Unpin),
+        done: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::pin!(done);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut done => return Some(done),
+                read = stream.read_buf(&mut self.buffer), if self.buffer.len() < AHEAD => match read {
+                    Ok(0) | Err(_) => return None,
+                    Ok(_) => {}
+                },
+            }
+        }
+    }
+
     fn take<T: DecodeOwned>(&mut self) -> io::Result<Option<T>> {
         let refuse = |what: String| Err(io::Error::new(io::ErrorKind::InvalidData, what));
         let Some(head) = self.buffer.first_chunk::<HEAD>() else { return Ok(None) };
--- a/crates/starlinghill-dovetail/tests/call.rs
+++ b/crates/starlinghill-dovetail/tests/call.rs
@@ -15,7 +15,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let at = listener.local_addr().expect("an address");
         let listener: Box<dyn Listener> = Box::new(listener);
-        spawn_local(serve(listener, MOST, |question: u32, _| async move { question + 1 }));
+        spawn_local(serve(listener, MOST, |_| false, |question: u32, _| async move { question + 1 }));
         let mut kept = Vec::new();
         for i in 0..MOST as u32 {
             let caller = Caller::new(&tcp(), at);
--- a/crates/starlinghill-mockup/src/check.rs
+++ b/crates/starlinghill-mockup/src/check.rs
@@ -33,6 +33,8 @@
     pub version: u64,
     /// The same.
     pub content: u64,
+    /// The key of the tenant: no two may hold one.
+    pub key: String,
 }
 
 /// One try to have an order taken.
@@ -203,7 +205,7 @@
     fn records(&self) -> BTreeMap<&str, Record> {
         let mut all: BTreeMap<&str, Record> = BTreeMap::new();
         for attempt in &self.attempts {
-            let Order { item, version, content } = &self.orders[attempt.order];
+            let Order { item, version, content, .. } = &self.orders[attempt.order];
             let record = all.entry(item).or_default();
             if attempt.status == Some(200) {
                 record.confirmed.push((attempt.answered, *version, *content));
@@ -237,11 +239,19 @@
                         faults.push(told("confirmed and refused"));
                     }
                 }
+                // Somebody else's key: whoever has it may have had it then.
+                Some(400) if self.has_rival_for_key(order, attempt.answered) => {}
                 Some(status) => faults.push(told(&format!("answered {status}"))),
             }
         }
     }
 
+    /// Another tenant's order for the same key was under way, or had come, by then.
+    fn has_rival_for_key(&self, order: &Order, by: Duration) -> bool {
+        let rival = |other: &Order| other.key == order.key && other.item != order.item && other.content != 0;
+        self.attempts.iter().any(|attempt| attempt.asked < by && rival(&self.orders[attempt.order]))
+    }
+
     /// Under one number of an item there is one content, wherever it is seen.
     fn check_contents(&self, records: &BTreeMap<&str, Record>, faults: &mut Vec<String>) {
         let mut known: BTreeMap<(&str, u64), u64> = BTreeMap::new();
--- a/crates/starlinghill-mockup/src/play.rs
+++ b/crates/starlinghill-mockup/src/play.rs
@@ -14,7 +14,7 @@
 use starlinghill_dovetail::net::Net;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -190,7 +190,8 @@
 
     /// The tenant that gateways draw from gets its quota.
     async fn give_ration(&self) {
-        let order = Order { item: RATIONED.into(), version: RATION, content: RATION };
+        let key = format!("k-{RATIONED}");
+        let order = Order { item: RATIONED.into(), version: RATION, content: RATION, key };
         let number = {
             let mut seen = self.seen.borrow_mut();
             seen.orders.push(order);
@@ -216,7 +217,8 @@
 
     /// A new order: mostly under the next number, at times, unless that is wanted, under one that somebody else has or had.
     fn order(&self, fresh: bool) -> usize {
-        let item = format!("t-{}", self.draw(ITEMS));
+        // What is ordered when all is well is nobody else's: it must be taken.
+        let item = if fresh { "last".to_string() } else { format!("t-{}", self.draw(ITEMS)) };
         let mut highest = self.highest.borrow_mut();
         let highest = highest.entry(item.clone()).or_default();
         let version = match self.draw(8) {
@@ -229,16 +231,19 @@
         let mut seen = self.seen.borrow_mut();
         let number = seen.orders.len();
         let content = if self.draw(12) == 0 { 0 } else { number as u64 + 1 };
-        seen.orders.push(Order { item, version, content });
+        // At times a key that another tenant has, or may have.
+        let owner =
+            if !fresh && self.draw(6) == 0 { format!("t-{}", self.draw(ITEMS)) } else { item.clone() };
+        seen.orders.push(Order { item, version, content, key: format!("k-{owner}") });
         number
     }
 
     async fn attempt(&self, from: IpAddr, order: usize, core: usize) -> Option<u16> {
-        let Order { item, version, content } = self.seen.borrow().orders[order].clone();
+        let Order { item, version, content, key } = self.seen.borrow().orders[order].clone();
         let body = match content {
             0 => format!(r#"{{"remove":{{"customers":[{{"name":"{item}","version":"r{version}"}}]}}}}"#),
             _ => format!(
-                r#"{{"upsert":{{"customers":[{{"name":"{item}","api_keys":["k-{item}"],"priority":0,"rate_per_s":{content},"burst":{version},"version":"r{version}"}}]}}}}"#
+                r#"{{"upsert":{{"customers":[{{"name":"{item}","api_keys":["{key}"],"priority":0,"rate_per_s":{content},"burst":{version},"version":"r{version}"}}]}}}}"#
             ),
         };
         let (asked, before) = (self.now(), self.disturbed.borrow()[core]);
@@ -317,14 +322,17 @@
     timeout(PATIENCE, called).await.ok()?
 }
 
-/// Reads what an operator reads back.
+/// Reads what an operator reads back; nothing where it makes no sense, as where two tenants hold one key.
 fn items(body: &[u8]) -> Option<Items> {
     let value = simd_json::to_owned_value(&mut body.to_vec()).ok()?;
     let item = |customer: &OwnedValue| {
         let name = customer.get_str("name")?.to_string();
         Some((name, (customer.get_u64("burst")?, customer.get_u64("rate_per_s")?)))
     };
-    value.get_array("customers")?.iter().map(item).collect()
+    let customers = value.get_array("customers")?;
+    let key = |customer: &OwnedValue| Some(customer.get_array("api_keys")?.first()?.as_str()?.to_string());
+    let keys: BTreeSet<String> = customers.iter().map(key).collect::<Option<_>>()?;
+    customers.iter().map(item).collect::<Option<Items>>().filter(|_| keys.len() == customers.len())
 }
 
 /// Looks again and again at what is in force, and at whom gateways are in touch with.
@@ -343,6 +351,10 @@
                 since[i].fill(None);
                 continue;
             };
+            if !world.has_keys_apart(i) {
+                let what = format!("two tenants hold one key at gateway {i} in {now:?}");
+                run.seen.borrow_mut().at_once.push(what);
+            }
             let (mut longest, mut all) = (Duration::ZERO, None::<Duration>);
             for (j, since) in since[i].iter_mut().enumerate() {
                 let touches = world.fabric.is_calm()
--- a/crates/starlinghill-mockup/src/world.rs
+++ b/crates/starlinghill-mockup/src/world.rs
@@ -390,6 +390,16 @@
         Some((ready, view.table.tenants.iter().map(item).collect()))
     }
 
+    /// No two tenants hold one key at a gateway.
+    pub fn has_keys_apart(&self, i: usize) -> bool {
+        let shared = self.gateways[i].shared.borrow();
+        shared.as_ref().is_none_or(|shared| {
+            let view = shared.view.borrow();
+            let keys: Vec<&String> = view.table.tenants.iter().flat_map(|tenant| &tenant.keys).collect();
+            keys.iter().collect::<BTreeSet<_>>().len() == keys.len()
+        })
+    }
+
     /// The backends that a gateway may send work to.
     pub fn listed(&self, i: usize) -> BTreeSet<String> {
         self.gateways[i].listed.borrow().clone()
--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -140,7 +140,7 @@
 }
 
 fn order(version: u64, content: u64) -> Order {
-    Order { item: "t".into(), version, content }
+    Order { item: "t".into(), version, content, key: "k".into() }
 }
 
 fn attempt(order: usize, at: u64, status: u16) -> Attempt {
@@ -207,6 +207,18 @@
     assert_eq!(history(attempts, reads, cut_off).faults(), Vec::<String>::new());
 }
 
+#[test]
+fn an_order_with_a_key_that_another_tenant_orders_may_be_invalid() {
+    let refused = |item: &str, asked| {
+        let mut seen = history(vec![attempt(0, 1, 200), attempt(4, asked, 400)], Vec::new(), Vec::new());
+        seen.orders.push(Order { item: item.into(), ..order(1, 44) });
+        seen.faults()
+    };
+    assert_eq!(refused("other", 2), Vec::<String>::new());
+    assert!(refused("other", 0)[0].contains("answered 400"));
+    assert!(refused("t", 2).iter().any(|fault| fault.contains("answered 400")));
+}
+
 #[test]
 fn grants_beyond_the_quota_are_found() {
     // 5 s of 10 a second, a burst of 10, a tenth of both and two more: 68.
@@ -246,9 +258,10 @@
     LocalSet::new().block_on(&runtime.expect("a runtime"), play)
 }
 
-#[test]
-fn a_registry_that_starts_cut_off_learns_what_others_know_once_it_hears_them() {
-    simulated(async {
+#[test_case(true; "one that starts meanwhile")]
+#[test_case(false; "one that runs all the time")]
+fn a_registry_that_is_cut_off_learns_what_others_know_once_it_hears_them(starts: bool) {
+    simulated(async move {
         let world = World::new(1, 3, 0, 0);
         (0..3).for_each(|i| world.start_store(i));
         (0..3).for_each(|i| world.start_registry(i, true));
@@ -263,8 +276,10 @@
             world.fabric.cut(ip(0, 1), ip(0, other));
             world.fabric.cut(ip(0, other), ip(0, 1));
         }
-        world.cores[1].registry.borrow().kill();
-        world.start_core(1);
+        if starts {
+            world.cores[1].registry.borrow().kill();
+            world.start_core(1);
+        }
         sleep(s(1)).await;
         assert_eq!(said(Method::DELETE, "").await.map(|answer| answer.0), Some(200));
         // What registries tell each other is what they heard just now.
@@ -278,3 +293,28 @@
         assert_eq!(states, [("b", State::Gone)]);
     });
 }
+
+#[test]
+fn an_order_that_a_member_finds_when_it_wakes_is_not_taken_once_its_caller_has_left() {
+    simulated(async {
+        let world = World::new(1, 3, 0, 0);
+        (0..3).for_each(|i| world.start_store(i));
+        (0..3).for_each(|i| world.start_registry(i, true));
+        sleep(s(2)).await;
+        let net = world.fabric.at(ip(2, 0));
+        let path = "/api/config";
+        let asleep = [world.cores[0].store.borrow().clone(), world.cores[0].registry.borrow().clone()];
+        for wakes in [asleep[1..].to_vec(), asleep.to_vec()] {
+            wakes.iter().for_each(|process| process.freeze(true));
+            let order = r#"{"upsert":{"customers":[{"name":"t-1","api_keys":["k-1"],"priority":0,"rate_per_s":1,"burst":1,"version":"r1"}]}}"#;
+            let answer = call(&net, world.control(0), Method::PATCH, path, order.as_bytes().to_vec()).await;
+            assert_eq!(answer, None);
+            wakes.iter().for_each(|process| process.freeze(false));
+            sleep(s(2)).await;
+            let (status, read) =
+                call(&net, world.control(1), Method::GET, path, Vec::new()).await.expect("read");
+            let read = String::from_utf8_lossy(&read).into_owned();
+            assert!(status == 200 && !read.contains("t-1"), "{read}");
+        }
+    });
+}
--- a/crates/starlinghill-patternbook/src/program.rs
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -133,7 +133,9 @@
     let (first, latest) = (seeds(node), move || reread.borrow().as_deref().map(seeds));
     spawn_local(stores.clone().belong(move || latest().unwrap_or_else(|| first.clone())));
     let asked = stores.clone();
-    spawn_local(serve(listener, node.most_peers(), move |question, _| {
+    // An order whose caller has left may be refused by another store meanwhile.
+    let order = |question: &Question| matches!(question, Question::Change(_));
+    spawn_local(serve(listener, node.most_peers(), order, move |question, _| {
         let stores = asked.clone();
         async move { answer(question, &stores, chain).await }
     }));
--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinSet};
 use tokio::time::{interval, sleep, timeout_at, Instant, MissedTickBehavior};
 
 /// How often the tables are told that time passes.
@@ -296,7 +296,8 @@
 }
 
 /// The first clear answer of so many stores, each asked by `ask` with the time that is left; where there is none in time,
-/// what was said instead.
+/// what was said instead. A refusal of what others may still take is none: it holds only once nobody tries any more. Whoever
+/// is still asked when this ends, or is given up, is asked no more.
 pub async fn first_clear<W>(
     stores: usize,
     within: Duration,
@@ -306,33 +307,33 @@
     W: Future<Output = Option<store::Answer>> + 'static,
 {
     let by = Instant::now() + within;
-    let (tell, mut told) = mpsc::unbounded_channel();
-    let (mut next, mut under_way, mut unclear) = (0, 0, None);
+    let (mut asked, mut next, mut unclear, mut refused) = (JoinSet::new(), 0, None, None);
     loop {
-        if next < stores {
-            let (asked, tell) = (ask(next, by.saturating_duration_since(Instant::now())), tell.clone());
-            spawn_local(async move {
-                // Whoever waited may have its answer.
-                let _ = tell.send(asked.await);
-            });
-            (next, under_way) = (next + 1, under_way + 1);
+        if next < stores && refused.is_none() {
+            asked.spawn_local(ask(next, by.saturating_duration_since(Instant::now())));
+            next += 1;
         }
-        let patience = if next < stores { by.min(Instant::now() + ORDER_PASSED_ON) } else { by };
-        match timeout_at(patience, told.recv()).await {
-            Ok(Some(Some(answer))) if is_clear(&answer) => return Some(answer),
-            Ok(Some(answer)) => {
-                unclear = answer.or(unclear);
-                under_way -= 1;
-                if under_way == 0 && next == stores {
-                    return unclear;
-                }
-            }
-            _ if Instant::now() >= by => return unclear,
-            _ => {}
+        let more = next < stores && refused.is_none();
+        let patience = if more { by.min(Instant::now() + ORDER_PASSED_ON) } else { by };
+        match timeout_at(patience, asked.join_next()).await {
+            Ok(Some(Ok(Some(answer)))) if is_refusal(&answer) => refused = Some(answer),
+            Ok(Some(Ok(Some(answer)))) if is_clear(&answer) => return Some(answer),
+            Ok(Some(answer)) => unclear = answer.ok().flatten().or(unclear),
+            Ok(None) => {}
+            Err(_) if Instant::now() >= by => return unclear,
+            Err(_) => {}
+        }
+        if asked.is_empty() && (next == stores || refused.is_some()) {
+            return refused.filter(|_| unclear.is_none()).or(unclear);
         }
     }
 }
 
+/// It is refused by how things stand just now.
+fn is_refusal(answer: &store::Answer) -> bool {
+    matches!(answer, store::Answer::Changed(store::Outcome::Invalid(_)))
+}
+
 fn is_clear(answer: &store::Answer) -> bool {
     !matches!(answer, store::Answer::NotNow | store::Answer::Changed(store::Outcome::Unclear))
 }
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -78,14 +78,19 @@
     };
     spawn_local(serve::serve(control, Rc::new(desk)));
     let asked = owner.clone();
-    spawn_local(call::serve(own, node.most_peers(), move |question, _| {
-        let owner = asked.clone();
-        async move {
-            let (reply, answer) = oneshot::channel();
-            let _ = owner.send(Command::Ask(question, reply)).await;
-            answer.await.unwrap_or(Answer::NotMine(0))
-        }
-    }));
+    spawn_local(call::serve(
+        own,
+        node.most_peers(),
+        |_| false,
+        move |question, _| {
+            let owner = asked.clone();
+            async move {
+                let (reply, answer) = oneshot::channel();
+                let _ = owner.send(Command::Ask(question, reply)).await;
+                answer.await.unwrap_or(Answer::NotMine(0))
+            }
+        },
+    ));
     end.await;
     // Nobody may be left to hear it.
     let _ = stop.send(true);
--- a/crates/starlinghill-toolrack/tests/orders.rs
+++ b/crates/starlinghill-toolrack/tests/orders.rs
@@ -22,6 +22,8 @@
     Nothing,
     /// Its process is down.
     Down,
+    /// It is refused, as things stand, after so many milliseconds.
+    Refuses(u64),
 }
 use Does::*;
 
@@ -37,9 +39,17 @@
         }
         Nothing => std::future::pending().await,
         Down => None,
+        Refuses(ms) => {
+            sleep(Duration::from_millis(ms)).await;
+            Some(Answer::Changed(invalid()))
+        }
     }
 }
 
+fn invalid() -> Outcome {
+    Outcome::Invalid("a key of another tenant".into())
+}
+
 #[test_case(&[Takes(20), Nothing, Nothing], Some(Outcome::Taken), 20, 1; "the store beside it answers")]
 #[test_case(&[Down, Takes(20), Nothing], Some(Outcome::Taken), 20, 2; "it is down, the next one answers")]
 #[test_case(&[Nothing, Takes(20), Nothing], Some(Outcome::Taken), 270, 2; "it is silent, the next one answers")]
@@ -49,6 +59,11 @@
 #[test_case(&[Finds, Down, Down], Some(Outcome::Unclear), 700, 3; "the others can't be reached")]
 #[test_case(&[Down, Down, Down], None, 0, 3; "none is there")]
 #[test_case(&[Nothing, Nothing, Nothing], None, 800, 3; "all are silent")]
+#[test_case(&[Refuses(20), Nothing, Nothing], Some(invalid()), 20, 1; "it is refused")]
+#[test_case(&[Down, Refuses(20), Nothing], Some(invalid()), 20, 2; "it is down, the next one refuses")]
+#[test_case(&[Nothing, Refuses(20), Nothing], None, 800, 2; "refused, while one that is silent may take it")]
+#[test_case(&[Takes(400), Refuses(20), Nothing], Some(Outcome::Taken), 400, 2; "refused by one, taken by another")]
+#[test_case(&[Refuses(400), Refuses(20), Nothing], Some(invalid()), 400, 2; "refused by both")]
 #[tokio::test(start_paused = true)]
 async fn an_order_is_answered_before_its_caller_leaves(
     stores: &'static [Does],
