A refusal counts only where no other store that was asked may still take the order

The registry's own store hung behind its disk, another one refused it by how things stood; at 800 ms the question to the first was given up, which counted as an end like a machine that was never reached, and the refusal went out.

Change: what was sent and not answered is unclear; only a store that could not be connected to is passed over.

--- a/crates/starlinghill-dovetail/src/call.rs
+++ b/crates/starlinghill-dovetail/src/call.rs
@@ -35,6 +35,14 @@
     },
 }
 
+impl CallError {
+    /// There was no connection, so that nothing was asked.
+    pub fn is_not_sent(&self) -> bool {
+        use io::ErrorKind::{ConnectionRefused, TimedOut};
+        matches!(self, CallError::Broken { source } if matches!(source.kind(), ConnectionRefused | TimedOut))
+    }
+}
+
 /// The way to one port of another process; calls go one after the other.
 pub struct Caller {
     net: Net,
--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -287,7 +287,7 @@
                 Ok(answer) => Some(answer),
                 Err(error) => {
                     log::warn!("event=store_failed address={} error=\"{error}\"", caller.address());
-                    None
+                    (!error.is_not_sent()).then_some(store::Answer::NotNow)
                 }
             }
         }
@@ -295,8 +295,8 @@
     .await
 }
 
-/// The first clear answer of so many stores, each asked by `ask` with the time that is left; where there is none in time,
-/// what was said instead. A refusal of what others may still take is none: it holds only once nobody tries any more. Whoever
+/// The first clear answer of so many stores, each asked by `ask` with the time that is left, which has nothing of one that was
+/// surely not asked; where there is none in time, what was said instead. A refusal of what others may still take is none: it holds only once nobody tries any more. Whoever
 /// is still asked when this ends, or is given up, is asked no more.
 pub async fn first_clear<W>(
     stores: usize,
--- a/crates/starlinghill-toolrack/tests/orders.rs
+++ b/crates/starlinghill-toolrack/tests/orders.rs
@@ -22,6 +22,8 @@
     Nothing,
     /// Its process is down.
     Down,
+    /// It is asked, and its connection breaks: it may take it.
+    Breaks,
     /// It is refused, as things stand, after so many milliseconds.
     Refuses(u64),
 }
@@ -39,6 +41,7 @@
         }
         Nothing => std::future::pending().await,
         Down => None,
+        Breaks => Some(Answer::NotNow),
         Refuses(ms) => {
             sleep(Duration::from_millis(ms)).await;
             Some(Answer::Changed(invalid()))
@@ -63,6 +66,7 @@
 #[test_case(&[Down, Refuses(20), Nothing], Some(invalid()), 20, 2; "it is down, the next one refuses")]
 #[test_case(&[Nothing, Refuses(20), Nothing], None, 800, 2; "refused, while one that is silent may take it")]
 #[test_case(&[Takes(400), Refuses(20), Nothing], Some(Outcome::Taken), 400, 2; "refused by one, taken by another")]
+#[test_case(&[Breaks, Refuses(20), Nothing], None, 20, 2; "refused, while one that broke off may take it")]
 #[test_case(&[Refuses(400), Refuses(20), Nothing], Some(invalid()), 400, 2; "refused by both")]
 #[tokio::test(start_paused = true)]
 async fn an_order_is_answered_before_its_caller_leaves(
