--- a/crates/starlinghill-mockup/src/backends.rs
+++ b/crates/starlinghill-mockup/src/backends.rs
@@ -75,7 +75,11 @@
     /// Says it to one member after the other until it is acknowledged; from then on the rules count.
     async fn last_word(&mut self, gone: bool) -> bool {
         for _ in 0..SAID {
-            if if gone { self.go().await } else { self.say("draining").await } {
+            let said = match gone {
+                true => self.go().await,
+                false => self.say("draining").await,
+            };
+            if said {
                 let now = self.run.now();
                 self.run.seen.borrow_mut().drained.entry(self.id.clone()).or_insert(now);
                 return true;
--- a/crates/starlinghill-mockup/src/world.rs
+++ b/crates/starlinghill-mockup/src/world.rs
@@ -33,7 +33,7 @@
 /// Where operators and backends call.
 const CONTROL: u16 = 7000;
 /// A machine that is new, or back, counts as lost for so long.
-pub const SYNC_TIME: Duration = Duration::from_secs(4);
+const SYNC_TIME: Duration = Duration::from_secs(4);
 /// The first of the system's own ports.
 const OWN: u16 = 7100;
 /// So many machines a settings file names.
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -29,6 +29,10 @@
     Gateway { ip: IpAddr::from([10, 0, 1, ip]), life, zone: "a".into(), node: format!("edge-{ip}") }
 }
 
+fn told(peg: Peg) -> Vec<Told> {
+    vec![Told { peg, silent: false }]
+}
+
 #[test]
 fn what_drains_never_serves_again_in_whatever_order_it_is_told() {
     for seed in 0..1_000 {
@@ -86,7 +90,6 @@
 #[test]
 fn a_registry_that_begins_with_nothing_empties_nobodys_list() {
     let mut wall = Wall::default();
-    let told = |peg| vec![Told { peg, silent: false }];
     wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
     // The registry is back in another life and knows none.
     wall.told(ms(500), 0, 2, Vec::new());
@@ -116,7 +119,6 @@
 #[test]
 fn what_nobody_tells_of_yields_to_others_of_its_service_that_are_known() {
     let mut wall = Wall::default();
-    let told = |peg| vec![Told { peg, silent: false }];
     wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
     wall.told(ms(0), 0, 1, told(peg("i-2", 1, State::Ready)));
     // The registry is back, and hears of one of them.
@@ -134,9 +136,9 @@
 #[test]
 fn what_a_registry_said_that_has_not_answered_for_long_counts_no_more_where_others_answer() {
     let mut wall = Wall::default();
-    let told = |id| vec![Told { peg: peg(id, 1, State::Ready), silent: false }];
-    wall.told(ms(0), 0, 1, told("i-1"));
-    wall.told(ms(0), 1, 1, told("i-2"));
+    let ready = |id| told(peg(id, 1, State::Ready));
+    wall.told(ms(0), 0, 1, ready("i-1"));
+    wall.told(ms(0), 1, 1, ready("i-2"));
     let unknown = |wall: &mut Wall, from: u64, to: u64, answers: bool| {
         let mut changes = Vec::new();
         for step in from..to {
@@ -152,14 +154,13 @@
     // One does, and the other one does not: what only that one knew yields in the end, until it is told again.
     assert_eq!(unknown(&mut wall, 100, 110, true), []);
     assert_eq!(unknown(&mut wall, 110, 125, true), [("i-1".to_string(), true)]);
-    let changes = wall.told(ms(62_500), 0, 1, told("i-1"));
+    let changes = wall.told(ms(62_500), 0, 1, ready("i-1"));
     assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
 }
 
 #[test]
 fn a_gateway_that_stood_still_does_not_wait_for_what_all_forgot_meanwhile() {
     let mut wall = Wall::default();
-    let told = |peg| vec![Told { peg, silent: false }];
     wall.told(ms(0), 0, 1, told(peg("i-1", 1, State::Ready)));
     wall.told(ms(0), 0, 1, told(peg("i-2", 1, State::Ready)));
     (0..4).for_each(|step| assert_eq!(wall.tick(ms(500 * step)), Vec::new()));
@@ -172,11 +173,11 @@
 #[test]
 fn what_a_registry_that_began_while_it_was_cut_off_does_not_know_is_told_by_service() {
     let mut wall = Wall::default();
-    let told = |id| vec![Told { peg: peg(id, 1, State::Ready), silent: false }];
+    let ready = |id| told(peg(id, 1, State::Ready));
     let other =
         vec![Told { peg: Peg { service: "other".into(), ..peg("o-1", 1, State::Ready) }, silent: false }];
-    (0..2).for_each(|rack| drop(wall.told(ms(0), rack, 1, told("i-1"))));
-    wall.told(ms(0), 0, 1, told("i-2"));
+    (0..2).for_each(|rack| drop(wall.told(ms(0), rack, 1, ready("i-1"))));
+    wall.told(ms(0), 0, 1, ready("i-2"));
     wall.told(ms(0), 1, 1, other);
     // Of one that has told of nothing yet nothing is said.
     assert!(wall.unknown_to(2).is_empty());
--- a/crates/starlinghill-rig/src/system.rs
+++ b/crates/starlinghill-rig/src/system.rs
@@ -20,6 +20,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+/// The example beside a test, which is any part of the system when told its name.
+pub fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("a program");
+    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
+    folder.join("examples").join("system")
+}
+
 /// How long anything may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 const CONTROL: u16 = 8381;
--- a/crates/starlinghill-rig/tests/catch_up.rs
+++ b/crates/starlinghill-rig/tests/catch_up.rs
@@ -1,19 +1,11 @@
 //! A core machine that missed hundreds of changes has them all soon, though changes go on, and its voice counts again.
 
 use starlinghill_rig::catch_up::{catch_up, Changes};
-use starlinghill_rig::system::System;
-use std::path::PathBuf;
+use starlinghill_rig::system::{program, System};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::task::LocalSet;
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 /// Well above what the example `catch_up` measures, as other tests run beside this one.
 const SOON: Duration = Duration::from_secs(5);
 
--- a/crates/starlinghill-rig/tests/contact.rs
+++ b/crates/starlinghill-rig/tests/contact.rs
@@ -1,18 +1,12 @@
 //! Core machines without a majority, as real processes: what one of them still says, and what it does not.
 
 use starlinghill_rig::processes::Process;
-use starlinghill_rig::system::{call, change, eventually, first_items, rule, Backend, Client, System};
-use std::path::PathBuf;
+use starlinghill_rig::system::{
+    call, change, eventually, first_items, program, rule, Backend, Client, System,
+};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 async fn is_ready(system: &System) -> bool {
     let asked = call(system.edges[0].ready(), "GET", "/api/ready", &[], "").await;
     asked.is_some_and(|answer| answer.status == 200)
--- a/crates/starlinghill-rig/tests/endings.rs
+++ b/crates/starlinghill-rig/tests/endings.rs
@@ -1,16 +1,8 @@
 //! How sends end, over real processes: what clients are told of it, and on how many backends a try runs.
 
-use starlinghill_rig::system::{first_items, Backend, Client, Does, System};
-use std::path::PathBuf;
+use starlinghill_rig::system::{first_items, program, Backend, Client, Does, System};
 use test_case::test_case;
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 async fn serving(backends: usize) -> (System, Vec<Backend>) {
     let system = System::start(&program(), 1);
     let mut all = Vec::new();
--- a/crates/starlinghill-rig/tests/members.rs
+++ b/crates/starlinghill-rig/tests/members.rs
@@ -4,20 +4,12 @@
 use starlinghill_console::membership::{list, why};
 use starlinghill_dovetail::settings::Node;
 use starlinghill_patternbook::wire::CoreOrder;
-use starlinghill_rig::system::{change, eventually, first_items, rule, System};
+use starlinghill_rig::system::{change, eventually, first_items, program, rule, System};
 use std::net::IpAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(15);
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 fn route(version: u64) -> String {
     change(&rule("r-more", version, "safe", &format!("/more{version}/"), "1500ms"))
 }
--- a/crates/starlinghill-rig/tests/signals.rs
+++ b/crates/starlinghill-rig/tests/signals.rs
@@ -1,9 +1,11 @@
 //! Every program against every signal that may come: who ends and how, who goes on, who reads its settings again.
 
 use starlinghill_rig::processes::{state, Process};
-use starlinghill_rig::system::{call, change, eventually, first_items, patch, rule, Backend, Client, System};
+use starlinghill_rig::system::{
+    call, change, eventually, first_items, patch, program, rule, Backend, Client, System,
+};
 use std::os::unix::process::ExitStatusExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -50,13 +52,6 @@
     ("KILL", Then::Dies(9)),
 ];
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 /// A part of a system, by its name.
 fn part<'a>(system: &'a mut System, name: &str) -> &'a mut Process {
     match name {
--- a/crates/starlinghill-rig/tests/system.rs
+++ b/crates/starlinghill-rig/tests/system.rs
@@ -2,22 +2,14 @@
 //! killed, disks are lost and backends misbehave. Histories are checked after the fact.
 
 use starlinghill_rig::system::{
-    call, change, eventually, first_items, patch, rule, Backend, Client, Does, System,
+    call, change, eventually, first_items, patch, program, rule, Backend, Client, Does, System,
 };
 use std::collections::HashMap;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// The example beside this test, which is any part of the system when told its name.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("a program");
-    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
-    folder.join("examples").join("system")
-}
-
 async fn serving(edges: usize, backends: usize, rate: u64) -> (System, Vec<Backend>) {
     let system = System::start(&program(), edges);
     let mut all = Vec::new();
