Who yielded takes work again when the registry that spoke for it answers again

Cause, found in rereading: a backend that only one registry knew yields once that one has not answered for 5 s. When it answered again in the same life it had nothing to tell, as nothing had changed there, and the backend stayed without work for good; the next time it would have counted as unknown since the first.

Change: at each tick what is known again has its time begun anew, and is told as what it is.

--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-pegboard/src/wall.rs
@@ -125,7 +125,7 @@
         let late = |at: Duration| newest.saturating_sub(at) > YIELDS;
         self.absent = self.heard.iter().filter(|(_, at)| late(**at)).map(|(by, _)| *by).collect();
         let known = |seen: &Seen| self.known(seen).next().is_some();
-        let unknown: Vec<String> =
+        let unknown: BTreeSet<String> =
             self.backends.iter().filter(|(_, seen)| !known(seen)).map(|(id, _)| id.clone()).collect();
         let serves = |seen: &&Seen| seen.peg.state == State::Ready && known(seen) && !self.silent(seen);
         let served: BTreeSet<String> =
@@ -138,6 +138,18 @@
         let woken = self.stood.filter(|(_, woke)| now.saturating_sub(*woke) < YIELDS);
         let from = woken.map_or(now, |(fell, _)| fell);
         let mut changes = Vec::new();
+        // Who spoke for them answers again, and has no need to tell of them: nothing changed there.
+        let back = |id: &String, seen: &Seen| seen.unknown.is_some() && !unknown.contains(id);
+        let back = self.backends.iter().filter(|(id, seen)| back(id, seen)).map(|(id, _)| id.clone());
+        for id in back.collect::<Vec<_>>() {
+            let Some(seen) = self.backends.get_mut(&id) else { continue };
+            seen.unknown = None;
+            if std::mem::take(&mut seen.yields) {
+                let (peg, silent) =
+                    (seen.peg.clone(), self.backends.get(&id).is_some_and(|s| self.silent(s)));
+                changes.push(Change { peg, silent });
+            }
+        }
         for id in unknown {
             let Some(seen) = self.backends.get_mut(&id) else { continue };
             let since = now.saturating_sub(*seen.unknown.get_or_insert(from));
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -154,8 +154,11 @@
     // One does, and the other one does not: what only that one knew yields in the end, until it is told again.
     assert_eq!(unknown(&mut wall, 100, 110, true), []);
     assert_eq!(unknown(&mut wall, 110, 125, true), [("i-1".to_string(), true)]);
-    let changes = wall.told(ms(62_500), 0, 1, ready("i-1"));
-    assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
+    // It answers again, and has nothing new to tell.
+    assert_eq!(wall.told(ms(62_500), 0, 1, Vec::new()), []);
+    assert_eq!(unknown(&mut wall, 125, 126, true), [("i-1".to_string(), false)]);
+    // As long ago as that was does not count the next time.
+    assert_eq!(unknown(&mut wall, 126, 136, true), []);
 }
 
 #[test]
