--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -42,6 +42,25 @@
     reply: oneshot::Sender<Counted>,
 }
 
+/// What became of this gateway's draws since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct DrawCounts {
+    /// Draws that were sent to whoever keeps the count.
+    pub asked: u64,
+    /// Answered while the request waited: the store held what was wanted.
+    pub granted: u64,
+    /// Answered while the request waited: it did not.
+    pub refused: u64,
+    /// Answered after the request had been decided without it, though the store held what was wanted and gave it.
+    pub late_granted: u64,
+    /// The same, and it did not hold that.
+    pub late_refused: u64,
+    /// Never answered, or not taken in.
+    pub failed: u64,
+    /// Attempts that went out to backends.
+    pub attempts: u64,
+}
+
 /// What went to the holder and has no answer yet.
 enum Sent {
     /// Draws, and the backends whose loads were told with them.
@@ -70,6 +89,7 @@
     pub time: watch::Sender<u64>,
     /// Backends that this gateway knows and the registry with the count does not, by the numbers of their services.
     pub unknown: RefCell<HashMap<u32, Unknown>>,
+    draw_counts: Cell<DrawCounts>,
 }
 
 /// Who keeps the count: its term and where it is.
@@ -92,6 +112,7 @@
             gateways: Cell::new(1),
             time: watch::channel(0).0,
             unknown: RefCell::default(),
+            draw_counts: Cell::default(),
         });
         tokio::task::spawn_local(counter.clone().run(life, holder, queue));
         counter
@@ -116,7 +137,7 @@
             }
             // Nothing that waits still goes out: a call that fails is decided here.
             while let Ok(call) = queue.try_recv() {
-                failed(call, Outcome::ConnectFailed);
+                self.failed(call, Outcome::ConnectFailed);
             }
             sleep(PAUSE).await;
         }
@@ -180,13 +201,14 @@
                                 let named = || rooms.into_iter().map(named).collect();
                                 let rooms = self.beside(call.draw.service).unwrap_or_else(named);
                                 let counted = Counted { outcome: Outcome::Ok, total, share: Some(share), rooms };
-                                let _ = call.reply.send(counted);
+                                let in_time = call.reply.send(counted).is_ok();
+                                self.count_answer(in_time, total >= 0.0);
                             }
                         }
                         (Some(Sent::Draws(calls, told)), Answer::NotMine(known)) => {
                             // It took in none of them.
                             self.changed.borrow_mut().extend(told);
-                            calls.into_iter().for_each(|call| failed(call, Outcome::Full));
+                            calls.into_iter().for_each(|call| self.failed(call, Outcome::Full));
                             if known > term {
                                 break "another_term";
                             }
@@ -217,6 +239,7 @@
                         last_word = Instant::now();
                     }
                     let draws = batch.iter().map(|call| call.draw).collect();
+                    self.count_draws(|counts| counts.asked += count as u64);
                     let words = self.words();
                     let told = words.iter().map(|word| word.backend).collect();
                     out.push_back(Sent::Draws(std::mem::take(&mut batch), told));
@@ -249,7 +272,7 @@
         for sent in out {
             let Sent::Draws(calls, told) = sent else { continue };
             self.changed.borrow_mut().extend(told);
-            calls.into_iter().for_each(|call| failed(call, Outcome::Reset));
+            calls.into_iter().for_each(|call| self.failed(call, Outcome::Reset));
         }
         why
     }
@@ -316,6 +339,33 @@
         self.reached.get() && self.granted.get()
     }
 
+    /// A call ends without an answer.
+    fn failed(&self, call: Waiting, outcome: Outcome) {
+        self.count_draws(|counts| counts.failed += 1);
+        // Whoever asked may have stopped waiting.
+        let _ = call.reply.send(outcome.into());
+    }
+
+    /// What became of the draws since the start.
+    pub fn draw_counts(&self) -> DrawCounts {
+        self.draw_counts.get()
+    }
+
+    fn count_draws(&self, change: impl FnOnce(&mut DrawCounts)) {
+        let mut counts = self.draw_counts.get();
+        change(&mut counts);
+        self.draw_counts.set(counts);
+    }
+
+    fn count_answer(&self, in_time: bool, taken: bool) {
+        self.count_draws(|counts| match (in_time, taken) {
+            (true, true) => counts.granted += 1,
+            (true, false) => counts.refused += 1,
+            (false, true) => counts.late_granted += 1,
+            (false, false) => counts.late_refused += 1,
+        });
+    }
+
     /// Somebody has told the system's time.
     pub fn hear_time(&self, time: u64) {
         self.time.send_if_modified(|known| {
@@ -331,12 +381,6 @@
     (ServerId(room.backend), Micros(u64::from(room.takes_ms) * 1_000))
 }
 
-/// A call ends without an answer.
-fn failed(call: Waiting, outcome: Outcome) {
-    // Whoever asked may have stopped waiting.
-    let _ = call.reply.send(outcome.into());
-}
-
 impl Count for Counter {
     /// All counts are stores here.
     fn count(self: Rc<Self>, _: CountName, _: f64, _: Micros) -> Counting {
@@ -344,6 +388,7 @@
     }
 
     fn sent(&self, server: ServerId) {
+        self.count_draws(|counts| counts.attempts += 1);
         self.note(server, |word| word.out = word.out.saturating_add(1));
     }
 
@@ -379,7 +424,7 @@
         let draw = Draw { name: name.0, owed, units, rate, burst, service: service.0, within_ms };
         let (reply, answer) = oneshot::channel();
         if let Err(refused) = self.calls.try_send(Waiting { draw, reply }) {
-            failed(refused.into_inner(), Outcome::ConnectFailed);
+            self.failed(refused.into_inner(), Outcome::ConnectFailed);
         }
         Box::pin(async move {
             match timeout(PATIENCE, answer).await {
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -1,7 +1,7 @@
 //! The proxy as a process.
 
 use crate::answers::System;
-use crate::count::Counter;
+use crate::count::{Counter, DrawCounts};
 use crate::desk::Front;
 use crate::news::{self, Shared, View, Ways};
 use crate::ring::Ring;
@@ -38,6 +38,8 @@
 const BODIES_PART: u64 = 8;
 /// How often the log is told of connections to backends.
 const TELL_CONNECTIONS: Duration = Duration::from_secs(10);
+/// How often the log is told of draws that were answered late, or not.
+const TELL_DRAWS: Duration = Duration::from_secs(1);
 /// So long before the last answer the module gives up what is open.
 const GIVE_UP: Duration = Duration::from_millis(150);
 
@@ -96,6 +98,29 @@
     }
 }
 
+/// Tells the log what became of the draws, after each span in which some were answered too late or not at all.
+async fn tell_draws(counter: Rc<Counter>) {
+    let (mut told, mut late) = (DrawCounts::default(), 0);
+    loop {
+        tokio::time::sleep(TELL_DRAWS).await;
+        let counts = counter.draw_counts();
+        let late_now = counts.late_granted + counts.late_refused + counts.failed;
+        if std::mem::replace(&mut late, late_now) != late_now {
+            log::info!(
+                "event=draws asked={} granted={} refused={} late_granted={} late_refused={} failed={} attempts={}",
+                counts.asked - told.asked,
+                counts.granted - told.granted,
+                counts.refused - told.refused,
+                counts.late_granted - told.late_granted,
+                counts.late_refused - told.late_refused,
+                counts.failed - told.failed,
+                counts.attempts - told.attempts,
+            );
+        }
+        told = counts;
+    }
+}
+
 /// Runs until SIGTERM and until all that was taken is answered.
 pub async fn run(mut signals: Signals) -> Result<(), StartError> {
     let node = Node::from_environment().context(SettingsSnafu)?;
@@ -118,6 +143,7 @@
     let driver = Driver::hosted(settings, life, clock, pool, counter.clone()).context(ModuleSnafu)?;
     let inbox = driver.inbox();
     spawn_local(tell_connections(driver.pool()));
+    spawn_local(tell_draws(counter.clone()));
     let at = node.port(node.ip, WORKBENCH);
     let socket = UdpSocket::bind(at).await.context(SystemSnafu { what: format!("listen on {at}") })?;
     let ring = Rc::new(Ring::new(at, life));
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -8,7 +8,7 @@
 use starlinghill_gauge::{Draw, Level, Room};
 use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
-use starlinghill_workbench::count::Counter;
+use starlinghill_workbench::count::{Counter, DrawCounts, PATIENCE};
 use starlinghill_workbench::news::nowhere;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,12 +29,20 @@
 
 /// How draws end for so long, and over how many connections.
 fn drawn(plays: Plays, long: Duration) -> (Vec<Outcome>, u32) {
-    let (counted, connections) = counted(plays, long, None);
-    (counted.into_iter().map(|counted| counted.outcome).collect(), connections)
+    let played = counted(plays, long, Duration::ZERO, None);
+    (played.ends.into_iter().map(|counted| counted.outcome).collect(), played.connections)
 }
 
-/// The same with all that came, for requests of a service of which the counter does not know those.
-fn counted(plays: Plays, long: Duration, unknown: Option<Unknown>) -> (Vec<Counted>, u32) {
+/// What came of a played counter.
+struct Played {
+    ends: Vec<Counted>,
+    connections: u32,
+    counts: DrawCounts,
+}
+
+/// The same with all that came, where each answer takes `delay`, for requests of a service of which the counter does not
+/// know those.
+fn counted(plays: Plays, long: Duration, delay: Duration, unknown: Option<Unknown>) -> Played {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -53,6 +61,7 @@
                         }
                         Question::Count { draws, .. } if draws.is_empty() => levels(&draws, 0.0),
                         Question::Count { draws, .. } => {
+                            sleep(delay).await;
                             nth += 1;
                             plays(&draws, recalls, nth)
                         }
@@ -77,7 +86,8 @@
             }
             sleep(Duration::from_millis(20)).await;
         }
-        (ends, connections.get())
+        sleep(delay).await;
+        Played { ends, connections: connections.get(), counts: counter.draw_counts() }
     })
 }
 
@@ -105,6 +115,20 @@
     }
 }
 
+#[test]
+fn answers_that_come_after_the_request_was_decided_are_counted_by_what_the_store_gave() {
+    let by_turns: Plays = |draws, _, nth| levels(draws, if nth % 2 == 0 { 5.0 } else { -0.5 });
+    let played = counted(by_turns, Duration::from_millis(600), PATIENCE * 2, None);
+    assert!(played.ends.iter().all(|counted| counted.outcome == Outcome::Timeout), "{:?}", played.ends);
+    let DrawCounts { asked, granted, refused, late_granted, late_refused, failed, .. } = played.counts;
+    assert_eq!((granted, refused, failed), (0, 0, 0));
+    assert!(
+        late_granted > 0 && late_refused > 0 && late_granted + late_refused <= asked,
+        "{:?}",
+        played.counts
+    );
+}
+
 #[test]
 fn backends_that_the_counter_does_not_know_get_their_part() {
     let names_one: Plays = |draws, _, _| {
@@ -116,8 +140,8 @@
     };
     let named = |part| {
         let unknown = Unknown { part, backends: vec![7, 8, 9, 10] };
-        let (counted, _) = counted(names_one, Duration::from_millis(1_500), Some(unknown));
-        let first: Vec<_> = counted.iter().filter_map(|counted| counted.rooms.first().copied()).collect();
+        let played = counted(names_one, Duration::from_millis(1_500), Duration::ZERO, Some(unknown));
+        let first: Vec<_> = played.ends.iter().filter_map(|counted| counted.rooms.first().copied()).collect();
         assert!(first.len() > 20, "{}", first.len());
         let beside = first.iter().filter(|(id, takes)| *id != ServerId(1) && *takes == Micros(0)).count();
         beside as f64 / first.len() as f64
