--- /dev/null
+++ b/crates/starlinghill-workbench/tests/fleet/mod.rs
@@ -0,0 +1,348 @@
+//! A fleet of gateways' decisions and one counter in simulated time: messages take time, gateways stand still or are cut off.
+
+use starlinghill_decision::api::*;
+use starlinghill_decision::Gateway;
+use starlinghill_dovetail::settings::Bounds;
+use starlinghill_gauge::{Draw, Gauge, Level, Readings};
+use starlinghill_workbench::count::PATIENCE;
+use starlinghill_workbench::rules;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+pub const RATE: f64 = 100.0;
+pub const BURST: f64 = 100.0;
+pub const EXCESS: f64 = 0.1;
+pub const EXTRA: f64 = 20.0;
+pub const WINDOW: Duration = Duration::from_secs(5);
+const CUSTOMER: CustomerId = CustomerId(5);
+const SERVERS: u64 = 8;
+/// Where the clocks begin.
+const BEGINNING: u64 = 100_000_000;
+/// A connection on which no answer comes for so long is given up, as the proxy's line to the counter does.
+const SILENCE: u64 = 450_000;
+const KEEP_IN_TOUCH: u64 = 200_000;
+const ON_THE_WAY: u64 = 1_000;
+
+/// What the rules allow in one window.
+pub fn allowed() -> f64 {
+    (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + EXCESS) + EXTRA
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Request(usize),
+    /// The counter's answer to the oldest message of that connection.
+    Answered(usize, u64),
+    GivenUp(usize, u64),
+    Timer(usize, u64),
+    KeepInTouch(usize),
+    Tick,
+}
+
+/// One message to the counter that is out, with the answer that will come; none where it is lost.
+struct Sent {
+    call: Option<u64>,
+    answer: Option<Level>,
+}
+
+struct Proxy {
+    incarnation: u64,
+    module: Gateway,
+    readings: Readings,
+    /// The connection to the counter, where there is one.
+    connection: Option<u64>,
+    sent: VecDeque<Sent>,
+    heard: u64,
+    /// Draws that the module waits for, the oldest first.
+    calls: Vec<u64>,
+    stands_still_until: u64,
+    cut_until: u64,
+}
+
+/// What a fleet is to be played with.
+pub struct Play {
+    pub seed: u64,
+    pub gateways: usize,
+    /// Of how many answers one finds its gateway standing still.
+    pub one_late_in: u64,
+}
+
+pub struct Fleet {
+    rng: fastrand::Rng,
+    now: u64,
+    serial: u64,
+    one_late_in: u64,
+    gauge: Gauge,
+    proxies: Vec<Proxy>,
+    queue: BinaryHeap<Reverse<(u64, u64, What)>>,
+    /// When each request went on to a backend.
+    pub granted: Vec<u64>,
+    pub refused: u64,
+    pub late: u64,
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        drain: Duration::from_millis(2_500),
+        apply: Duration::from_millis(2_500),
+        sync_time: Duration::from_secs(4),
+        grace: Duration::from_secs(6),
+        retry_ratio: 0.2,
+        retry_extra: 60.0,
+        quota_window: WINDOW,
+        quota_excess: EXCESS,
+        quota_extra: EXTRA,
+    }
+}
+
+fn module(seed: u64, me: u32, gateways: u32) -> Gateway {
+    let class = Class {
+        aim: Micros(400_000),
+        deadline: Micros(2_000_000),
+        worth: 1.0,
+        late_worth: 0.5,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: Micros(0),
+        stream: false,
+    };
+    let nobody = rules::settings(ZoneId(0), &bounds()).plans.remove(0);
+    let plans = vec![nobody.clone(), Plan { rate: RATE, burst: BURST, ..nobody }];
+    let settings =
+        Settings { gateways, me, plans, classes: vec![class], ..rules::settings(ZoneId(0), &bounds()) };
+    let mut module = Gateway::new(seed, settings).expect("sound settings");
+    let server = |i| ServerEntry {
+        server: ServerId(i),
+        service: ServiceId(1),
+        zone: ZoneId(0),
+        cell: CellId(i),
+        listed: Listed::InService,
+        weight: 1.0,
+        started: None,
+    };
+    let servers = (1..=SERVERS).map(server).collect();
+    module.handle(Micros(BEGINNING), Event::Servers(ListScope::Whole, servers), &mut Vec::new());
+    module
+}
+
+impl Fleet {
+    pub fn new(play: Play) -> Fleet {
+        let Play { seed, gateways, one_late_in } = play;
+        let proxy = |i: usize| Proxy {
+            incarnation: i as u64 + 1,
+            module: module(seed ^ i as u64, i as u32, gateways as u32),
+            readings: Readings::default(),
+            connection: None,
+            sent: VecDeque::new(),
+            heard: BEGINNING,
+            calls: Vec::new(),
+            stands_still_until: 0,
+            cut_until: 0,
+        };
+        let lives = 1..=gateways as u64;
+        let began = Duration::from_micros(BEGINNING);
+        let mut fleet = Fleet {
+            rng: fastrand::Rng::with_seed(seed),
+            now: BEGINNING,
+            serial: 0,
+            one_late_in,
+            gauge: Gauge::begin(began, 1, true, EXCESS, lives).allowing(WINDOW, EXTRA),
+            proxies: (0..gateways).map(proxy).collect(),
+            queue: BinaryHeap::new(),
+            granted: Vec::new(),
+            refused: 0,
+            late: 0,
+        };
+        (0..gateways).for_each(|at| fleet.connect(at));
+        fleet.after(0, What::Tick);
+        fleet
+    }
+
+    /// The first so many gateways reach the counter no more for so long.
+    pub fn cut(&mut self, gateways: usize, span: Duration) {
+        let until = self.now + span.as_micros() as u64;
+        self.proxies[..gateways].iter_mut().for_each(|proxy| proxy.cut_until = until);
+    }
+
+    /// So many requests a second come, at any gateway.
+    pub fn run(&mut self, span: Duration, per_s: f64) {
+        let until = self.now + span.as_micros() as u64;
+        for _ in 0..(per_s * span.as_secs_f64()) as usize {
+            let (at, after) = (self.rng.usize(0..self.proxies.len()), self.rng.u64(0..until - self.now));
+            self.after(after, What::Request(at));
+        }
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
+            let Some(Reverse((at, _, what))) = self.queue.pop() else { break };
+            self.now = at;
+            self.take(what);
+        }
+        self.now = until;
+    }
+
+    /// The most requests that went on in any window.
+    pub fn busiest(&self) -> usize {
+        let window = WINDOW.as_micros() as u64;
+        let sent_until = |i: usize| self.granted.partition_point(|at| *at <= self.granted[i] + window);
+        (0..self.granted.len()).map(|i| sent_until(i) - i).max().unwrap_or_default()
+    }
+
+    fn after(&mut self, micros: u64, what: What) {
+        self.serial += 1;
+        self.queue.push(Reverse((self.now + micros, self.serial, what)));
+    }
+
+    fn instant(&self) -> Duration {
+        Duration::from_micros(self.now)
+    }
+
+    fn take(&mut self, what: What) {
+        match what {
+            What::Request(at) => self.request(at),
+            What::Answered(at, connection) if self.proxies[at].connection == Some(connection) => {
+                self.answered(at)
+            }
+            What::Answered(..) => {}
+            What::GivenUp(at, call) => {
+                if self.proxies[at].calls.contains(&call) {
+                    self.late += 1;
+                    self.counted(at, call, Outcome::Timeout, 0.0, None);
+                }
+            }
+            What::Timer(at, timer) => self.tell(at, Event::Timer(TimerId(timer))),
+            What::KeepInTouch(at) => {
+                if self.proxies[at].connection.is_some() {
+                    self.send(at, None, Vec::new());
+                    self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
+                }
+            }
+            What::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let lives: BTreeSet<u64> = self.proxies.iter().map(|proxy| proxy.incarnation).collect();
+        self.gauge.tick(self.instant(), &lives);
+        for at in 0..self.proxies.len() {
+            let proxy = &self.proxies[at];
+            match proxy.connection {
+                Some(_) if !proxy.sent.is_empty() && proxy.heard + SILENCE < self.now => self.lose(at),
+                None if proxy.cut_until < self.now => self.connect(at),
+                _ => {}
+            }
+        }
+        self.after(50_000, What::Tick);
+    }
+
+    fn connect(&mut self, at: usize) {
+        self.serial += 1;
+        let (now, connection) = (self.instant(), self.serial);
+        let proxy = &mut self.proxies[at];
+        let readings = proxy.readings.all(self.now);
+        self.gauge.recall(now, proxy.incarnation, &readings);
+        (proxy.connection, proxy.heard) = (Some(connection), self.now);
+        self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
+    }
+
+    /// The connection to the counter is given up: what is out is decided here.
+    fn lose(&mut self, at: usize) {
+        self.proxies[at].connection = None;
+        for sent in std::mem::take(&mut self.proxies[at].sent) {
+            if let Some(call) = sent.call.filter(|call| self.proxies[at].calls.contains(call)) {
+                self.counted(at, call, Outcome::Reset, 0.0, None);
+            }
+        }
+    }
+
+    fn request(&mut self, at: usize) {
+        self.serial += 1;
+        let arrival = Arrival {
+            id: RequestId(self.serial),
+            service: ServiceId(1),
+            plan: PlanId(1),
+            customer: CUSTOMER,
+            spread: self.proxies.len() as u32,
+            deadline: Micros(self.now + 2_000_000),
+            units: 1.0,
+            ..Arrival::default()
+        };
+        self.tell(at, Event::Request(arrival));
+    }
+
+    fn tell(&mut self, at: usize, event: Event) {
+        let mut out = Vec::new();
+        self.proxies[at].module.handle(Micros(self.now), event, &mut out);
+        out.into_iter().for_each(|action| self.act(at, action));
+    }
+
+    fn act(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send(id, server, _) => {
+                self.granted.push(self.now);
+                let (took, report) = (Micros(0), Report::default());
+                let (outcome, ended) = (Outcome::Ok, true);
+                let end = AttemptEnd { id, attempt: 0, server, outcome, took, ended, settled: None, report };
+                self.tell(at, Event::AttemptEnded(end));
+            }
+            Action::Refuse(..) | Action::Fail(_) => self.refused += 1,
+            Action::SetTimer(timer, after) => self.after(after.0, What::Timer(at, timer.0)),
+            Action::Draw(name, owed, units, _) => self.draw(at, name, owed, units),
+            _ => {}
+        }
+    }
+
+    fn draw(&mut self, at: usize, name: CountName, owed: f64, units: f64) {
+        self.serial += 1;
+        let call = self.serial;
+        self.proxies[at].calls.push(call);
+        if self.proxies[at].connection.is_none() {
+            return self.counted(at, call, Outcome::ConnectFailed, 0.0, None);
+        }
+        let draw = Draw { name: name.0, owed, units, rate: RATE, burst: BURST, service: 0, within_ms: 0 };
+        self.send(at, Some(call), vec![draw]);
+        self.after(PATIENCE.as_micros() as u64, What::GivenUp(at, call));
+    }
+
+    /// A message goes to the counter, and its answer comes behind all earlier ones.
+    fn send(&mut self, at: usize, call: Option<u64>, draws: Vec<Draw>) {
+        let (now, late) = (self.instant(), self.rng.u64(0..self.one_late_in) == 0);
+        let proxy = &mut self.proxies[at];
+        let reached = proxy.cut_until <= self.now;
+        let levels = reached.then(|| self.gauge.draw(now, proxy.incarnation, &draws)).flatten();
+        if late {
+            proxy.stands_still_until = self.now + self.rng.u64(40_000..260_000);
+        }
+        let answer = levels.as_ref().and_then(|levels| levels.first().cloned());
+        proxy.sent.push_back(Sent { call, answer });
+        if let (Some(_), Some(connection)) = (levels, proxy.connection) {
+            let comes = (self.now + ON_THE_WAY).max(proxy.stands_still_until);
+            self.after(comes - self.now, What::Answered(at, connection));
+        }
+    }
+
+    fn answered(&mut self, at: usize) {
+        self.proxies[at].heard = self.now;
+        let Some(Sent { call, answer }) = self.proxies[at].sent.pop_front() else { return };
+        let (Some(call), Some(level)) = (call, answer) else { return };
+        let unused = if level.level < 0.0 { 1.0 } else { 0.0 };
+        let name = starlinghill_decision::store_name(CUSTOMER);
+        self.proxies[at].readings.heard(name.0, level.level + unused, self.now);
+        if self.proxies[at].calls.contains(&call) {
+            self.counted(at, call, Outcome::Ok, level.level, Some(level.share));
+        }
+    }
+
+    fn counted(&mut self, at: usize, call: u64, outcome: Outcome, total: f64, share: Option<f64>) {
+        let name = starlinghill_decision::store_name(CUSTOMER);
+        let calls = &mut self.proxies[at].calls;
+        let Some(nth) = calls.iter().position(|known| *known == call) else { return };
+        calls.remove(nth);
+        share.into_iter().for_each(|share| self.tell(at, Event::Share(name, share)));
+        self.tell(at, Event::Counted(name, nth, outcome, total));
+    }
+}
+
+/// How the busiest windows of so many seeds stand to what the rules allow.
+pub fn busiest_of(seeds: std::ops::Range<u64>, play: impl Fn(u64) -> Fleet) -> BTreeMap<u64, usize> {
+    seeds.map(|seed| (seed, play(seed).busiest())).collect()
+}
