--- a/crates/starlinghill-decision/src/admission.rs
+++ b/crates/starlinghill-decision/src/admission.rs
@@ -127,9 +127,9 @@
     }
 
     /// Decides a request by the total heard, or without one by the local bucket.
-    pub(crate) fn window_holds(&mut self, cx: &Context, a: &Arrival, heard: Option<f64>, held: bool) -> bool {
+    pub(crate) fn window_holds(&mut self, cx: &Context, a: &Arrival, left: Option<f64>) -> bool {
         let (customer, units, plan) = (a.customer, a.units, a.plan.0);
-        match heard {
+        match left {
             Some(room) if room < 0.0 => false,
             Some(_) if self.sure(cx, customer) => self.beyond_take(cx, customer, plan, 0.0),
             Some(_) => self.beyond_take(cx, customer, plan, units),
@@ -143,8 +143,6 @@
                 let c = self.customers.get_mut(&customer).filter(|_| ceiling && paid && !ok);
                 c.into_iter().for_each(|c| c.beyond.level += units);
                 self.asked_here(cx, a, ok);
-                let c = self.customers.get_mut(&customer).filter(|_| ok && !held);
-                c.into_iter().for_each(|c| c.account.spend_unheard(quota_of(cx, plan), cx.now, units));
                 ok
             }
         }
--- a/crates/starlinghill-decision/src/api.rs
+++ b/crates/starlinghill-decision/src/api.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here decides. Ids carry no meaning beyond equality and order.
 
-pub use starlinghill_ledger::Micros;
+pub use starlinghill_ledger::{Allowance, Micros};
 
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
@@ -149,6 +149,8 @@
     pub retries: Option<Retries>,
     /// The counter keeps the quotas' stores itself: a request is drawn, and what its store has left is heard.
     pub levels: bool,
+    /// The same: what the rules let tenants have beyond their quotas.
+    pub allowance: Allowance,
     /// How long the breaker over the counter stays open before one request probes; `None`: the module's own.
     pub cooldown: Option<Micros>,
     /// An attempt is given up no sooner than its request.
@@ -400,10 +402,13 @@
     Probe(ServerId),
     /// Add to a count that lives that long, and hear the total.
     Count(CountName, f64, Micros),
-    /// Where the counter keeps the stores: take from one what is owed in any case, and so many units if it holds them. What
-    /// it holds then is heard, below nothing where it did not hold them. What is wanted is for a request of that service,
-    /// which goes on only to a server that answers within that time; or for none.
-    Draw(CountName, f64, f64, (ServiceId, Micros)),
+    /// Where the counter keeps the stores: take so many units from one if it holds them. What it holds then is heard, below
+    /// nothing where it did not hold them. What is wanted is for a request of that service, which goes on only to a server
+    /// that answers within that time; or for none.
+    Draw(CountName, f64, (ServiceId, Micros)),
+    /// The same: so many units were used without a word of the counter's; fewer than none where units that were drawn
+    /// were not used.
+    Charge(CountName, f64),
     /// Send a message of up to 256 bytes to another gateway.
     Tell(u32, Vec<u8>),
     /// Wake the module after this time.
--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -151,12 +151,13 @@
             Purpose::Demand => self.ask(id, Purpose::Open),
             Purpose::Turn if heard.is_some_and(|got| got >= r.a.units) => self.ask(id, Purpose::Open),
             Purpose::Turn => self.refuse(id),
-            Purpose::Window => {
-                match self.admission.window_holds(&self.cx, &r.a, heard, r.counted.is_some()) {
-                    true => self.ask(id, Purpose::Open),
-                    false => self.refuse(id),
+            Purpose::Window if self.admission.window_holds(&self.cx, &r.a, heard) => {
+                if heard.is_none() && r.counted.is_none() {
+                    self.admission.used_unheard(&mut self.cx, customer, r.a.units);
                 }
+                self.ask(id, Purpose::Open)
             }
+            Purpose::Window => self.refuse(id),
             Purpose::Open => {
                 match self.admission.place_holds(&self.cx, &r.a, heard) && !r.done {
                     true => self.admit(id),
--- a/crates/starlinghill-decision/src/context.rs
+++ b/crates/starlinghill-decision/src/context.rs
@@ -1,6 +1,7 @@
 //! What every part of the module decides with: the settings, the time, chance, and the way out.
 
 use crate::api::*;
+use crate::bucket::mix;
 use std::collections::BTreeMap;
 
 /// Weight of the newest sample in smoothed figures.
@@ -45,6 +46,11 @@
         self.out.push(Action::SetTimer(id, after));
     }
 
+    /// A chance between 0 and 1 for a customer at this gateway at this moment.
+    pub(crate) fn chance(&self, customer: CustomerId) -> f64 {
+        mix(self.now.0 ^ mix(customer.0 ^ mix(u64::from(self.set.me)))) as f64 / u64::MAX as f64
+    }
+
     /// What a request is worth, its plan's price reckoned in.
     pub(crate) fn worth(&self, a: &Arrival) -> f64 {
         self.set.classes[a.class.0].worth * self.set.plans[a.plan.0].price
--- a/crates/starlinghill-decision/src/counter.rs
+++ b/crates/starlinghill-decision/src/counter.rs
@@ -19,6 +19,18 @@
         c.account.settle(quota_of(cx, c.plan), cx.now, more);
     }
 
+    /// A request goes on without a word of the counter's.
+    pub(crate) fn used_unheard(&mut self, cx: &mut Context, customer: CustomerId, units: f64) {
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let quota = quota_of(cx, c.plan);
+        if cx.set.levels {
+            c.account.store.take(quota, cx.now, units);
+            cx.out.push(Action::Charge(store_name(customer), units));
+        } else {
+            c.account.spend_unheard(quota, cx.now, units);
+        }
+    }
+
     /// Brings a customer's counts to the present window and epoch.
     pub(crate) fn roll(&mut self, cx: &Context, id: CustomerId) {
         let ((window, rest), epoch) = (window(cx, id), span(cx, id, EPOCH).0);
@@ -73,7 +85,7 @@
         call: Call,
     ) {
         cx.out.push(match cx.set.levels {
-            true => Action::Draw(name, call.post.extra, call.post.fresh(), within),
+            true => Action::Draw(name, call.post.amount, within),
             false => Action::Count(name, call.post.amount, life),
         });
         self.calls.entry(name).or_default().push_back(call);
@@ -183,8 +195,10 @@
             self.call_failed(cx, call.customer, call.probe, call.at, outcome);
         }
         // Guards against counting a request twice, or for good though it was refused: a counter that is late
-        // still adds. May hurt where it fell silent, for the calls made until the breaker opens.
-        let held = !outcome.never_ran() && (heard.is_some() || !self.silent(cx, call.customer));
+        // still adds. May hurt where it fell silent, for the calls made until the breaker opens. One that keeps the
+        // stores adds only what these hold: what became of a late call is settled where its answer comes in.
+        let may_hold = !cx.set.levels && !outcome.never_ran();
+        let held = may_hold && (heard.is_some() || !self.silent(cx, call.customer));
         Some((heard, held))
     }
 
@@ -199,6 +213,10 @@
     pub(crate) fn take_back(&mut self, cx: &mut Context, customer: CustomerId, span: u64, units: f64) {
         self.roll(cx, customer);
         let Some(c) = self.customers.get_mut(&customer) else { return };
+        if cx.set.levels {
+            c.account.store.take(quota_of(cx, c.plan), cx.now, -units);
+            return cx.out.push(Action::Charge(store_name(customer), -units));
+        }
         if !c.account.take_back(quota_of(cx, c.plan), cx.now, span, units) {
             return;
         }
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -16,6 +16,9 @@
 
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten.
 pub(crate) const EPOCH: Micros = Micros(5_000_000);
+/// The part of an even share that a gateway goes by which the counter told nothing of a customer
+/// (`starlinghill_gauge::untold_share`).
+const UNTOLD_SHARE: f64 = 0.25;
 /// Life of idle customers, of whom many come once.
 pub(crate) const FORGET: Micros = Micros(30_000_000);
 /// Apart from all other names.
@@ -50,11 +53,13 @@
 }
 
 impl Customer {
-    /// Its share of the quota while a counter that keeps the stores is silent.
-    pub(crate) fn own_share(&self, cx: &Context) -> f64 {
+    /// Its share of the quota while a counter that keeps the stores is silent. `heard`: one was heard in this life, which
+    /// told the others the larger part of a quota of which it told nothing here.
+    pub(crate) fn own_share(&self, cx: &Context, heard: bool) -> f64 {
+        let untold = if heard { UNTOLD_SHARE } else { 1.0 };
         match cx.alone {
             true => 0.0,
-            false => self.share.unwrap_or(1.0 / self.spread.max(1.0)),
+            false => self.share.unwrap_or(untold / self.spread.max(1.0)),
         }
     }
 }
--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -5,7 +5,7 @@
 use crate::api::*;
 use crate::bucket::TokenBucket;
 use crate::context::Context;
-use crate::customer::{others, set_beyond, settle};
+use crate::customer::{others, quota_of, set_beyond, settle};
 use starlinghill_ledger::shares::by_flows;
 
 /// Part of its quota that a customer is taken to use elsewhere before anything was heard of it, while the
@@ -23,7 +23,7 @@
     /// silence in which several gateways see one ask more than it did before.
     pub(crate) fn local(&mut self, cx: &Context, customer: CustomerId) -> Option<(f64, &mut TokenBucket)> {
         let (now, most_units) = (cx.now, cx.set.most_units);
-        let (left, silent) = (self.room(cx, customer), self.silent(cx, customer));
+        let (left, silent, heard) = (self.room(cx, customer), self.silent(cx, customer), self.heard);
         let c = self.customers.get_mut(&customer)?;
         let p = &cx.set.plans[c.plan];
         let left = left.unwrap_or(if cx.set.levels { 0.0 } else { p.burst }).max(0.0);
@@ -31,12 +31,15 @@
         // Of one that comes through many gateways no store is followed, but its demand was heard of.
         let flows = c.account.store.flows().or_else(|| c.scattered.flows(c.asked.now(now)));
         let base = by_flows(flows, p.rate, c.spread, unknown, NEED_SPARE);
-        let base = if cx.set.levels { c.own_share(cx) } else { base };
+        let base = if cx.set.levels { c.own_share(cx, heard) } else { base };
         let share = (base + c.shares.moved(c.spread as u32)).clamp(0.0, 1.0);
         // Guards against shares of less than one request, which would refuse everything: at least that much,
-        // as far as it is left.
-        let (level, depth) = ((left * share).max(most_units.min(left)), (p.burst * share).max(most_units));
-        let rate = p.rate * share;
+        // as far as it is left; where the counter keeps the stores, by chance, so that all come to the sum.
+        let level = match cx.set.levels {
+            true => left.min(cx.set.allowance.unheard(quota_of(cx, c.plan))) * share + cx.chance(customer),
+            false => (left * share).max(most_units.min(left)),
+        };
+        let (rate, depth) = (p.rate * share, (p.burst * share).max(most_units));
         let bucket = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now });
         bucket.fill(now);
         (bucket.depth, bucket.rate) = (depth, rate);
--- a/crates/starlinghill-decision/tests/system.rs
+++ b/crates/starlinghill-decision/tests/system.rs
@@ -85,8 +85,7 @@
     let mut rig = Rig::new(system(10), 4);
     let (_, led) = ask(&mut rig, RATED, 0, 0);
     assert!(
-        led.iter()
-            .any(|a| matches!(a, Action::Draw(name, 0.0, 1.0, _) if *name == store_name(CustomerId(5))))
+        led.iter().any(|a| matches!(a, Action::Draw(name, 1.0, _) if *name == store_name(CustomerId(5))))
             && sent(&led).is_none()
     );
     assert!(sent(&answer(&mut rig, Outcome::Ok, 3.0, 0.1)).is_some());
@@ -98,6 +97,47 @@
     assert!(led.iter().any(|a| matches!(a, Action::Refuse(_, Some(wait)) if wait.0 > 0)));
 }
 
+/// What the counter is to be told beside draws.
+fn charged(actions: &[Action]) -> f64 {
+    let units = |action: &Action| match action {
+        Action::Charge(name, units) if *name == store_name(CustomerId(5)) => *units,
+        _ => 0.0,
+    };
+    actions.iter().map(units).sum()
+}
+
+#[test]
+fn a_draw_that_was_not_answered_in_time_is_charged_if_the_request_goes_on_and_never_given_back() {
+    for outcome in [Outcome::Timeout, Outcome::Reset, Outcome::Full, Outcome::ConnectFailed] {
+        for (left, goes_on) in [(15.0, true), (-1.0, false)] {
+            let allowance = Allowance { window_s: 5.0, excess: 1.0, extra: 20.0 };
+            let mut rig = Rig::new(Settings { allowance, ..system(10) }, 4);
+            ask(&mut rig, RATED, 0, 0);
+            assert_eq!(charged(&answer(&mut rig, Outcome::Ok, left, 0.3)), 0.0);
+            // The second is asked by the rest of what was known to be left.
+            rig.pass(200 * MS);
+            let (_, mut led) = ask(&mut rig, RATED, 0, 0);
+            assert!(led.iter().any(|a| matches!(a, Action::Draw(_, 1.0, _))), "{led:?}");
+            led = answer(&mut rig, outcome, 0.0, 0.3);
+            assert_eq!(
+                (sent(&led).is_some(), charged(&led)),
+                (goes_on, f64::from(u8::from(goes_on))),
+                "{outcome:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn units_that_were_drawn_go_back_if_the_request_goes_nowhere() {
+    let mut rig = Rig::new(system(10), 0);
+    ask(&mut rig, RATED, 0, 0);
+    let mut led = answer(&mut rig, Outcome::Ok, 3.0, 0.1);
+    led.extend(rig.pass(4 * S));
+    assert!(refused(&led) && sent(&led).is_none());
+    assert_eq!(charged(&led), -1.0);
+}
+
 #[test]
 fn while_the_counter_is_silent_a_gateway_lets_through_its_share_as_it_was_told_and_none_alone() {
     for (share, alone) in [(0.3, false), (0.1, false), (0.3, true)] {
@@ -154,7 +194,7 @@
     let mut rig = Rig::new(system(30), 6);
     let (_, led) = ask(&mut rig, RATED, 0, 0);
     // The aim is 800 ms, of which some is for the way.
-    let Some(Action::Draw(_, _, _, (_, within))) = led.iter().find(|a| matches!(a, Action::Draw(..))) else {
+    let Some(Action::Draw(_, _, (_, within))) = led.iter().find(|a| matches!(a, Action::Draw(..))) else {
         panic!("{led:?}")
     };
     assert_eq!(*within, Micros(520 * MS));
--- a/crates/starlinghill-dovetail/src/settings.rs
+++ b/crates/starlinghill-dovetail/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::check::{At, Fault, Faults};
 use simd_json::OwnedValue;
 use snafu::{ResultExt, Snafu};
+use starlinghill_ledger::Allowance;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -68,6 +69,14 @@
     pub quota_extra: f64,
 }
 
+impl Bounds {
+    /// What tenants may have beyond their quotas.
+    pub fn allowance(&self) -> Allowance {
+        let window_s = self.quota_window.as_secs_f64();
+        Allowance { window_s, excess: self.quota_excess, extra: self.quota_extra }
+    }
+}
+
 /// A process's settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Node {
--- a/crates/starlinghill-gateway/src/counter.rs
+++ b/crates/starlinghill-gateway/src/counter.rs
@@ -28,9 +28,11 @@
     /// Makes one call; it ends by itself.
     fn count(self: Rc<Self>, name: CountName, amount: f64, life: Micros) -> Counting;
     /// Draws from a store that the counter keeps; it ends by itself. The platform's counter keeps none.
-    fn draw(self: Rc<Self>, _: CountName, _owed: f64, _units: f64, _: (ServiceId, Micros)) -> Counting {
+    fn draw(self: Rc<Self>, _: CountName, _units: f64, _: (ServiceId, Micros)) -> Counting {
         Box::pin(async { Outcome::Moot.into() })
     }
+    /// Units of such a store were used without a word of the counter's; fewer than none where drawn ones were not used.
+    fn charge(&self, _: CountName, _units: f64) {}
     /// An attempt went out to a server.
     fn sent(&self, _: ServerId) {}
     /// It came back, after that time.
--- a/crates/starlinghill-gateway/src/driver.rs
+++ b/crates/starlinghill-gateway/src/driver.rs
@@ -511,8 +511,11 @@
             Action::Count(name, amount, life) => {
                 self.count(name, |counter| counter.count(name, amount, life));
             }
-            Action::Draw(name, owed, units, within) => {
-                self.count(name, |counter| counter.draw(name, owed, units, within));
+            Action::Draw(name, units, within) => {
+                self.count(name, |counter| counter.draw(name, units, within));
+            }
+            Action::Charge(name, units) => {
+                self.counter.iter().for_each(|counter| counter.charge(name, units));
             }
             Action::Tell(to, message) => self.post.iter().for_each(|post| post.send(to, &message)),
             Action::SetTimer(id, after) => self.timers.push(Reverse((now + after, id))),
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -5,26 +5,34 @@
 //!
 //! * A draw that the store does not hold takes nothing.
 //! * A gateway that can't reach the counter decides by its own share of the rate. While the counter hears nothing of a
-//!   gateway, it leaves that share to it, but for what the rules allow in excess.
+//!   gateway, it leaves that share to it, from the moment on at which it heard it last, but for a part of what the rules
+//!   allow in excess.
+//! * What a gateway uses without a word of the counter's it tells at once where it can, and what the store gave for a
+//!   request that had been decided already goes back ([`Debts`]).
 //! * A counter that begins takes each store to hold what was last heard of it, in the system's time, and nothing for the
 //!   time since: that was the gateways' own. Of a store that nobody heard of it takes the worst, for a while; where all
 //!   gateways were lost with the counter, that is a part of what the rules allow on top of the quota.
 //!
 //! No I/O and no clock.
 
+mod audit;
 mod bound;
+mod debts;
 mod loads;
 mod readings;
 mod store;
 
-pub use bound::{fill_part, most_after_losses, most_in, own_share, untold};
+use bound::even_share;
+pub use bound::{fill_part, most_after_losses, most_in, own_share, untold_share, Troubles};
+pub use debts::{Debts, DrawEnd};
 pub use loads::{Listed, Loads, Room, Seen, Word};
 pub use readings::Readings;
+pub use starlinghill_ledger::{Allowance, Quota};
 
 use bitcode::{Decode, Encode};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
-use store::Store;
+use store::{Gateways, Silence, Store};
 
 /// The most stores that are kept. Guards memory.
 pub const MOST: usize = 100_000;
@@ -67,6 +75,8 @@
     pub level: f64,
     /// When, in microseconds of the system's time.
     pub at: u64,
+    /// The share of the tenant's rate by which the gateway goes since then while it can't reach a counter.
+    pub share: f64,
 }
 
 /// What a gateway hears of a store.
@@ -91,28 +101,32 @@
     open: Option<Duration>,
     stores: HashMap<u64, Store>,
     readings: HashMap<u64, Reading>,
+    /// The shares by which gateways go, by stores.
+    shares: HashMap<u64, Vec<(u64, f64)>>,
     awaited: BTreeSet<u64>,
     recalled: BTreeSet<u64>,
+    /// Gateways that were told of any store: they know that others are told of those of which they are not.
+    told: BTreeSet<u64>,
     /// When each gateway last said something.
     heard: BTreeMap<u64, Duration>,
-    /// How many gateways carry traffic, and those of them that may be deciding by themselves.
-    gateways: usize,
-    silent: BTreeSet<u64>,
-    excess: f64,
-    /// The rules' window in seconds, and what they allow in it beside the excess.
-    allowed: (f64, f64),
+    /// How many gateways carry traffic, and those of them that may be deciding by themselves, each since that moment.
+    gateways: Gateways,
+    known: BTreeSet<u64>,
+    silent: BTreeMap<u64, Silence>,
+    allowance: Allowance,
+    /// Violations of stores that are forgotten.
+    violations: u64,
     /// How much room there is at backends.
     pub loads: Loads,
 }
 
 impl Gauge {
-    /// A counter that knows nothing but the gateways that may have drawn before. `excess` is the part by which the rules
-    /// let a quota be passed.
+    /// A counter that knows nothing but the gateways that may have drawn before, under those rules.
     pub fn begin(
         now: Duration,
         term: u64,
         first: bool,
-        excess: f64,
+        allowance: Allowance,
         gateways: impl IntoIterator<Item = u64>,
     ) -> Gauge {
         Gauge {
@@ -122,22 +136,20 @@
             open: None,
             stores: HashMap::new(),
             readings: HashMap::new(),
+            shares: HashMap::new(),
             awaited: gateways.into_iter().collect(),
             recalled: BTreeSet::new(),
+            told: BTreeSet::new(),
             heard: BTreeMap::new(),
-            gateways: 1,
-            silent: BTreeSet::new(),
-            excess,
-            allowed: (0.0, 0.0),
+            gateways: Gateways { all: 1, strangers: 0 },
+            known: BTreeSet::new(),
+            silent: BTreeMap::new(),
+            allowance,
+            violations: 0,
             loads: Loads::default(),
         }
     }
 
-    /// The rules allow so much more in each window of that length: a store begins with a part of it where all was lost.
-    pub fn allowing(self, window: Duration, extra: f64) -> Gauge {
-        Gauge { allowed: (window.as_secs_f64(), extra), ..self }
-    }
-
     /// All gateways that are known have said what they heard, and it is nothing: their processes were lost with the
     /// counter.
     fn all_lost(&self) -> bool {
@@ -145,13 +157,19 @@
     }
 
     /// What a store begins with of which nobody told.
-    fn untold(&self, rate: f64, burst: f64) -> f64 {
-        match (self.allowed, self.all_lost()) {
-            ((window, extra), true) if window > 0.0 => untold(window, rate, burst, (self.excess, extra)),
-            _ => 0.0,
+    fn untold(&self, quota: Quota) -> f64 {
+        match self.all_lost() {
+            true => self.allowance.after_loss(quota),
+            false => 0.0,
         }
     }
 
+    /// How often more of a store was granted, or told of as used, within one window than the rules allow: never, if the
+    /// count is right.
+    pub fn violations(&self) -> u64 {
+        self.violations + self.stores.values().map(Store::violations).sum::<u64>()
+    }
+
     /// It answers.
     pub fn is_open(&self) -> bool {
         self.open.is_some()
@@ -173,6 +191,14 @@
             if self.readings.len() >= MOST && !self.readings.contains_key(&reading.name) {
                 continue;
             }
+            match self.stores.get_mut(&reading.name) {
+                Some(store) => store.goes_by(from, reading.share),
+                None => {
+                    let shares = self.shares.entry(reading.name).or_default();
+                    shares.retain(|(gateway, _)| *gateway != from);
+                    shares.push((from, reading.share));
+                }
+            }
             // The latest was told after all that the others had drawn by then.
             let known = self.readings.entry(reading.name).or_insert(*reading);
             if reading.at > known.at {
@@ -195,19 +221,35 @@
         self.look(now);
         self.heard.retain(|gateway, _| gateways.contains(gateway));
         self.recalled.retain(|gateway| gateways.contains(gateway));
-        let is_silent = |gateway: &&u64| {
-            let heard = self.heard.get(gateway).copied().unwrap_or(self.began);
-            now.saturating_sub(heard) > SILENT
+        let heard = |gateway: &u64| self.heard.get(gateway).copied().unwrap_or(self.began);
+        self.told.retain(|gateway| gateways.contains(gateway));
+        let is_stranger = |gateway: &&u64| !self.told.contains(gateway);
+        let strangers = gateways.iter().filter(is_stranger).count();
+        self.gateways = Gateways { all: gateways.len().max(1), strangers };
+        let all = self.gateways.all;
+        let silence = |gateway: &u64| Silence {
+            since: heard(gateway),
+            untold_share: if is_stranger(&gateway) { even_share(all) } else { untold_share(all) },
         };
-        let silent: BTreeSet<u64> = gateways.iter().filter(is_silent).copied().collect();
-        self.gateways = gateways.len().max(1);
-        self.loads.tick(now, &gateways.difference(&silent).copied().collect());
+        let silences = gateways.iter().map(|gateway| (*gateway, silence(gateway)));
+        let silent: BTreeMap<u64, Silence> =
+            silences.filter(|(_, silence)| now.saturating_sub(silence.since) > SILENT).collect();
+        let speaks = |gateway: &u64| !silent.contains_key(gateway);
+        self.loads.tick(now, &gateways.iter().copied().filter(speaks).collect());
         if silent != self.silent {
-            let (all, excess) = (self.gateways, self.excess);
-            self.stores.values_mut().for_each(|store| store.reserve(now, &silent, all, excess));
+            self.stores.values_mut().for_each(|store| store.reserve(now, &silent));
             self.silent = silent;
         }
-        self.stores.retain(|_, store| now.saturating_sub(store.drawn) < IDLE);
+        if *gateways != self.known {
+            self.stores.values_mut().for_each(|store| store.keep_clients(gateways));
+            self.known = gateways.clone();
+        }
+        let violations = &mut self.violations;
+        self.stores.retain(|_, store| {
+            let stays = now.saturating_sub(store.drawn) < IDLE;
+            *violations += if stays { 0 } else { store.violations() };
+            stays
+        });
     }
 
     /// A gateway draws; it hears what each store holds then, in the same order: below nothing where that did not hold what
@@ -219,6 +261,9 @@
             return None;
         }
         self.heard.insert(from, now);
+        if !draws.is_empty() {
+            self.told.insert(from);
+        }
         let doubted = !self.first && now.saturating_sub(opened) < DOUBT;
         draws.iter().map(|draw| self.draw_one(now, from, (opened, doubted), draw)).collect()
     }
@@ -230,19 +275,25 @@
         (opened, doubted): (Duration, bool),
         draw: &Draw,
     ) -> Option<Level> {
-        let Draw { name, burst, .. } = *draw;
+        let Draw { name, rate, burst, .. } = *draw;
+        let quota = Quota { rate, burst };
         if self.stores.len() >= MOST && !self.stores.contains_key(&name) {
             return None;
         }
-        let worst = if doubted { self.untold(draw.rate, burst) } else { burst };
+        let worst = if doubted { self.untold(quota) } else { burst };
         let readings = &self.readings;
         let store = self.stores.entry(name).or_insert_with(|| {
             let told = readings.get(&name).map(|reading| reading.level.min(burst));
             let level = told.unwrap_or(worst);
             // What was last heard holds from when the counter opened.
             let at = if told.is_some() { opened } else { now };
-            let mut store = Store::new(level, at, draw.rate);
-            store.reserve(now, &self.silent, self.gateways, self.excess);
+            let mut store = Store::new(level, at, quota, self.allowance);
+            let shares = self.shares.remove(&name).unwrap_or_default();
+            shares.into_iter().for_each(|(gateway, share)| store.goes_by(gateway, share));
+            // Nothing filled this store before it was kept.
+            let since = |silence: &Silence| Silence { since: silence.since.max(at), ..*silence };
+            let silent = self.silent.iter().map(|(gateway, silence)| (*gateway, since(silence))).collect();
+            store.reserve(now, &silent);
             store
         });
         let (level, share) = store.draw(now, from, draw, self.gateways);
--- a/crates/starlinghill-gauge/src/readings.rs
+++ b/crates/starlinghill-gauge/src/readings.rs
@@ -13,17 +13,21 @@
 }
 
 impl Readings {
-    /// A level was heard, at that moment of the system's time. Of a draw that was refused it is below nothing by what was
-    /// not taken.
-    pub fn heard(&mut self, name: u64, level: f64, at: u64) {
+    /// A level was heard, at that moment of the system's time, and this gateway's share of the rate.
+    pub fn heard(&mut self, name: u64, level: f64, share: f64, at: u64) {
         if self.stores.len() >= MOST {
             self.stores.retain(|_, reading| reading.at + OLD > at);
         }
         if self.stores.len() < MOST || self.stores.contains_key(&name) {
-            self.stores.insert(name, Reading { name, level, at });
+            self.stores.insert(name, Reading { name, level, at, share });
         }
     }
 
+    /// The share that this gateway was told last.
+    pub fn share(&self, name: u64) -> Option<f64> {
+        self.stores.get(&name).map(|reading| reading.share)
+    }
+
     /// All that still tells something.
     pub fn all(&mut self, at: u64) -> Vec<Reading> {
         self.stores.retain(|_, reading| reading.at + OLD > at);
--- a/crates/starlinghill-gauge/tests/quota.rs
+++ b/crates/starlinghill-gauge/tests/quota.rs
@@ -1,8 +1,10 @@
 //! Tenants' requests over gateways that reach the counter or do not, while that moves: histories checked against the bound.
 
 use starlinghill_gauge::{
-    fill_part, most_after_losses, most_in, own_share, untold, Draw, Gauge, Reading, Readings, RECALL, SILENT,
+    fill_part, most_after_losses, most_in, own_share, Debts, Draw, Gauge, Reading, Readings, Troubles,
+    RECALL, SILENT,
 };
+use starlinghill_ledger::{Allowance, Quota};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
@@ -10,9 +12,9 @@
 const NAME: u64 = 7;
 const RATE: f64 = 100.0;
 const BURST: f64 = 100.0;
-const EXCESS: f64 = 0.1;
-const EXTRA: f64 = 20.0;
+const QUOTA: Quota = Quota { rate: RATE, burst: BURST };
 const WINDOW: Duration = Duration::from_secs(5);
+const ALLOWANCE: Allowance = Allowance { window_s: 5.0, excess: 0.1, extra: 20.0 };
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -26,12 +28,25 @@
 struct Gateway {
     life: u64,
     readings: Readings,
+    debts: Debts,
+    /// What the store had left as this gateway last heard it, and when.
+    left: Option<(f64, Duration)>,
+    last_said: Duration,
     share: f64,
     /// Its bucket while it decides by itself, and when it was last filled.
     alone: Option<(f64, Duration)>,
     cut_until: Duration,
 }
 
+impl Gateway {
+    /// It says something to the counter: what it owes goes with that.
+    fn tell(&mut self, now: Duration) -> f64 {
+        self.debts.unheard_for((now - self.last_said).saturating_sub(SILENT));
+        self.last_said = now;
+        self.debts.take(NAME)
+    }
+}
+
 struct World {
     rng: fastrand::Rng,
     now: Duration,
@@ -39,6 +54,8 @@
     term: u64,
     gateways: Vec<Gateway>,
     granted: Vec<Duration>,
+    /// Of counters that are gone.
+    violations: u64,
 }
 
 impl World {
@@ -47,40 +64,46 @@
         let gateway = |life| Gateway {
             life,
             readings: Readings::default(),
+            debts: Debts::default(),
+            left: None,
+            last_said: Duration::ZERO,
             share,
             alone: None,
             cut_until: Duration::ZERO,
         };
         let all: Vec<Gateway> = (1..=gateways).map(gateway).collect();
-        let mut gauge = Gauge::begin(Duration::ZERO, 1, true, EXCESS, all.iter().map(|g| g.life));
+        let mut gauge = Gauge::begin(Duration::ZERO, 1, true, ALLOWANCE, all.iter().map(|g| g.life));
         all.iter().for_each(|g| gauge.recall(Duration::ZERO, g.life, &[]));
         let (rng, gauge) = (fastrand::Rng::with_seed(seed), Some(gauge));
-        World { rng, now: Duration::ZERO, gauge, term: 1, gateways: all, granted: Vec::new() }
+        World { rng, now: Duration::ZERO, gauge, term: 1, gateways: all, granted: Vec::new(), violations: 0 }
     }
 
     /// The counter is gone, or another one begins.
     fn lose_counter(&mut self) {
-        self.gauge = None;
+        self.violations += self.gauge.take().map_or(0, |gauge| gauge.violations());
     }
 
     /// All machines lose power: no gateway's process of now is one of before.
     fn lose_all(&mut self) {
-        self.gauge = None;
+        self.lose_counter();
         let share = 1.0 / self.gateways.len() as f64;
         for gateway in &mut self.gateways {
             gateway.life += 1_000;
             (gateway.readings, gateway.share, gateway.alone) = (Readings::default(), share, None);
+            (gateway.debts, gateway.left, gateway.last_said) = (Debts::default(), None, self.now);
         }
     }
 
     fn new_counter(&mut self, waits_for_all: bool) {
         self.term += 1;
         let lives = self.gateways.iter().map(|g| g.life);
-        let mut gauge = Gauge::begin(self.now, self.term, false, EXCESS, lives).allowing(WINDOW, EXTRA);
+        let mut gauge = Gauge::begin(self.now, self.term, false, ALLOWANCE, lives);
         for gateway in &mut self.gateways {
             if gateway.cut_until <= self.now || !waits_for_all {
                 let readings = gateway.readings.all(self.now.as_micros() as u64);
                 gauge.recall(self.now, gateway.life, &readings);
+                gateway.debts.unheard_for(self.now - gateway.last_said);
+                gateway.last_said = self.now;
             }
         }
         self.gauge = Some(gauge);
@@ -90,21 +113,32 @@
         let (now, gateway) = (self.now, &mut self.gateways[at]);
         let reached = gateway.cut_until <= now;
         let told = self.gauge.as_mut().filter(|_| reached);
-        let level = told.and_then(|gauge| gauge.draw(now, gateway.life, &[draw(0.0, 1.0)]));
+        let owed = if told.is_some() { gateway.tell(now) } else { 0.0 };
+        let level = told.and_then(|gauge| gauge.draw(now, gateway.life, &[draw(owed, 1.0)]));
+        if level.is_none() {
+            gateway.debts.charge(NAME, owed, RATE * gateway.share);
+        }
         let granted = match level {
             Some(levels) => {
                 let level = &levels[0];
                 let unused = if level.level < 0.0 { 1.0 } else { 0.0 };
-                gateway.readings.heard(NAME, level.level + unused, now.as_micros() as u64);
+                gateway.readings.heard(NAME, level.level + unused, level.share, now.as_micros() as u64);
                 (gateway.share, gateway.alone) = (level.share, None);
+                gateway.left = Some((level.level.max(0.0), now));
                 level.level >= 0.0
             }
             None => {
-                // As the module does it: a bucket that starts empty and fills at the gateway's share.
-                let (level, filled) = gateway.alone.unwrap_or((0.0, now));
+                // As the module does it: a bucket that starts with the gateway's part of what was left, as far as the
+                // rules bear that, by chance where it is less than one request, and fills at the gateway's share.
+                let left = gateway.left.map_or(0.0, |(left, at)| left + RATE * (now - at).as_secs_f64());
+                let begins = left.min(ALLOWANCE.unheard(QUOTA)) * gateway.share;
+                let (level, filled) = gateway.alone.unwrap_or((begins + self.rng.f64(), now));
                 let level = level + RATE * gateway.share * (now - filled).as_secs_f64();
                 let level = level.min((BURST * gateway.share).max(1.0));
                 let granted = level >= 1.0;
+                if granted {
+                    gateway.debts.charge(NAME, 1.0, RATE * gateway.share);
+                }
                 gateway.alone = Some((if granted { level - 1.0 } else { level }, now));
                 granted
             }
@@ -120,12 +154,16 @@
         while self.now < until {
             self.now += ms(10);
             let lives: BTreeSet<u64> = self.gateways.iter().map(|g| g.life).collect();
-            let (now, gateways) = (self.now, &self.gateways);
+            let (now, gateways) = (self.now, &mut self.gateways);
             if let Some(gauge) = &mut self.gauge {
                 // Who is in touch says something now and then.
-                for gateway in gateways.iter().filter(|g| g.cut_until <= now) {
+                for gateway in gateways.iter_mut().filter(|g| g.cut_until <= now) {
                     if !gateway.life.is_multiple_of(2) || now.as_millis() % 100 == 0 {
-                        gauge.draw(now, gateway.life, &[]);
+                        let owed = gateway.tell(now);
+                        let debts = if owed == 0.0 { vec![] } else { vec![draw(owed, 0.0)] };
+                        if gauge.draw(now, gateway.life, &debts).is_none() {
+                            gateway.debts.charge(NAME, owed, RATE * gateway.share);
+                        }
                     }
                 }
                 gauge.tick(now, &lives);
@@ -137,8 +175,9 @@
         }
     }
 
-    /// The most that was granted in any span of that length.
+    /// The most that was granted in any span of that length. The counter itself saw no window with too much.
     fn busiest(&self, window: Duration) -> usize {
+        assert_eq!(self.violations + self.gauge.as_ref().map_or(0, Gauge::violations), 0);
         let mut from = 0;
         let mut most = 0;
         for (i, at) in self.granted.iter().enumerate() {
@@ -152,12 +191,14 @@
 }
 
 fn bound(moves: u32, cut: f64) -> f64 {
-    most_in(5.0, RATE, BURST, EXCESS, (moves, (SILENT + ms(100)).as_secs_f64(), cut))
+    most_in(QUOTA, ALLOWANCE, Troubles { moves, late_s: (SILENT + ms(100)).as_secs_f64(), cut })
 }
 
 /// What the rules allow where the settings say a tenth and twenty.
 fn allowed() -> f64 {
-    (RATE * 5.0 + BURST) * (1.0 + EXCESS) + EXTRA
+    let allowed = (RATE * 5.0 + BURST) * 1.1 + 20.0;
+    assert!((ALLOWANCE.most(QUOTA) - allowed).abs() < 1e-9);
+    allowed
 }
 
 #[test]
@@ -207,7 +248,7 @@
 
 #[test]
 fn three_counters_in_a_row_that_begin_after_the_loss_of_all_keep_the_quota() {
-    let all = most_after_losses(WINDOW.as_secs_f64(), RATE, BURST, (EXCESS, EXTRA), 3);
+    let all = most_after_losses(QUOTA, ALLOWANCE, 3);
     assert!(all <= allowed() + 1e-9, "{all} of {}", allowed());
     let mut busiest = 0;
     for seed in 0..60 {
@@ -234,11 +275,11 @@
 
 #[test]
 fn after_the_loss_of_all_a_store_begins_with_a_part_of_what_the_rules_allow() {
-    let part = untold(5.0, RATE, BURST, (EXCESS, EXTRA));
+    let part = ALLOWANCE.after_loss(QUOTA);
     assert!((part - 80.0 / 3.0).abs() < 1e-9, "{part}");
     let level = |recalled: &[Reading], all: bool| {
-        let gauge = Gauge::begin(ms(0), 3, false, EXCESS, if all { vec![1] } else { vec![1, 2] });
-        let mut gauge = gauge.allowing(WINDOW, EXTRA);
+        let gauge = Gauge::begin(ms(0), 3, false, ALLOWANCE, if all { vec![1] } else { vec![1, 2] });
+        let mut gauge = gauge;
         gauge.recall(ms(1), 1, recalled);
         gauge.tick(RECALL, &BTreeSet::from([1]));
         gauge.draw(RECALL, 1, &[draw(0.0, 1.0)]).map(|levels| levels[0].level)
@@ -246,13 +287,13 @@
     assert!(level(&[], true).is_some_and(|level| (level - part + 1.0).abs() < 1e-9));
     // One that did not answer may know; and one that knows of another store was not lost.
     assert_eq!(level(&[], false), Some(-1.0));
-    assert_eq!(level(&[Reading { name: 8, level: 3.0, at: 1 }], true), Some(-1.0));
+    assert_eq!(level(&[Reading { name: 8, level: 3.0, at: 1, share: 1.0 }], true), Some(-1.0));
 }
 
 #[test]
 fn of_a_store_that_nobody_tells_of_the_worst_is_taken_but_at_the_first_start() {
     for (first, granted) in [(true, true), (false, false)] {
-        let mut gauge = Gauge::begin(ms(0), 3, first, EXCESS, [1]);
+        let mut gauge = Gauge::begin(ms(0), 3, first, ALLOWANCE, [1]);
         gauge.recall(ms(1), 1, &[]);
         let level = gauge.draw(ms(2), 1, &[draw(0.0, 50.0)]).map(|levels| levels[0].level >= 0.0);
         assert_eq!(level, Some(granted));
@@ -261,7 +302,7 @@
 
 #[test]
 fn a_counter_answers_nobody_before_it_has_asked_all_or_waited() {
-    let mut gauge = Gauge::begin(ms(0), 2, false, EXCESS, [1, 2]);
+    let mut gauge = Gauge::begin(ms(0), 2, false, ALLOWANCE, [1, 2]);
     gauge.recall(ms(1), 1, &[]);
     assert_eq!(gauge.draw(ms(2), 1, &[draw(0.0, 1.0)]), None);
     gauge.tick(RECALL + ms(1), &BTreeSet::from([1, 2]));
@@ -272,7 +313,7 @@
 
 #[test]
 fn what_is_owed_is_taken_in_any_case_and_shuts_nobody_out_for_long() {
-    let mut gauge = Gauge::begin(ms(0), 1, true, EXCESS, [1]);
+    let mut gauge = Gauge::begin(ms(0), 1, true, ALLOWANCE, [1]);
     gauge.recall(ms(0), 1, &[]);
     let level = gauge.draw(ms(1), 1, &[draw(1_000.0, 1.0)]).map(|levels| levels[0].level);
     assert_eq!(level, Some(-BURST - 1.0));
@@ -285,6 +326,6 @@
     let drew = [10.0, 5.0, 0.0, 1.0];
     let sum: f64 = drew.iter().map(|d| own_share(*d, drew.iter().sum(), drew.len())).sum();
     assert!((sum - 1.0).abs() < 1e-9, "{sum}");
-    assert_eq!(fill_part(0, 11, EXCESS), 1.0);
-    assert!((fill_part(11, 11, EXCESS) - 0.08).abs() < 1e-9);
+    assert_eq!(fill_part(0, 11, ALLOWANCE), 1.0);
+    assert!((fill_part(11, 11, ALLOWANCE) - 0.1 / 3.0).abs() < 1e-9);
 }
--- a/crates/starlinghill-ledger/src/lib.rs
+++ b/crates/starlinghill-ledger/src/lib.rs
@@ -1,6 +1,7 @@
 //! What one gateway knows of quotas that it shares with others through a counter which may be slow, silent,
 //! emptied or set back. Pure: time is an argument, nothing is sent from here, and equal inputs give equal results.
 //!
+//! - [`allowance`]: what the rules allow beyond a quota, and for what.
 //! - [`account`]: one customer's quota as a gateway keeps it.
 //! - [`ceiling`]: a hard ceiling split over gateways, and the turns by which they share the rest.
 //! - [`flow`]: how fast units pass.
@@ -10,6 +11,7 @@
 //! - [`time`]: the unit of time.
 
 pub mod account;
+pub mod allowance;
 pub mod ceiling;
 pub mod demand;
 pub mod flow;
@@ -19,5 +21,6 @@
 pub mod time;
 pub mod usual;
 
+pub use allowance::Allowance;
 pub use store::{Quota, Store, Told};
 pub use time::Micros;
--- a/crates/starlinghill-mockup/src/world.rs
+++ b/crates/starlinghill-mockup/src/world.rs
@@ -411,7 +411,7 @@
     let name = store_name(CustomerId(xxh3_64(RATIONED.as_bytes())));
     loop {
         sleep(Duration::from_millis(fastrand::u64(1..=DRAWS_MS))).await;
-        let counted = counter.clone().draw(name, 0.0, 1.0, (ServiceId(0), Micros(1_000_000))).await;
+        let counted = counter.clone().draw(name, 1.0, (ServiceId(0), Micros(1_000_000))).await;
         if counted.outcome == Outcome::Ok && counted.total >= 0.0 {
             granted.borrow_mut().push(begun.elapsed());
         }
--- a/crates/starlinghill-rig/examples/scale/pieces.rs
+++ b/crates/starlinghill-rig/examples/scale/pieces.rs
@@ -1,7 +1,7 @@
 //! What single messages weigh, and what single acts cost.
 
 use starlinghill_dovetail::frame;
-use starlinghill_gauge::{Draw, Gauge, Listed, Word};
+use starlinghill_gauge::{Allowance, Draw, Gauge, Listed, Word};
 use starlinghill_grindstone::{Seen, Sight};
 use starlinghill_pegboard::{number, service_number, Board, Gateway, Peg, State, Told};
 use starlinghill_template::{Book, Change, Item};
@@ -11,6 +11,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+const ALLOWANCE: Allowance = Allowance { window_s: 5.0, excess: 0.1, extra: 20.0 };
 fn ip(i: usize) -> IpAddr {
     Ipv4Addr::from(0x0a00_0000 + i as u32).into()
 }
@@ -135,7 +136,7 @@
     println!("\n| a draw, with so many backends of its service, gateways | one draw |\n| --- | --- |");
     for (of_service, gateways) in [(4, 100), (43, 100), (43, 300), (43, 1_000), (43, 2_800), (512, 300)] {
         let (now, services) = (Duration::from_secs(10), 20);
-        let mut gauge = Gauge::begin(Duration::ZERO, 1, true, 0.1, []);
+        let mut gauge = Gauge::begin(Duration::ZERO, 1, true, ALLOWANCE, []);
         let lives: BTreeSet<u64> = (1..=gateways).collect();
         for life in &lives {
             gauge.recall(now, *life, &[]);
--- a/crates/starlinghill-rig/tests/system.rs
+++ b/crates/starlinghill-rig/tests/system.rs
@@ -1,6 +1,7 @@
 //! The whole system as real processes on loopback: what is acknowledged, what runs, what a tenant gets, while processes are
 //! killed, disks are lost and backends misbehave. Histories are checked after the fact.
 
+use starlinghill_gauge::{most_in, Allowance, Quota, Troubles};
 use starlinghill_rig::system::{
     call, change, eventually, first_items, patch, program, rule, Backend, Client, Does, System,
 };
@@ -353,7 +354,10 @@
     });
     let (most, rate) = (busiest.max().unwrap_or(0) as f64, RATE as f64);
     // One move, noticed within the lease and what a gateway waits; a request in hand at each gateway.
-    let bound = starlinghill_gauge::most_in(5.0, rate, rate, 0.1, (1, 0.7, 1.0)) + 3.0;
+    let quota = Quota { rate, burst: rate };
+    let allowance = Allowance { window_s: 5.0, excess: 0.1, extra: 20.0 };
+    let troubles = Troubles { moves: 1, late_s: 0.7, cut: 1.0 };
+    let bound = (most_in(quota, allowance, troubles) + 3.0).min(allowance.most(quota));
     assert!(most <= bound, "{most} of {bound}: {statuses:?}");
     assert!(granted.len() as f64 > rate * 4.0, "{} were granted: {statuses:?}", granted.len());
     assert_eq!(backends.iter().map(Backend::runs).sum::<u32>() as usize, granted.len());
--- a/crates/starlinghill-settings/src/lib.rs
+++ b/crates/starlinghill-settings/src/lib.rs
@@ -211,6 +211,7 @@
             retries: None,
             patient: false,
             levels: false,
+            allowance: Allowance::default(),
             cooldown: None,
             skew: Micros(0),
             tick: f.micros_or("tick", 0)?,
--- a/crates/starlinghill-simhost/src/lib.rs
+++ b/crates/starlinghill-simhost/src/lib.rs
@@ -146,7 +146,7 @@
                 writeln!(out, "ADD_AND_GET book={} amount={amount} lifetime={}", n.0, life.0)
             }
             // No counter of the simulator's keeps stores.
-            Action::Draw(..) => Ok(()),
+            Action::Draw(..) | Action::Charge(..) => Ok(()),
             Action::Tell(peer, message) => {
                 let hex: String = message.iter().map(|byte| format!("{byte:02x}")).collect();
                 writeln!(out, "ANNOUNCE peer={peer} blob={hex}")
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -9,6 +9,7 @@
 use starlinghill_grindstone::Sight;
 use starlinghill_holdfast::contact::{Chain, Contact, LastContact};
 use starlinghill_holdfast::{self as holdfast, Holdfast};
+use starlinghill_ledger::Allowance;
 use starlinghill_patternbook::wire::Value;
 use starlinghill_pegboard::{number, service_number, Board, Peg, State, Told};
 use starlinghill_template::book::digest;
@@ -67,10 +68,10 @@
     life: u64,
     /// The whole system starts for the first time.
     first: bool,
-    /// The part by which the rules let a quota be passed.
-    excess: f64,
-    /// The rules' window of a quota, and what they allow in it beside the excess.
-    allowed: (Duration, f64),
+    /// What the rules let tenants have beyond their quotas.
+    allowance: Allowance,
+    /// Violations of quotas that the log was told of.
+    violations: u64,
     start: Instant,
     /// The system's time at that moment. Only ever moves forward: the highest that anybody tells counts.
     base: u64,
@@ -111,8 +112,8 @@
     let mut tables = Tables {
         life: fastrand::u64(1..),
         first: node.first_start,
-        excess: node.bounds.quota_excess,
-        allowed: (node.bounds.quota_window, node.bounds.quota_extra),
+        allowance: node.bounds.allowance(),
+        violations: 0,
         start: Instant::now(),
         base: EPOCH,
         board: Board::new(node.beat),
@@ -455,6 +456,10 @@
             if gauge.state().1 != before {
                 log::info!("event=gateways_silent count={} of={}", gauge.state().1, lives.len());
             }
+            let violations = gauge.violations();
+            if std::mem::replace(&mut self.violations, violations) < violations {
+                log::error!("event=quota_exceeded term={} windows={violations}", gauge.term);
+            }
         }
         self.answer_waiting(false);
         self.rounds += 1;
@@ -481,9 +486,8 @@
             let asked = self.board.asked_within(now, RECALLED_WITHIN);
             let gateways: Vec<u64> = asked.iter().map(|(gateway, _)| gateway.life).collect();
             log::info!("event=count_held term={term} gateways={}", gateways.len());
-            let (window, extra) = self.allowed;
-            let gauge = Gauge::begin(now, term, self.first, self.excess, gateways);
-            self.gauge = Some(gauge.allowing(window, extra));
+            self.gauge = Some(Gauge::begin(now, term, self.first, self.allowance, gateways));
+            self.violations = 0;
             self.listed = 0;
         }
         if self.duty.holder() != self.told_holder {
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -5,7 +5,7 @@
 use starlinghill_dovetail::net::Net;
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
-use starlinghill_gauge::{Draw, Level, Readings, Room, Word, KEEP_IN_TOUCH};
+use starlinghill_gauge::{untold_share, Debts, Draw, DrawEnd, Level, Readings, Room, Word, KEEP_IN_TOUCH};
 use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
@@ -37,9 +37,22 @@
 /// stays the same.
 const TELL: Duration = Duration::from_micros(400);
 
+/// A draw, and who waits for it: nobody where it only tells a debt.
 struct Waiting {
     draw: Draw,
-    reply: oneshot::Sender<Counted>,
+    reply: Option<oneshot::Sender<Counted>>,
+}
+
+impl Waiting {
+    /// Whoever asked has decided without it.
+    fn is_abandoned(&self) -> bool {
+        self.reply.as_ref().is_some_and(oneshot::Sender::is_closed)
+    }
+
+    /// Answers whoever asked; returns whether they still waited.
+    fn answer(self, counted: Counted) -> bool {
+        self.reply.is_some_and(|reply| reply.send(counted).is_ok())
+    }
 }
 
 /// What became of this gateway's draws since its start.
@@ -73,6 +86,9 @@
 pub struct Counter {
     net: Net,
     readings: RefCell<Readings>,
+    debts: RefCell<Debts>,
+    /// The last word to any counter was said then, or this process began.
+    last_said: Cell<Instant>,
     /// The quotas by the names of their stores.
     pub quotas: RefCell<HashMap<u64, (f64, f64)>>,
     calls: mpsc::Sender<Waiting>,
@@ -102,6 +118,8 @@
         let counter = Rc::new(Counter {
             net,
             readings: RefCell::default(),
+            debts: RefCell::default(),
+            last_said: Cell::new(Instant::now()),
             quotas: RefCell::default(),
             calls,
             reached: Cell::new(false),
@@ -156,8 +174,10 @@
         };
         stream.tune();
         let mut reader = Reader::default();
+        self.debts.borrow_mut().unheard_for(self.last_said.get().elapsed());
         // First what was heard before: a counter that begins must know of it.
         let recall = self.recall(life, term);
+        self.last_said.set(Instant::now());
         if frame::write(&mut stream, &recall).await.is_err() {
             return "broken";
         }
@@ -194,16 +214,7 @@
                     match (out.pop_front(), answer) {
                         (Some(Sent::Draws(calls, _)), Answer::Levels(levels, time)) if levels.len() == calls.len() => {
                             self.hear_time(time);
-                            for (call, Level { level: total, share, rooms }) in calls.into_iter().zip(levels) {
-                                let unused = if total < 0.0 { call.draw.units } else { 0.0 };
-                                self.readings.borrow_mut().heard(call.draw.name, total + unused, time);
-                                // Whoever asked may have stopped waiting.
-                                let named = || rooms.into_iter().map(named).collect();
-                                let rooms = self.beside(call.draw.service).unwrap_or_else(named);
-                                let counted = Counted { outcome: Outcome::Ok, total, share: Some(share), rooms };
-                                let in_time = call.reply.send(counted).is_ok();
-                                self.count_answer(in_time, total >= 0.0);
-                            }
+                            calls.into_iter().zip(levels).for_each(|(call, level)| self.answered(call, level, time));
                         }
                         (Some(Sent::Draws(calls, told)), Answer::NotMine(known)) => {
                             // It took in none of them.
@@ -218,6 +229,7 @@
                                 recalled = Instant::now();
                                 let recall = self.recall(life, term);
                                 out.push_back(Sent::Recall);
+                                self.last_said.set(Instant::now());
                                 match timeout(SILENCE, frame::write(&mut to, &recall)).await {
                                     Ok(Ok(())) => {}
                                     _ => break "broken",
@@ -238,12 +250,10 @@
                     if out.is_empty() {
                         last_word = Instant::now();
                     }
-                    let draws = batch.iter().map(|call| call.draw).collect();
-                    self.count_draws(|counts| counts.asked += count as u64);
-                    let words = self.words();
-                    let told = words.iter().map(|word| word.backend).collect();
-                    out.push_back(Sent::Draws(std::mem::take(&mut batch), told));
-                    let question = Question::Count { term, from: life, draws, words };
+                    batch.retain(|call| !call.is_abandoned());
+                    self.count_draws(|counts| counts.asked += batch.len() as u64);
+                    let (sent, question) = self.message((life, term), std::mem::take(&mut batch));
+                    out.push_back(sent);
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
                         _ => break "broken",
@@ -257,9 +267,8 @@
                 }
                 () = tokio::time::sleep_until(silent), if !out.is_empty() => break "silent",
                 () = self.pause(), if out.is_empty() => {
-                    let words = self.words();
-                    out.push_back(Sent::Draws(Vec::new(), words.iter().map(|word| word.backend).collect()));
-                    let question = Question::Count { term, from: life, draws: Vec::new(), words };
+                    let (sent, question) = self.message((life, term), Vec::new());
+                    out.push_back(sent);
                     last_word = Instant::now();
                     match timeout(SILENCE, frame::write(&mut to, &question)).await {
                         Ok(Ok(())) => {}
@@ -293,6 +302,44 @@
         Question::Recall { term, from: life, readings }
     }
 
+    /// One message with these draws, and with what else is to be told.
+    fn message(&self, (life, term): (u64, u64), mut calls: Vec<Waiting>) -> (Sent, Question) {
+        let mut debts = self.debts.borrow_mut();
+        for call in &mut calls {
+            call.draw.owed += debts.take(call.draw.name);
+        }
+        let quotas = self.quotas.borrow();
+        for (name, owed) in debts.take_some(BATCH) {
+            // The tenant of a store without a quota was taken away.
+            let Some((rate, burst)) = quotas.get(&name).copied() else { continue };
+            let draw = Draw { name, owed, units: 0.0, rate, burst, service: 0, within_ms: 0 };
+            calls.push(Waiting { draw, reply: None });
+        }
+        let words = self.words();
+        let told = words.iter().map(|word| word.backend).collect();
+        let draws = calls.iter().map(|call| call.draw).collect();
+        self.last_said.set(Instant::now());
+        (Sent::Draws(calls, told), Question::Count { term, from: life, draws, words })
+    }
+
+    /// What became of a draw, as the counter tells it.
+    fn answered(&self, call: Waiting, level: Level, time: u64) {
+        let Level { level: total, share, rooms } = level;
+        let draw = call.draw;
+        let granted = total >= 0.0;
+        let unused = if granted { 0.0 } else { draw.units };
+        self.readings.borrow_mut().heard(draw.name, total + unused, share, time);
+        let named = || rooms.into_iter().map(named).collect();
+        let rooms = self.beside(draw.service).unwrap_or_else(named);
+        let asked = call.reply.is_some();
+        let waited = call.answer(Counted { outcome: Outcome::Ok, total, share: Some(share), rooms });
+        if asked {
+            self.count_answer(waited, granted);
+        }
+        let end = if granted { DrawEnd::Granted } else { DrawEnd::Refused };
+        self.debts.borrow_mut().settle(draw.name, (draw.owed, draw.units), end, waited);
+    }
+
     /// What has to be told of backends. How attempts ended is told once: what is lost of it is no harm. What is out is told
     /// again where the word may have been lost.
     fn words(&self) -> Vec<Word> {
@@ -323,7 +370,7 @@
     async fn pause(&self) {
         let told = async {
             sleep(TELL * self.gateways.get()).await;
-            while self.changed.borrow().is_empty() {
+            while self.changed.borrow().is_empty() && self.debts.borrow().is_empty() {
                 self.new_words.notified().await;
             }
         };
@@ -341,9 +388,12 @@
 
     /// A call ends without an answer.
     fn failed(&self, call: Waiting, outcome: Outcome) {
-        self.count_draws(|counts| counts.failed += 1);
-        // Whoever asked may have stopped waiting.
-        let _ = call.reply.send(outcome.into());
+        let Draw { name, owed, units, .. } = call.draw;
+        self.debts.borrow_mut().settle(name, (owed, units), DrawEnd::Unknown, false);
+        if call.reply.is_some() {
+            self.count_draws(|counts| counts.failed += 1);
+        }
+        call.answer(outcome.into());
     }
 
     /// What became of the draws since the start.
@@ -387,6 +437,14 @@
         Box::pin(async { Outcome::Moot.into() })
     }
 
+    fn charge(&self, name: CountName, units: f64) {
+        let rate = self.quotas.borrow().get(&name.0).map_or(0.0, |(rate, _)| *rate);
+        let untold = || untold_share(self.gateways.get() as usize);
+        let share = self.readings.borrow().share(name.0).unwrap_or_else(untold);
+        self.debts.borrow_mut().charge(name.0, units, rate * share);
+        self.new_words.notify_one();
+    }
+
     fn sent(&self, server: ServerId) {
         self.count_draws(|counts| counts.attempts += 1);
         self.note(server, |word| word.out = word.out.saturating_add(1));
@@ -407,13 +465,7 @@
         });
     }
 
-    fn draw(
-        self: Rc<Self>,
-        name: CountName,
-        owed: f64,
-        units: f64,
-        (service, within): (ServiceId, Micros),
-    ) -> Counting {
+    fn draw(self: Rc<Self>, name: CountName, units: f64, (service, within): (ServiceId, Micros)) -> Counting {
         if !self.reached.get() {
             return Box::pin(async { Outcome::ConnectFailed.into() });
         }
@@ -421,9 +473,9 @@
             return Box::pin(async { Outcome::Moot.into() });
         };
         let within_ms = (within.0 / 1_000).min(u64::from(u16::MAX)) as u16;
-        let draw = Draw { name: name.0, owed, units, rate, burst, service: service.0, within_ms };
+        let draw = Draw { name: name.0, owed: 0.0, units, rate, burst, service: service.0, within_ms };
         let (reply, answer) = oneshot::channel();
-        if let Err(refused) = self.calls.try_send(Waiting { draw, reply }) {
+        if let Err(refused) = self.calls.try_send(Waiting { draw, reply: Some(reply) }) {
             self.failed(refused.into_inner(), Outcome::ConnectFailed);
         }
         Box::pin(async move {
--- a/crates/starlinghill-workbench/src/rules.rs
+++ b/crates/starlinghill-workbench/src/rules.rs
@@ -183,6 +183,7 @@
         tick: Micros(1_000),
         retries: Some(retries(bounds, 16)),
         levels: true,
+        allowance: bounds.allowance(),
         cooldown: Some(COOLDOWN),
         // A backend that is at work and is broken off has worked for nothing, and costs.
         patient: true,
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -81,7 +81,7 @@
         let (until, mut ends) = (Instant::now() + long, Vec::new());
         while Instant::now() < until {
             if counter.is_reached() {
-                let draw = counter.clone().draw(NAME, 0.0, 1.0, (SERVICE, Micros(0)));
+                let draw = counter.clone().draw(NAME, 1.0, (SERVICE, Micros(0)));
                 ends.push(draw.await);
             }
             sleep(Duration::from_millis(20)).await;
--- a/crates/starlinghill-workbench/tests/fleet/mod.rs
+++ b/crates/starlinghill-workbench/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
 use starlinghill_dovetail::settings::Bounds;
-use starlinghill_gauge::{Draw, Gauge, Level, Readings};
+use starlinghill_gauge::{Debts, Draw, DrawEnd, Gauge, Level, Readings};
 use starlinghill_workbench::count::PATIENCE;
 use starlinghill_workbench::rules;
 use std::cmp::Reverse;
@@ -22,7 +22,11 @@
 /// A connection on which no answer comes for so long is given up, as the proxy's line to the counter does.
 const SILENCE: u64 = 450_000;
 const KEEP_IN_TOUCH: u64 = 200_000;
+/// A gateway that is gone is known to be after so long.
+const DEAD_AFTER: u64 = 2_200_000;
 const ON_THE_WAY: u64 = 1_000;
+/// Debts are told so long after they were made, or with the next draw.
+const TELL: u64 = 20_000;
 
 /// What the rules allow in one window.
 pub fn allowed() -> f64 {
@@ -37,12 +41,18 @@
     GivenUp(usize, u64),
     Timer(usize, u64),
     KeepInTouch(usize),
+    TellDebts(usize),
     Tick,
+    /// A gateway that was killed is started again.
+    Starts(usize),
+    /// Another counter begins.
+    CounterBegins,
 }
 
 /// One message to the counter that is out, with the answer that will come; none where it is lost.
 struct Sent {
     call: Option<u64>,
+    draw: Option<Draw>,
     answer: Option<Level>,
 }
 
@@ -50,14 +60,22 @@
     incarnation: u64,
     module: Gateway,
     readings: Readings,
+    debts: Debts,
+    last_said: u64,
+    share: f64,
     /// The connection to the counter, where there is one.
     connection: Option<u64>,
+    /// Something was lost on it: no answer comes any more.
+    broken: bool,
     sent: VecDeque<Sent>,
     heard: u64,
     /// Draws that the module waits for, the oldest first.
     calls: Vec<u64>,
     stands_still_until: u64,
     cut_until: u64,
+    /// Its messages still arrive while it is cut off, and no answer comes back.
+    cut_one_way: bool,
+    runs: bool,
 }
 
 /// What a fleet is to be played with.
@@ -73,7 +91,12 @@
     now: u64,
     serial: u64,
     one_late_in: u64,
-    gauge: Gauge,
+    gauge: Option<Gauge>,
+    term: u64,
+    /// Of counters that are gone.
+    violations: u64,
+    /// Incarnations that are gone, and since when.
+    gone: Vec<(u64, u64)>,
     proxies: Vec<Proxy>,
     queue: BinaryHeap<Reverse<(u64, u64, What)>>,
     /// When each request went on to a backend.
@@ -126,20 +149,31 @@
     module
 }
 
-impl Fleet {
-    pub fn new(play: Play) -> Fleet {
-        let Play { seed, gateways, one_late_in } = play;
-        let proxy = |i: usize| Proxy {
-            incarnation: i as u64 + 1,
-            module: module(seed ^ i as u64, i as u32, gateways as u32),
+impl Proxy {
+    fn new(seed: u64, now: u64, at: usize, gateways: usize) -> Proxy {
+        Proxy {
+            incarnation: at as u64 + 1,
+            module: module(seed ^ at as u64, at as u32, gateways as u32),
             readings: Readings::default(),
+            debts: Debts::default(),
+            last_said: now,
+            share: 1.0 / gateways as f64,
             connection: None,
+            broken: false,
             sent: VecDeque::new(),
-            heard: BEGINNING,
+            heard: now,
             calls: Vec::new(),
             stands_still_until: 0,
             cut_until: 0,
-        };
+            cut_one_way: false,
+            runs: true,
+        }
+    }
+}
+
+impl Fleet {
+    pub fn new(play: Play) -> Fleet {
+        let Play { seed, gateways, one_late_in } = play;
         let lives = 1..=gateways as u64;
         let began = Duration::from_micros(BEGINNING);
         let mut fleet = Fleet {
@@ -147,8 +181,11 @@
             now: BEGINNING,
             serial: 0,
             one_late_in,
-            gauge: Gauge::begin(began, 1, true, EXCESS, lives).allowing(WINDOW, EXTRA),
-            proxies: (0..gateways).map(proxy).collect(),
+            gauge: Some(Gauge::begin(began, 1, true, bounds().allowance(), lives)),
+            term: 1,
+            violations: 0,
+            gone: Vec::new(),
+            proxies: (0..gateways).map(|i| Proxy::new(seed, BEGINNING, i, gateways)).collect(),
             queue: BinaryHeap::new(),
             granted: Vec::new(),
             refused: 0,
@@ -161,8 +198,51 @@
 
     /// The first so many gateways reach the counter no more for so long.
     pub fn cut(&mut self, gateways: usize, span: Duration) {
+        (0..gateways).for_each(|at| self.cut_one(at, span, false));
+    }
+
+    /// A gateway does not hear the counter for so long, and is not heard either, but where it is cut off one way.
+    pub fn cut_one(&mut self, at: usize, span: Duration, one_way: bool) {
         let until = self.now + span.as_micros() as u64;
-        self.proxies[..gateways].iter_mut().for_each(|proxy| proxy.cut_until = until);
+        let proxy = &mut self.proxies[at];
+        (proxy.cut_until, proxy.cut_one_way) = (until, one_way);
+    }
+
+    /// A gateway's process is killed, and another one starts there after so long.
+    pub fn restart(&mut self, at: usize, after: Duration) {
+        if self.proxies[at].runs {
+            self.gone.push((self.proxies[at].incarnation, self.now));
+            self.proxies[at].runs = false;
+            self.proxies[at].connection = None;
+            self.after(after.as_micros() as u64, What::Starts(at));
+        }
+    }
+
+    /// Whoever keeps the count is lost, and another one begins after so long.
+    pub fn move_counter(&mut self, after: Duration) {
+        if let Some(gauge) = self.gauge.take() {
+            self.violations += gauge.violations();
+            self.after(after.as_micros() as u64, What::CounterBegins);
+        }
+    }
+
+    pub fn gateways(&self) -> usize {
+        self.proxies.len()
+    }
+
+    fn starts(&mut self, at: usize) {
+        self.serial += 1;
+        let cut_until = self.proxies[at].cut_until;
+        let new = Proxy::new(self.serial, self.now, at, self.proxies.len());
+        self.proxies[at] = Proxy { incarnation: self.serial + 1_000, cut_until, ..new };
+    }
+
+    fn counter_begins(&mut self) {
+        self.term += 1;
+        let lives = self.proxies.iter().map(|proxy| proxy.incarnation).collect::<Vec<_>>();
+        self.gauge = Some(Gauge::begin(self.instant(), self.term, false, bounds().allowance(), lives));
+        // The connections to the one before are of no use.
+        (0..self.proxies.len()).for_each(|at| self.lose(at));
     }
 
     /// So many requests a second come, at any gateway.
@@ -212,35 +292,57 @@
             What::Timer(at, timer) => self.tell(at, Event::Timer(TimerId(timer))),
             What::KeepInTouch(at) => {
                 if self.proxies[at].connection.is_some() {
-                    self.send(at, None, Vec::new());
+                    self.send(at, None, None);
                     self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
                 }
             }
+            What::TellDebts(at) => {
+                if self.proxies[at].connection.is_some() && !self.proxies[at].debts.is_empty() {
+                    self.send(at, None, None);
+                }
+            }
             What::Tick => self.tick(),
+            What::Starts(at) => self.starts(at),
+            What::CounterBegins => self.counter_begins(),
         }
     }
 
     fn tick(&mut self) {
-        let lives: BTreeSet<u64> = self.proxies.iter().map(|proxy| proxy.incarnation).collect();
-        self.gauge.tick(self.instant(), &lives);
+        let now = self.now;
+        self.gone.retain(|(_, since)| since + DEAD_AFTER > now);
+        let gone = self.gone.iter().map(|(incarnation, _)| *incarnation);
+        let runs = self.proxies.iter().filter(|proxy| proxy.runs).map(|proxy| proxy.incarnation);
+        let lives: BTreeSet<u64> = runs.chain(gone).collect();
+        let instant = self.instant();
+        self.gauge.iter_mut().for_each(|gauge| gauge.tick(instant, &lives));
         for at in 0..self.proxies.len() {
             let proxy = &self.proxies[at];
             match proxy.connection {
                 Some(_) if !proxy.sent.is_empty() && proxy.heard + SILENCE < self.now => self.lose(at),
-                None if proxy.cut_until < self.now => self.connect(at),
+                None if proxy.cut_until < self.now && proxy.runs && self.gauge.is_some() => self.connect(at),
                 _ => {}
             }
         }
         self.after(50_000, What::Tick);
     }
 
+    fn recall(&mut self, at: usize) {
+        let now = self.instant();
+        let proxy = &mut self.proxies[at];
+        let readings = proxy.readings.all(self.now);
+        if let Some(gauge) = &mut self.gauge {
+            gauge.recall(now, proxy.incarnation, &readings);
+        }
+    }
+
     fn connect(&mut self, at: usize) {
         self.serial += 1;
-        let (now, connection) = (self.instant(), self.serial);
+        let connection = self.serial;
+        self.recall(at);
         let proxy = &mut self.proxies[at];
-        let readings = proxy.readings.all(self.now);
-        self.gauge.recall(now, proxy.incarnation, &readings);
-        (proxy.connection, proxy.heard) = (Some(connection), self.now);
+        proxy.debts.unheard_for(Duration::from_micros(self.now - proxy.last_said));
+        proxy.last_said = self.now;
+        (proxy.connection, proxy.broken, proxy.heard) = (Some(connection), false, self.now);
         self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
     }
 
@@ -248,6 +350,9 @@
     fn lose(&mut self, at: usize) {
         self.proxies[at].connection = None;
         for sent in std::mem::take(&mut self.proxies[at].sent) {
+            if let Some(draw) = sent.draw {
+                self.proxies[at].debts.settle(draw.name, (draw.owed, draw.units), DrawEnd::Unknown, false);
+            }
             if let Some(call) = sent.call.filter(|call| self.proxies[at].calls.contains(call)) {
                 self.counted(at, call, Outcome::Reset, 0.0, None);
             }
@@ -255,6 +360,9 @@
     }
 
     fn request(&mut self, at: usize) {
+        if !self.proxies[at].runs {
+            return;
+        }
         self.serial += 1;
         let arrival = Arrival {
             id: RequestId(self.serial),
@@ -286,35 +394,51 @@
             }
             Action::Refuse(..) | Action::Fail(_) => self.refused += 1,
             Action::SetTimer(timer, after) => self.after(after.0, What::Timer(at, timer.0)),
-            Action::Draw(name, owed, units, _) => self.draw(at, name, owed, units),
+            Action::Draw(name, units, _) => self.draw(at, name, units),
+            Action::Charge(name, units) => {
+                let proxy = &mut self.proxies[at];
+                proxy.debts.charge(name.0, units, RATE * proxy.share);
+                self.after(TELL, What::TellDebts(at));
+            }
             _ => {}
         }
     }
 
-    fn draw(&mut self, at: usize, name: CountName, owed: f64, units: f64) {
+    fn draw(&mut self, at: usize, name: CountName, units: f64) {
         self.serial += 1;
         let call = self.serial;
         self.proxies[at].calls.push(call);
         if self.proxies[at].connection.is_none() {
             return self.counted(at, call, Outcome::ConnectFailed, 0.0, None);
         }
-        let draw = Draw { name: name.0, owed, units, rate: RATE, burst: BURST, service: 0, within_ms: 0 };
-        self.send(at, Some(call), vec![draw]);
+        let draw =
+            Draw { name: name.0, owed: 0.0, units, rate: RATE, burst: BURST, service: 0, within_ms: 0 };
+        self.send(at, Some(call), Some(draw));
         self.after(PATIENCE.as_micros() as u64, What::GivenUp(at, call));
     }
 
     /// A message goes to the counter, and its answer comes behind all earlier ones.
-    fn send(&mut self, at: usize, call: Option<u64>, draws: Vec<Draw>) {
+    fn send(&mut self, at: usize, call: Option<u64>, draw: Option<Draw>) {
         let (now, late) = (self.instant(), self.rng.u64(0..self.one_late_in) == 0);
         let proxy = &mut self.proxies[at];
-        let reached = proxy.cut_until <= self.now;
-        let levels = reached.then(|| self.gauge.draw(now, proxy.incarnation, &draws)).flatten();
+        proxy.last_said = self.now;
+        let hears = proxy.cut_until <= self.now;
+        let reached = (hears || proxy.cut_one_way) && !(proxy.broken && hears);
+        let name = starlinghill_decision::store_name(CUSTOMER).0;
+        let nothing =
+            Draw { name, owed: 0.0, units: 0.0, rate: RATE, burst: BURST, service: 0, within_ms: 0 };
+        let owed = proxy.debts.take(name);
+        let draw = draw.or((owed != 0.0).then_some(nothing)).map(|draw| Draw { owed, ..draw });
+        let draws = Vec::from_iter(draw);
+        let gauge = self.gauge.as_mut().filter(|_| reached);
+        let levels = gauge.and_then(|gauge| gauge.draw(now, proxy.incarnation, &draws));
         if late {
             proxy.stands_still_until = self.now + self.rng.u64(40_000..260_000);
         }
         let answer = levels.as_ref().and_then(|levels| levels.first().cloned());
-        proxy.sent.push_back(Sent { call, answer });
-        if let (Some(_), Some(connection)) = (levels, proxy.connection) {
+        proxy.sent.push_back(Sent { call, draw, answer });
+        proxy.broken |= !hears || self.gauge.is_none();
+        if let (Some(connection), false) = (proxy.connection, proxy.broken) {
             let comes = (self.now + ON_THE_WAY).max(proxy.stands_still_until);
             self.after(comes - self.now, What::Answered(at, connection));
         }
@@ -322,16 +446,32 @@
 
     fn answered(&mut self, at: usize) {
         self.proxies[at].heard = self.now;
-        let Some(Sent { call, answer }) = self.proxies[at].sent.pop_front() else { return };
-        let (Some(call), Some(level)) = (call, answer) else { return };
-        let unused = if level.level < 0.0 { 1.0 } else { 0.0 };
-        let name = starlinghill_decision::store_name(CUSTOMER);
-        self.proxies[at].readings.heard(name.0, level.level + unused, self.now);
-        if self.proxies[at].calls.contains(&call) {
+        let Some(Sent { call, draw, answer }) = self.proxies[at].sent.pop_front() else { return };
+        let Some(draw) = draw else { return };
+        let waits = call.filter(|call| self.proxies[at].calls.contains(call));
+        let Some(level) = answer else {
+            // The counter took nothing in. It is told again what was heard, as it may have forgotten this gateway.
+            self.recall(at);
+            self.proxies[at].debts.settle(draw.name, (draw.owed, draw.units), DrawEnd::Unknown, false);
+            return waits.into_iter().for_each(|call| self.counted(at, call, Outcome::Full, 0.0, None));
+        };
+        let granted = level.level >= 0.0;
+        let unused = if granted { 0.0 } else { draw.units };
+        let proxy = &mut self.proxies[at];
+        proxy.readings.heard(draw.name, level.level + unused, level.share, self.now);
+        proxy.share = level.share;
+        let end = if granted { DrawEnd::Granted } else { DrawEnd::Refused };
+        proxy.debts.settle(draw.name, (draw.owed, draw.units), end, waits.is_some());
+        if let Some(call) = waits {
             self.counted(at, call, Outcome::Ok, level.level, Some(level.share));
         }
     }
 
+    /// How often the counter saw more in a window than the rules allow.
+    pub fn violations(&self) -> u64 {
+        self.violations + self.gauge.as_ref().map_or(0, Gauge::violations)
+    }
+
     fn counted(&mut self, at: usize, call: u64, outcome: Outcome, total: f64, share: Option<f64>) {
         let name = starlinghill_decision::store_name(CUSTOMER);
         let calls = &mut self.proxies[at].calls;
@@ -342,7 +482,12 @@
     }
 }
 
-/// How the busiest windows of so many seeds stand to what the rules allow.
+/// The busiest windows of so many seeds. In none did the counter itself see too much.
 pub fn busiest_of(seeds: std::ops::Range<u64>, play: impl Fn(u64) -> Fleet) -> BTreeMap<u64, usize> {
-    seeds.map(|seed| (seed, play(seed).busiest())).collect()
+    let played = seeds.map(|seed| {
+        let fleet = play(seed);
+        assert_eq!(fleet.violations(), 0, "seed {seed}");
+        (seed, fleet.busiest())
+    });
+    played.collect()
 }
