A late draw lets one request through while half a burst is known to be left

Cause: of tenants that use little of their quotas one request in ten was refused where a gateway stood still for 90 ms: their parts of the slack are far less than one request. Change: while half a burst is left, as last heard, the local bucket holds one request.

--- a/crates/starlinghill-decision/src/sharing.rs
+++ b/crates/starlinghill-decision/src/sharing.rs
@@ -13,6 +13,8 @@
 /// left to them.
 const USE_UNKNOWN: f64 = 0.3;
 const NEED_SPARE: f64 = 2.0;
+/// While so much of a burst is left each gateway may let one request through that is answered late.
+const PLENTY: f64 = 0.5;
 /// What a new life waits before it goes by totals under a ceiling: the one before may have promised as much.
 const NEW_LIFE: Micros = Micros(1_200_000);
 
@@ -27,16 +29,16 @@
         let c = self.customers.get_mut(&customer)?;
         let p = &cx.set.plans[c.plan];
         let left = left.unwrap_or(if cx.set.levels { 0.0 } else { p.burst }).max(0.0);
-        let unknown = if silent { 1.0 } else { USE_UNKNOWN };
         // Of one that comes through many gateways no store is followed, but its demand was heard of.
         let flows = c.account.store.flows().or_else(|| c.scattered.flows(c.asked.now(now)));
-        let base = by_flows(flows, p.rate, c.spread, unknown, NEED_SPARE);
+        let base = by_flows(flows, p.rate, c.spread, if silent { 1.0 } else { USE_UNKNOWN }, NEED_SPARE);
         let base = if cx.set.levels { c.own_share(cx, heard) } else { base };
         let share = (base + c.shares.moved(c.spread as u32)).clamp(0.0, 1.0);
         // Guards against shares of less than one request, which would refuse everything: at least that much,
-        // as far as it is left; where the counter keeps the stores, by chance, so that all come to the sum.
+        // as far as it is left; where the counter keeps the stores, while half a burst is, else by chance.
+        let begins = left.min(cx.set.allowance.unheard(quota_of(cx, c.plan))) * share + cx.chance(customer);
         let level = match cx.set.levels {
-            true => left.min(cx.set.allowance.unheard(quota_of(cx, c.plan))) * share + cx.chance(customer),
+            true => begins.max(if left < p.burst * PLENTY { 0.0 } else { most_units }),
             false => (left * share).max(most_units.min(left)),
         };
         let (rate, depth) = (p.rate * share, (p.burst * share).max(most_units));
