--- a/crates/starlinghill-decision/tests/system.rs
+++ b/crates/starlinghill-decision/tests/system.rs
@@ -128,6 +128,28 @@
     }
 }
 
+/// Ten gateways share a burst of twenty, of which no more than two begin unheard.
+#[test]
+fn while_half_a_burst_is_left_a_late_draw_lets_one_request_through_and_below_that_few_do() {
+    let let_through = |left: f64| {
+        let goes_on = |at: u64| {
+            let allowance = Allowance { window_s: 5.0, excess: 0.0, extra: 6.0 };
+            let mut rig = Rig::new(Settings { allowance, ..system(10) }, 4);
+            rig.pass(at * 7 * MS);
+            ask(&mut rig, RATED, 0, 0);
+            answer(&mut rig, Outcome::Ok, left, 0.1);
+            ask(&mut rig, RATED, 0, 0);
+            sent(&answer(&mut rig, Outcome::Timeout, 0.0, 0.1)).is_some()
+        };
+        (0..100).filter(|at| goes_on(*at)).count()
+    };
+    assert_eq!(let_through(12.0), 100);
+    let few = let_through(8.0);
+    // A tenth of two units, of one hundred gateways.
+    assert!((5..45).contains(&few), "{few}");
+    assert_eq!(let_through(0.0), 0);
+}
+
 #[test]
 fn units_that_were_drawn_go_back_if_the_request_goes_nowhere() {
     let mut rig = Rig::new(system(10), 0);
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -111,7 +111,8 @@
     heard: BTreeMap<u64, Duration>,
     /// How many gateways carry traffic, and those of them that may be deciding by themselves, each since that moment.
     gateways: Gateways,
-    known: BTreeSet<u64>,
+    /// Each since this counter knows it.
+    known: BTreeMap<u64, Duration>,
     silent: BTreeMap<u64, Silence>,
     allowance: Allowance,
     /// Violations of stores that are forgotten.
@@ -142,7 +143,7 @@
             told: BTreeSet::new(),
             heard: BTreeMap::new(),
             gateways: Gateways { all: 1, strangers: 0 },
-            known: BTreeSet::new(),
+            known: BTreeMap::new(),
             silent: BTreeMap::new(),
             allowance,
             violations: 0,
@@ -221,29 +222,33 @@
         self.look(now);
         self.heard.retain(|gateway, _| gateways.contains(gateway));
         self.recalled.retain(|gateway| gateways.contains(gateway));
-        let heard = |gateway: &u64| self.heard.get(gateway).copied().unwrap_or(self.began);
+        if !gateways.iter().eq(self.known.keys()) {
+            self.known.retain(|gateway, _| gateways.contains(gateway));
+            for gateway in gateways {
+                self.known.entry(*gateway).or_insert(now);
+            }
+            self.stores.values_mut().for_each(|store| store.keep_clients(gateways));
+        }
+        let heard = |gateway: &u64| self.heard.get(gateway).copied();
         self.told.retain(|gateway| gateways.contains(gateway));
         let is_stranger = |gateway: &&u64| !self.told.contains(gateway);
         let strangers = gateways.iter().filter(is_stranger).count();
         self.gateways = Gateways { all: gateways.len().max(1), strangers };
         let all = self.gateways.all;
         let silence = |gateway: &u64| Silence {
-            since: heard(gateway),
+            since: heard(gateway).or(self.known.get(gateway).copied()).unwrap_or(now),
             untold_share: if is_stranger(&gateway) { even_share(all) } else { untold_share(all) },
         };
-        let silences = gateways.iter().map(|gateway| (*gateway, silence(gateway)));
+        // One that never spoke may decide by itself from its first moment on.
+        let is_silent = |gateway: &&u64| heard(gateway).is_none_or(|at| now.saturating_sub(at) > SILENT);
         let silent: BTreeMap<u64, Silence> =
-            silences.filter(|(_, silence)| now.saturating_sub(silence.since) > SILENT).collect();
+            gateways.iter().filter(is_silent).map(|gateway| (*gateway, silence(gateway))).collect();
         let speaks = |gateway: &u64| !silent.contains_key(gateway);
         self.loads.tick(now, &gateways.iter().copied().filter(speaks).collect());
         if silent != self.silent {
             self.stores.values_mut().for_each(|store| store.reserve(now, &silent));
             self.silent = silent;
         }
-        if *gateways != self.known {
-            self.stores.values_mut().for_each(|store| store.keep_clients(gateways));
-            self.known = gateways.clone();
-        }
         let violations = &mut self.violations;
         self.stores.retain(|_, store| {
             let stays = now.saturating_sub(store.drawn) < IDLE;
--- a/crates/starlinghill-gauge/tests/quota.rs
+++ b/crates/starlinghill-gauge/tests/quota.rs
@@ -300,6 +300,48 @@
     }
 }
 
+/// What a store that was empty holds after so long, beside a gateway that spoke until then, or comes then and never speaks.
+fn left_beside_a_silent_one(comes_late: bool, silent_ms: u64) -> f64 {
+    let mut gauge = Gauge::begin(ms(0), 1, true, ALLOWANCE, [1]);
+    gauge.recall(ms(0), 1, &[]);
+    gauge.draw(ms(0), 1, &[draw(0.0, BURST)]);
+    if !comes_late {
+        gauge.recall(ms(0), 2, &[]);
+        gauge.tick(ms(0), &BTreeSet::from([1, 2]));
+    }
+    gauge.draw(ms(20_000), 1, &[]);
+    gauge.tick(ms(20_000), &BTreeSet::from([1]));
+    // Empty again: what it had is used.
+    gauge.draw(ms(20_000), 1, &[draw(BURST, 0.0)]);
+    if !comes_late {
+        gauge.recall(ms(20_000), 2, &[]);
+    }
+    let both = BTreeSet::from([1, 2]);
+    gauge.tick(ms(20_000), &both);
+    gauge.draw(ms(20_000), 1, &[draw(0.0, 0.0)]);
+    gauge.draw(ms(20_000 + silent_ms), 1, &[]);
+    gauge.tick(ms(20_000 + silent_ms), &both);
+    gauge.draw(ms(20_000 + silent_ms), 1, &[draw(0.0, 0.0)]).map_or(0.0, |levels| levels[0].level)
+}
+
+/// A gateway that has just been started, or was taken for dead, used nothing while nobody knew of it: charging its share for
+/// all the time since the counter began emptied every store (formeli-gw, a surge beside two restarts).
+#[test]
+fn a_gateway_that_comes_late_is_charged_for_nothing_before() {
+    let spoke = left_beside_a_silent_one(false, 500);
+    assert!((spoke - RATE * 0.5).abs() < 1.0, "{spoke}");
+    // From its first moment on it may decide by itself.
+    let comes = left_beside_a_silent_one(true, 500);
+    assert!((comes - RATE * 0.5 * (0.5 + 0.1 / 3.0)).abs() < 1.0, "{comes}");
+}
+
+#[test]
+fn what_a_silent_gateway_may_have_used_before_that_was_noticed_is_kept_free() {
+    // Of the half that it goes by as a stranger, a thirtieth is granted on top.
+    let left = left_beside_a_silent_one(false, 700);
+    assert!((left - RATE * 0.7 * (0.5 + 0.1 / 3.0)).abs() < 1.0, "{left}");
+}
+
 #[test]
 fn a_counter_answers_nobody_before_it_has_asked_all_or_waited() {
     let mut gauge = Gauge::begin(ms(0), 2, false, ALLOWANCE, [1, 2]);
--- a/crates/starlinghill-rig/src/system.rs
+++ b/crates/starlinghill-rig/src/system.rs
@@ -358,6 +358,8 @@
     pub id: String,
     /// How often each try was run here.
     pub ran: Arc<Mutex<HashMap<String, u32>>>,
+    /// When it began each run.
+    pub arrivals: Arc<Mutex<Vec<Instant>>>,
     does: Arc<AtomicU8>,
     takes_ms: Arc<AtomicU64>,
     tasks: Vec<JoinHandle<()>>,
@@ -387,6 +389,7 @@
         let mut backend = Backend {
             id: id.into(),
             ran,
+            arrivals: Arc::default(),
             does,
             takes_ms,
             tasks: Vec::new(),
@@ -446,7 +449,7 @@
 
     fn serve(&self, listener: TcpListener) -> JoinHandle<()> {
         let (ran, does, takes) = (self.ran.clone(), self.does.clone(), self.takes_ms.clone());
-        let id = self.id.clone();
+        let (id, arrivals) = (self.id.clone(), self.arrivals.clone());
         tokio::spawn(async move {
             let mut served = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
@@ -457,11 +460,12 @@
                     continue;
                 }
                 let (ran, does, takes, id) = (ran.clone(), does.clone(), takes.clone(), id.clone());
+                let arrivals = arrivals.clone();
                 let service = service_fn(move |request: Request<hyper::body::Incoming>| {
                     let what = ALL[usize::from(does.load(Ordering::Relaxed))];
-                    let (ran, id) = (ran.clone(), id.clone());
+                    let (ran, arrivals, id) = (ran.clone(), arrivals.clone(), id.clone());
                     let takes = Duration::from_millis(takes.load(Ordering::Relaxed));
-                    async move { run(request, what, &ran, &id, takes).await }
+                    async move { run(request, what, (&ran, &arrivals), &id, takes).await }
                 });
                 served.spawn(async move {
                     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -474,7 +478,7 @@
 async fn run(
     request: Request<hyper::body::Incoming>,
     what: Does,
-    ran: &Mutex<HashMap<String, u32>>,
+    (ran, arrivals): (&Mutex<HashMap<String, u32>>, &Mutex<Vec<Instant>>),
     id: &str,
     takes: Duration,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
@@ -495,6 +499,7 @@
         return Ok(response);
     }
     *ran.lock().expect("whole").entry(attempt.clone()).or_default() += 1;
+    arrivals.lock().expect("whole").push(Instant::now());
     if !takes.is_zero() {
         tokio::time::sleep(takes).await;
     }
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -82,13 +82,40 @@
     Recall,
 }
 
+/// When a gateway and a counter last spoke.
+#[derive(Debug, Clone, Copy)]
+struct LastWords {
+    /// This gateway said something to any counter, or began.
+    said: Instant,
+    /// It heard what stores hold, or began, and from the counter of that term.
+    heard: Instant,
+    term: u64,
+}
+
+impl LastWords {
+    fn none_yet() -> LastWords {
+        let now = Instant::now();
+        LastWords { said: now, heard: now, term: 0 }
+    }
+
+    /// From when on the counter of that term has kept this gateway's share free. The same one that was heard last does so
+    /// from the last word that it may have heard; another one begins with what was heard of the one before.
+    fn kept_free_since(&self, term: u64) -> Instant {
+        if self.term == term {
+            self.said
+        } else {
+            self.heard
+        }
+    }
+}
+
 /// The count, as a gateway reaches it.
 pub struct Counter {
     net: Net,
     readings: RefCell<Readings>,
     debts: RefCell<Debts>,
-    /// The last word to any counter was said then, or this process began.
-    last_said: Cell<Instant>,
+    /// The last words between this gateway and a counter.
+    last_words: Cell<LastWords>,
     /// The quotas by the names of their stores.
     pub quotas: RefCell<HashMap<u64, (f64, f64)>>,
     calls: mpsc::Sender<Waiting>,
@@ -119,7 +146,7 @@
             net,
             readings: RefCell::default(),
             debts: RefCell::default(),
-            last_said: Cell::new(Instant::now()),
+            last_words: Cell::new(LastWords::none_yet()),
             quotas: RefCell::default(),
             calls,
             reached: Cell::new(false),
@@ -174,10 +201,10 @@
         };
         stream.tune();
         let mut reader = Reader::default();
-        self.debts.borrow_mut().unheard_for(self.last_said.get().elapsed());
+        self.debts.borrow_mut().unheard_for(self.last_words.get().kept_free_since(term).elapsed());
         // First what was heard before: a counter that begins must know of it.
         let recall = self.recall(life, term);
-        self.last_said.set(Instant::now());
+        self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
         if frame::write(&mut stream, &recall).await.is_err() {
             return "broken";
         }
@@ -214,6 +241,7 @@
                     match (out.pop_front(), answer) {
                         (Some(Sent::Draws(calls, _)), Answer::Levels(levels, time)) if levels.len() == calls.len() => {
                             self.hear_time(time);
+                            self.last_words.set(LastWords { heard: Instant::now(), term, ..self.last_words.get() });
                             calls.into_iter().zip(levels).for_each(|(call, level)| self.answered(call, level, time));
                         }
                         (Some(Sent::Draws(calls, told)), Answer::NotMine(known)) => {
@@ -229,7 +257,7 @@
                                 recalled = Instant::now();
                                 let recall = self.recall(life, term);
                                 out.push_back(Sent::Recall);
-                                self.last_said.set(Instant::now());
+                                self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
                                 match timeout(SILENCE, frame::write(&mut to, &recall)).await {
                                     Ok(Ok(())) => {}
                                     _ => break "broken",
@@ -318,7 +346,7 @@
         let words = self.words();
         let told = words.iter().map(|word| word.backend).collect();
         let draws = calls.iter().map(|call| call.draw).collect();
-        self.last_said.set(Instant::now());
+        self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
         (Sent::Draws(calls, told), Question::Count { term, from: life, draws, words })
     }
 
--- a/crates/starlinghill-workbench/tests/fleet/mod.rs
+++ b/crates/starlinghill-workbench/tests/fleet/mod.rs
@@ -62,6 +62,8 @@
     readings: Readings,
     debts: Debts,
     last_said: u64,
+    /// The counter of that term was heard last.
+    term: u64,
     share: f64,
     /// The connection to the counter, where there is one.
     connection: Option<u64>,
@@ -157,6 +159,7 @@
             readings: Readings::default(),
             debts: Debts::default(),
             last_said: now,
+            term: 0,
             share: 1.0 / gateways as f64,
             connection: None,
             broken: false,
@@ -340,7 +343,8 @@
         let connection = self.serial;
         self.recall(at);
         let proxy = &mut self.proxies[at];
-        proxy.debts.unheard_for(Duration::from_micros(self.now - proxy.last_said));
+        let kept_free_since = if proxy.term == self.term { proxy.last_said } else { proxy.heard };
+        proxy.debts.unheard_for(Duration::from_micros(self.now - kept_free_since));
         proxy.last_said = self.now;
         (proxy.connection, proxy.broken, proxy.heard) = (Some(connection), false, self.now);
         self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
@@ -455,6 +459,7 @@
             self.proxies[at].debts.settle(draw.name, (draw.owed, draw.units), DrawEnd::Unknown, false);
             return waits.into_iter().for_each(|call| self.counted(at, call, Outcome::Full, 0.0, None));
         };
+        self.proxies[at].term = self.term;
         let granted = level.level >= 0.0;
         let unused = if granted { 0.0 } else { draw.units };
         let proxy = &mut self.proxies[at];
