Time pays debts once; a store's shares cost the same however many gateways there are

Recalled shares had no bound, and each draw went through all gateways of its store three times. Change: what was paid for is noted; running sums that fade; a bound.

--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -20,6 +20,7 @@
 mod debts;
 mod loads;
 mod readings;
+mod recalled;
 mod store;
 
 use bound::even_share;
@@ -30,6 +31,7 @@
 pub use starlinghill_ledger::{Allowance, Quota};
 
 use bitcode::{Decode, Encode};
+use recalled::RecalledShares;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use store::{Gateways, Silence, Store};
@@ -101,8 +103,7 @@
     open: Option<Duration>,
     stores: HashMap<u64, Store>,
     readings: HashMap<u64, Reading>,
-    /// The shares by which gateways go, by stores.
-    shares: HashMap<u64, Vec<(u64, f64)>>,
+    shares: RecalledShares,
     awaited: BTreeSet<u64>,
     recalled: BTreeSet<u64>,
     /// Gateways that were told of any store: they know that others are told of those of which they are not.
@@ -137,7 +138,7 @@
             open: None,
             stores: HashMap::new(),
             readings: HashMap::new(),
-            shares: HashMap::new(),
+            shares: RecalledShares::default(),
             awaited: gateways.into_iter().collect(),
             recalled: BTreeSet::new(),
             told: BTreeSet::new(),
@@ -193,12 +194,8 @@
                 continue;
             }
             match self.stores.get_mut(&reading.name) {
-                Some(store) => store.goes_by(from, reading.share),
-                None => {
-                    let shares = self.shares.entry(reading.name).or_default();
-                    shares.retain(|(gateway, _)| *gateway != from);
-                    shares.push((from, reading.share));
-                }
+                Some(store) => store.goes_by(now, from, reading.share),
+                None => self.shares.goes_by(reading.name, from, reading.share),
             }
             // The latest was told after all that the others had drawn by then.
             let known = self.readings.entry(reading.name).or_insert(*reading);
@@ -220,6 +217,9 @@
     /// Time passes: these are the gateways that carry traffic now, by their lives.
     pub fn tick(&mut self, now: Duration, gateways: &BTreeSet<u64>) {
         self.look(now);
+        if self.open.is_some_and(|opened| now.saturating_sub(opened) > DOUBT) {
+            self.shares = RecalledShares::default();
+        }
         self.heard.retain(|gateway, _| gateways.contains(gateway));
         self.recalled.retain(|gateway| gateways.contains(gateway));
         if !gateways.iter().eq(self.known.keys()) {
@@ -227,7 +227,7 @@
             for gateway in gateways {
                 self.known.entry(*gateway).or_insert(now);
             }
-            self.stores.values_mut().for_each(|store| store.keep_clients(gateways));
+            self.stores.values_mut().for_each(|store| store.keep_clients(now, gateways));
         }
         let heard = |gateway: &u64| self.heard.get(gateway).copied();
         self.told.retain(|gateway| gateways.contains(gateway));
@@ -293,8 +293,8 @@
             // What was last heard holds from when the counter opened.
             let at = if told.is_some() { opened } else { now };
             let mut store = Store::new(level, at, quota, self.allowance);
-            let shares = self.shares.remove(&name).unwrap_or_default();
-            shares.into_iter().for_each(|(gateway, share)| store.goes_by(gateway, share));
+            let shares = self.shares.take(name);
+            shares.into_iter().for_each(|(gateway, share)| store.goes_by(now, gateway, share));
             // Nothing filled this store before it was kept.
             let since = |silence: &Silence| Silence { since: silence.since.max(at), ..*silence };
             let silent = self.silent.iter().map(|(gateway, silence)| (*gateway, since(silence))).collect();
--- a/crates/starlinghill-gauge/src/store.rs
+++ b/crates/starlinghill-gauge/src/store.rs
@@ -33,11 +33,28 @@
     pub(crate) strangers: usize,
 }
 
+/// Units that were asked for, which fade.
+#[derive(Debug, Default, Clone, Copy)]
+struct Recent {
+    units: f64,
+    at: Duration,
+}
+
+impl Recent {
+    fn now(&self, now: Duration) -> f64 {
+        self.units * (-now.saturating_sub(self.at).as_secs_f64() / RECENT).exp()
+    }
+
+    fn add(&mut self, now: Duration, units: f64) {
+        *self = Recent { units: self.now(now) + units, at: now };
+    }
+}
+
 /// What the store knows of one gateway.
 #[derive(Debug, Default, Clone, Copy)]
 struct Client {
     /// What it asked for of late.
-    drew: f64,
+    drew: Recent,
     /// The share that it was told last: by that it decides where it can't ask.
     told_share: f64,
 }
@@ -50,9 +67,11 @@
     allowance: Allowance,
     pub(crate) drawn: Duration,
     clients: HashMap<u64, Client>,
+    /// What they all asked for of late, and the sum of what they were told.
+    all_drew: Recent,
+    told_sum: f64,
     /// What they all are taken to have drawn evenly before this store was kept.
-    drew_before: f64,
-    drew_at: Duration,
+    drew_before: Recent,
     /// The shares of gateways that may be deciding by themselves.
     reserved: HashMap<u64, f64>,
     /// The part of the rate that the rest leave to this store.
@@ -70,8 +89,9 @@
             allowance,
             drawn: at,
             clients: HashMap::new(),
-            drew_before: quota.rate,
-            drew_at: at,
+            all_drew: Recent::default(),
+            told_sum: 0.0,
+            drew_before: Recent { units: quota.rate, at },
             reserved: HashMap::new(),
             part: 1.0,
             audit: Audit::new(quota, allowance),
@@ -83,45 +103,59 @@
         self.at = self.at.max(now);
     }
 
-    fn faded(&self, now: Duration) -> f64 {
-        (-now.saturating_sub(self.drew_at).as_secs_f64() / RECENT).exp()
-    }
-
-    fn all_drew(&self) -> f64 {
-        self.clients.values().map(|client| client.drew).sum()
-    }
-
     /// What it holds, the rate, and what was asked for of late a second.
     pub(crate) fn told(&self, now: Duration, name: u64) -> (u64, f64, f64, f64) {
-        (name, self.level, self.quota.rate, self.all_drew() * self.faded(now) / RECENT)
+        (name, self.level, self.quota.rate, self.all_drew.now(now) / RECENT)
     }
 
     /// The share of a gateway, out of so many: no more than what the others were not told. Guards against shares that were
     /// told at different moments, of which each was right when it was told, and which together are more than the whole.
-    fn share(&self, gateway: u64, Gateways { all, strangers }: Gateways) -> f64 {
-        let drew = self.clients.get(&gateway).map(|client| client.drew).unwrap_or_default();
-        let others = self.clients.iter().filter(|(other, _)| **other != gateway);
-        let (told, told_sum) =
-            others.fold((0, 0.0), |(n, sum), (_, client)| (n + 1, sum + client.told_share));
-        let unknown = all.saturating_sub(1 + told);
+    fn share(&self, now: Duration, gateway: u64, Gateways { all, strangers }: Gateways) -> f64 {
+        let known = self.clients.get(&gateway).copied();
+        let Client { drew, told_share } = known.unwrap_or_default();
+        let others = self.clients.len() - usize::from(known.is_some());
+        let unknown = all.saturating_sub(1 + others);
         let strangers = strangers.min(unknown);
         let untold = strangers as f64 * even_share(all) + (unknown - strangers) as f64 * untold_share(all);
-        let even = self.drew_before * even_share(all);
-        own_share(drew + even, self.all_drew() + self.drew_before, all).min(1.0 - told_sum - untold).max(0.0)
+        let before = self.drew_before.now(now);
+        let own = own_share(drew.now(now) + before * even_share(all), self.all_drew.now(now) + before, all);
+        own.min(1.0 - (self.told_sum - told_share) - untold).max(0.0)
+    }
+
+    /// A gateway was told that share.
+    fn tell(&mut self, gateway: u64, share: f64) {
+        let client = self.clients.entry(gateway).or_default();
+        self.told_sum += share - std::mem::replace(&mut client.told_share, share);
     }
 
     /// A gateway goes by that share, which an earlier counter told it.
-    pub(crate) fn goes_by(&mut self, gateway: u64, share: f64) {
-        if self.clients.len() < MOST || self.clients.contains_key(&gateway) {
+    pub(crate) fn goes_by(&mut self, now: Duration, gateway: u64, share: f64) {
+        if self.clients.contains_key(&gateway) {
+            return self.tell(gateway, share);
+        }
+        if self.clients.len() < MOST {
             // As though it had drawn its part of the rate of late.
-            let drew = share * self.quota.rate * RECENT;
-            self.clients.entry(gateway).or_insert(Client { drew, told_share: share }).told_share = share;
+            self.asked(now, gateway, share * self.quota.rate * RECENT);
+            self.tell(gateway, share);
         }
     }
 
+    /// A gateway asked for so much.
+    fn asked(&mut self, now: Duration, gateway: u64, units: f64) {
+        self.clients.entry(gateway).or_default().drew.add(now, units);
+        self.all_drew.add(now, units);
+    }
+
     /// These are all gateways: what others were told is free again.
-    pub(crate) fn keep_clients(&mut self, gateways: &BTreeSet<u64>) {
-        self.clients.retain(|gateway, _| gateways.contains(gateway));
+    pub(crate) fn keep_clients(&mut self, now: Duration, gateways: &BTreeSet<u64>) {
+        self.retain_clients(now, |gateway, _| gateways.contains(gateway));
+    }
+
+    fn retain_clients(&mut self, now: Duration, stays: impl Fn(&u64, &Client) -> bool) {
+        self.clients.retain(|gateway, client| stays(gateway, client));
+        let drew = self.clients.values().map(|client| client.drew.now(now)).sum();
+        self.all_drew = Recent { units: drew, at: now };
+        self.told_sum = self.clients.values().map(|client| client.told_share).sum();
     }
 
     /// These gateways are not heard, each since that moment: each may be using its share by itself from then on.
@@ -159,17 +193,13 @@
         }
         self.level = (self.level.min(burst) - owed).clamp(-BELOW * burst, burst);
         self.audit.used(now, owed);
-        let faded = self.faded(now);
-        self.drew_at = now;
-        self.drew_before *= faded;
-        self.clients.values_mut().for_each(|client| client.drew *= faded);
         if self.clients.len() >= MOST {
-            self.clients.retain(|_, client| client.drew > 1.0);
+            self.retain_clients(now, |_, client| client.drew.now(now) > 1.0);
         }
         // What is asked for counts, granted or not: a share is for what comes through a gateway.
-        self.clients.entry(from).or_default().drew += units;
-        let share = self.share(from, gateways);
-        self.clients.entry(from).or_default().told_share = share;
+        self.asked(now, from, units);
+        let share = self.share(now, from, gateways);
+        self.tell(from, share);
         if units > 0.0 && self.level < units {
             return (self.level - units, share);
         }
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -90,22 +90,22 @@
     /// It heard what stores hold, or began, and from the counter of that term.
     heard: Instant,
     term: u64,
+    /// Debts were paid by this gateway's shares for the time until then.
+    paid: Instant,
 }
 
 impl LastWords {
     fn none_yet() -> LastWords {
         let now = Instant::now();
-        LastWords { said: now, heard: now, term: 0 }
+        LastWords { said: now, heard: now, term: 0, paid: now }
     }
 
     /// From when on the counter of that term has kept this gateway's share free. The same one that was heard last does so
-    /// from the last word that it may have heard; another one begins with what was heard of the one before.
+    /// from the last word that it may have heard; another one begins with what was heard of the one before. No time counts
+    /// twice, however often a counter is called in vain.
     fn kept_free_since(&self, term: u64) -> Instant {
-        if self.term == term {
-            self.said
-        } else {
-            self.heard
-        }
+        let last = if self.term == term { self.said } else { self.heard };
+        last.max(self.paid)
     }
 }
 
@@ -201,7 +201,7 @@
         };
         stream.tune();
         let mut reader = Reader::default();
-        self.debts.borrow_mut().unheard_for(self.last_words.get().kept_free_since(term).elapsed());
+        self.pay_debts(term);
         // First what was heard before: a counter that begins must know of it.
         let recall = self.recall(life, term);
         self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
@@ -330,6 +330,14 @@
         Question::Recall { term, from: life, readings }
     }
 
+    /// What this gateway's shares came to since nobody else had them pays its debts.
+    fn pay_debts(&self, term: u64) {
+        let (now, words) = (Instant::now(), self.last_words.get());
+        let kept_free = now.saturating_duration_since(words.kept_free_since(term));
+        self.debts.borrow_mut().unheard_for(kept_free);
+        self.last_words.set(LastWords { paid: now, ..words });
+    }
+
     /// One message with these draws, and with what else is to be told.
     fn message(&self, (life, term): (u64, u64), mut calls: Vec<Waiting>) -> (Sent, Question) {
         let mut debts = self.debts.borrow_mut();
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -150,3 +150,40 @@
     let half = named(0.5);
     assert!((0.2..0.8).contains(&half), "{half}");
 }
+
+/// A registry that does not hold the count yet, called in vain ten times, and then does: what a gateway used meanwhile is paid
+/// by its share for the time that passed, and for that once.
+#[tokio::test(flavor = "current_thread")]
+async fn time_in_which_a_counter_was_called_in_vain_pays_debts_once() {
+    const IN_VAIN: u32 = 10;
+    let (rate, charged) = (40.0, 30.0);
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (holder, held) = nowhere();
+        let counter = Counter::start(tcp(), 7, held);
+        counter.quotas.borrow_mut().insert(NAME.0, (rate, rate));
+        let begun = Instant::now();
+        counter.charge(NAME, charged);
+        holder.send_replace(Some((TERM, listener.local_addr().expect("bound"))));
+        for _ in 0..IN_VAIN {
+            let (mut stream, _) = listener.accept().await.expect("a call");
+            let asked = Reader::default().read::<Question>(&mut stream).await;
+            assert!(matches!(asked, Ok(Some(Question::Recall { .. }))));
+            frame::write(&mut stream, &Answer::NotMine(TERM)).await.expect("answered");
+        }
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        let reached = Instant::now();
+        let mut reader = Reader::default();
+        let asked = reader.read::<Question>(&mut stream).await;
+        assert!(matches!(asked, Ok(Some(Question::Recall { .. }))));
+        frame::write(&mut stream, &Answer::Noted).await.expect("answered");
+        let Ok(Some(Question::Count { draws, .. })) = reader.read::<Question>(&mut stream).await else {
+            panic!("debts are told first");
+        };
+        let owed: f64 = draws.iter().map(|draw| draw.owed).sum();
+        // Of a tenant of which it was told nothing it uses a quarter of its even part: all gateways are this one.
+        let paid = rate / 4.0 * (reached - begun).as_secs_f64();
+        assert!((owed - (charged - paid)).abs() < 1.0, "{owed} is owed, {paid} was paid");
+    };
+    tokio::task::LocalSet::new().run_until(play).await;
+}
--- a/crates/starlinghill-workbench/tests/fleet/mod.rs
+++ b/crates/starlinghill-workbench/tests/fleet/mod.rs
@@ -64,6 +64,7 @@
     last_said: u64,
     /// The counter of that term was heard last.
     term: u64,
+    paid: u64,
     share: f64,
     /// The connection to the counter, where there is one.
     connection: Option<u64>,
@@ -160,6 +161,7 @@
             debts: Debts::default(),
             last_said: now,
             term: 0,
+            paid: now,
             share: 1.0 / gateways as f64,
             connection: None,
             broken: false,
@@ -343,8 +345,9 @@
         let connection = self.serial;
         self.recall(at);
         let proxy = &mut self.proxies[at];
-        let kept_free_since = if proxy.term == self.term { proxy.last_said } else { proxy.heard };
-        proxy.debts.unheard_for(Duration::from_micros(self.now - kept_free_since));
+        let last = if proxy.term == self.term { proxy.last_said } else { proxy.heard };
+        proxy.debts.unheard_for(Duration::from_micros(self.now - last.max(proxy.paid)));
+        proxy.paid = self.now;
         proxy.last_said = self.now;
         (proxy.connection, proxy.broken, proxy.heard) = (Some(connection), false, self.now);
         self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
