A gateway's side of the count is one pure type, which the proxy and the fleet both drive

Readings, debts and last words stood in the proxy's line to the count and again in the test's fleet, which could pass by its own copy; the part of a share that the counter and the module go by was a constant in each; every tick added up the violations of all stores; what a request took beyond its draw was drawn, not charged. Change: starlinghill_gauge::Client; one constant; violations are counted where they happen; one way to charge.

--- a/crates/starlinghill-decision/src/attempts.rs
+++ b/crates/starlinghill-decision/src/attempts.rs
@@ -321,7 +321,7 @@
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.cx.now < r.arrived + aim);
         if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
-            self.admission.settled(&self.cx, r.a.customer, true_units - r.a.units);
+            self.admission.settled(&mut self.cx, r.a.customer, true_units - r.a.units);
         }
         let service = r.a.service;
         self.fleet.with(end.server).judge(&mut self.cx, end.server, outcome, end.took, aim);
--- a/crates/starlinghill-decision/src/counter.rs
+++ b/crates/starlinghill-decision/src/counter.rs
@@ -14,21 +14,28 @@
 
 impl Admission {
     /// The units of a request turned out to be others.
-    pub(crate) fn settled(&mut self, cx: &Context, customer: CustomerId, more: f64) {
+    pub(crate) fn settled(&mut self, cx: &mut Context, customer: CustomerId, more: f64) {
+        if cx.set.levels {
+            return self.charge(cx, customer, more);
+        }
         let Some(c) = self.customers.get_mut(&customer) else { return };
         c.account.settle(quota_of(cx, c.plan), cx.now, more);
     }
 
     /// A request goes on without a word of the counter's.
     pub(crate) fn used_unheard(&mut self, cx: &mut Context, customer: CustomerId, units: f64) {
-        let Some(c) = self.customers.get_mut(&customer) else { return };
-        let quota = quota_of(cx, c.plan);
         if cx.set.levels {
-            c.account.store.take(quota, cx.now, units);
-            cx.out.push(Action::Charge(store_name(customer), units));
-        } else {
-            c.account.spend_unheard(quota, cx.now, units);
+            return self.charge(cx, customer, units);
         }
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        c.account.spend_unheard(quota_of(cx, c.plan), cx.now, units);
+    }
+
+    /// Units of a store that the counter keeps were used without its word, or drawn ones were not.
+    fn charge(&mut self, cx: &mut Context, customer: CustomerId, units: f64) {
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        c.account.store.take(quota_of(cx, c.plan), cx.now, units);
+        cx.out.push(Action::Charge(store_name(customer), units));
     }
 
     /// Brings a customer's counts to the present window and epoch.
@@ -212,11 +219,10 @@
 
     pub(crate) fn take_back(&mut self, cx: &mut Context, customer: CustomerId, span: u64, units: f64) {
         self.roll(cx, customer);
-        let Some(c) = self.customers.get_mut(&customer) else { return };
         if cx.set.levels {
-            c.account.store.take(quota_of(cx, c.plan), cx.now, -units);
-            return cx.out.push(Action::Charge(store_name(customer), -units));
+            return self.charge(cx, customer, -units);
         }
+        let Some(c) = self.customers.get_mut(&customer) else { return };
         if !c.account.take_back(quota_of(cx, c.plan), cx.now, span, units) {
             return;
         }
--- a/crates/starlinghill-decision/src/customer.rs
+++ b/crates/starlinghill-decision/src/customer.rs
@@ -8,6 +8,7 @@
 use crate::repeats::Refusal;
 use starlinghill_estimate::asking::Asking;
 use starlinghill_ledger::account::Account;
+use starlinghill_ledger::allowance::UNTOLD_SHARE;
 use starlinghill_ledger::ceiling::{Split, Turns};
 use starlinghill_ledger::demand::{Demand, SPAN};
 use starlinghill_ledger::flow::Flow;
@@ -16,9 +17,6 @@
 
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten.
 pub(crate) const EPOCH: Micros = Micros(5_000_000);
-/// The part of an even share that a gateway goes by which the counter told nothing of a customer
-/// (`starlinghill_gauge::untold_share`).
-const UNTOLD_SHARE: f64 = 0.25;
 /// Life of idle customers, of whom many come once.
 pub(crate) const FORGET: Micros = Micros(30_000_000);
 /// Apart from all other names.
--- a/crates/starlinghill-decision/tests/system.rs
+++ b/crates/starlinghill-decision/tests/system.rs
@@ -160,6 +160,17 @@
     assert_eq!(charged(&led), -1.0);
 }
 
+#[test]
+fn what_a_request_took_beyond_what_was_drawn_for_it_is_charged() {
+    let mut rig = Rig::new(system(10), 4);
+    let (id, _) = ask(&mut rig, RATED, 0, 0);
+    let server = sent(&answer(&mut rig, Outcome::Ok, 3.0, 0.1)).expect("it goes on");
+    let (took, report) = (Micros(50 * MS), Report::default());
+    let (outcome, settled) = (Outcome::Ok, Some(3.0));
+    let end = AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled, report };
+    assert_eq!(charged(&rig.tell(Event::AttemptEnded(end))), 2.0);
+}
+
 #[test]
 fn while_the_counter_is_silent_a_gateway_lets_through_its_share_as_it_was_told_and_none_alone() {
     for (share, alone) in [(0.3, false), (0.1, false), (0.3, true)] {
--- a/crates/starlinghill-gauge/src/audit.rs
+++ b/crates/starlinghill-gauge/src/audit.rs
@@ -21,21 +21,16 @@
     used: VecDeque<(u64, f64)>,
     sum: f64,
     exceeded: bool,
-    violations: u64,
+    /// That was not told yet.
+    is_new: bool,
 }
 
 impl Audit {
     pub(crate) fn new(quota: Quota, allowance: Allowance) -> Audit {
         let slot = Duration::from_secs_f64(allowance.window_s / SLOTS as f64);
         let longer = Allowance { window_s: allowance.window_s + slot.as_secs_f64(), ..allowance };
-        Audit {
-            slot,
-            most: longer.most(quota),
-            used: VecDeque::new(),
-            sum: 0.0,
-            exceeded: false,
-            violations: 0,
-        }
+        let most = longer.most(quota);
+        Audit { slot, most, used: VecDeque::new(), sum: 0.0, exceeded: false, is_new: false }
     }
 
     /// So many units were used; fewer than none where some that were counted had not been used after all.
@@ -58,11 +53,12 @@
         self.sum += units;
         let exceeded = self.sum > self.most;
         // A window that goes on exceeding is one violation.
-        self.violations += u64::from(exceeded && !self.exceeded);
+        self.is_new |= exceeded && !self.exceeded;
         self.exceeded = exceeded;
     }
 
-    pub(crate) fn violations(&self) -> u64 {
-        self.violations
+    /// There was a violation since this was asked last.
+    pub(crate) fn take_violation(&mut self) -> bool {
+        std::mem::take(&mut self.is_new)
     }
 }
--- a/crates/starlinghill-gauge/src/bound.rs
+++ b/crates/starlinghill-gauge/src/bound.rs
@@ -1,10 +1,8 @@
 //! What can go on in all, as a function of the settings: what tests and pages go by.
 
+use starlinghill_ledger::allowance::UNTOLD_SHARE;
 use starlinghill_ledger::{Allowance, Quota};
 
-/// What came through a gateway of late says more of what will than their number; but clients move.
-const CARRIED: f64 = 0.75;
-
 /// The part of the rates at which stores fill while so many of all gateways are silent: each of those may be deciding by
 /// itself, by its share.
 pub fn fill_part(silent: usize, all: usize, allowance: Allowance) -> f64 {
@@ -23,7 +21,7 @@
 
 /// The share of a tenant's rate of a gateway that knows the counter, and was told nothing of that tenant.
 pub fn untold_share(gateways: usize) -> f64 {
-    (1.0 - CARRIED) * even_share(gateways)
+    UNTOLD_SHARE * even_share(gateways)
 }
 
 /// A gateway's share of a tenant's rate: mostly the part of its traffic that came through it of late, the rest even. Over
@@ -31,7 +29,7 @@
 pub fn own_share(drew: f64, all_drew: f64, gateways: usize) -> f64 {
     let even = even_share(gateways);
     match all_drew > 0.0 {
-        true => CARRIED * drew / all_drew + (1.0 - CARRIED) * even,
+        true => (1.0 - UNTOLD_SHARE) * drew / all_drew + untold_share(gateways),
         false => even,
     }
 }
--- a/crates/starlinghill-gauge/src/lib.rs
+++ b/crates/starlinghill-gauge/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod audit;
 mod bound;
+mod client;
 mod debts;
 mod loads;
 mod readings;
@@ -25,6 +26,7 @@
 
 use bound::even_share;
 pub use bound::{fill_part, most_after_losses, most_in, own_share, untold_share, Troubles};
+pub use client::Client;
 pub use debts::{Debts, DrawEnd};
 pub use loads::{Listed, Loads, Room, Seen, Word};
 pub use readings::Readings;
@@ -116,7 +118,6 @@
     known: BTreeMap<u64, Duration>,
     silent: BTreeMap<u64, Silence>,
     allowance: Allowance,
-    /// Violations of stores that are forgotten.
     violations: u64,
     /// How much room there is at backends.
     pub loads: Loads,
@@ -169,7 +170,7 @@
     /// How often more of a store was granted, or told of as used, within one window than the rules allow: never, if the
     /// count is right.
     pub fn violations(&self) -> u64 {
-        self.violations + self.stores.values().map(Store::violations).sum::<u64>()
+        self.violations
     }
 
     /// It answers.
@@ -249,12 +250,7 @@
             self.stores.values_mut().for_each(|store| store.reserve(now, &silent));
             self.silent = silent;
         }
-        let violations = &mut self.violations;
-        self.stores.retain(|_, store| {
-            let stays = now.saturating_sub(store.drawn) < IDLE;
-            *violations += if stays { 0 } else { store.violations() };
-            stays
-        });
+        self.stores.retain(|_, store| now.saturating_sub(store.drawn) < IDLE);
     }
 
     /// A gateway draws; it hears what each store holds then, in the same order: below nothing where that did not hold what
@@ -302,6 +298,7 @@
             store
         });
         let (level, share) = store.draw(now, from, draw, self.gateways);
+        self.violations += u64::from(store.is_exceeded());
         let goes_on = draw.units > 0.0 && level >= 0.0 && draw.service != 0;
         let within = Duration::from_millis(u64::from(draw.within_ms));
         let rooms = if goes_on { self.loads.room(now, from, draw.service, within) } else { Vec::new() };
--- a/crates/starlinghill-gauge/src/store.rs
+++ b/crates/starlinghill-gauge/src/store.rs
@@ -208,8 +208,8 @@
         (self.level, share)
     }
 
-    /// How often more than the rules allow was granted, or told of, within a window.
-    pub(crate) fn violations(&self) -> u64 {
-        self.audit.violations()
+    /// More than the rules allow was granted, or told of, within a window, since this was asked last.
+    pub(crate) fn is_exceeded(&mut self) -> bool {
+        self.audit.take_violation()
     }
 }
--- a/crates/starlinghill-gauge/tests/quota.rs
+++ b/crates/starlinghill-gauge/tests/quota.rs
@@ -5,7 +5,7 @@
     RECALL, SILENT,
 };
 use starlinghill_ledger::{Allowance, Quota};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -192,6 +192,7 @@
 
 fn bound(moves: u32, cut: f64) -> f64 {
     most_in(QUOTA, ALLOWANCE, Troubles { moves, late_s: (SILENT + ms(100)).as_secs_f64(), cut })
+        .min(allowed())
 }
 
 /// What the rules allow where the settings say a tenth and twenty.
@@ -371,3 +372,26 @@
     assert_eq!(fill_part(0, 11, ALLOWANCE), 1.0);
     assert!((fill_part(11, 11, ALLOWANCE) - 0.1 / 3.0).abs() < 1e-9);
 }
+
+/// Gateways through which a tenant comes one after the other: each is its main one when it is told its share.
+#[test]
+fn shares_that_were_told_at_different_moments_never_sum_past_one_also_beside_a_counter_that_begins() {
+    let gateways: BTreeSet<u64> = (1..=10).collect();
+    let mut told: BTreeMap<u64, f64> = BTreeMap::new();
+    for term in 1..=2 {
+        let mut gauge = Gauge::begin(ms(0), term, term == 1, ALLOWANCE, gateways.iter().copied());
+        for gateway in &gateways {
+            let reading = |share: &f64| Reading { name: NAME, level: BURST, at: 1, share: *share };
+            gauge.recall(ms(0), *gateway, &Vec::from_iter(told.get(gateway).map(reading)));
+        }
+        for (turn, gateway) in (0..).zip(&gateways) {
+            let now = ms(1 + turn * 3_000);
+            gauge.tick(now, &gateways);
+            let drawn = (0..50).filter_map(|_| gauge.draw(now, *gateway, &[draw(0.0, 1.0)])).last();
+            told.insert(*gateway, drawn.expect("answered")[0].share);
+            let sum: f64 = told.values().sum();
+            assert!(sum <= 1.0 + 1e-9, "term {term}, gateway {gateway}: {sum}, {told:?}");
+        }
+        assert!(told.values().sum::<f64>() > 0.5, "{told:?}");
+    }
+}
--- a/crates/starlinghill-ledger/src/allowance.rs
+++ b/crates/starlinghill-ledger/src/allowance.rs
@@ -14,6 +14,10 @@
 /// be that they are gone.
 const SILENT_PART: f64 = 1.0 / 3.0;
 
+/// The part of an even share by which a gateway goes that was told nothing of a tenant, while others may have been told the
+/// rest: clients that came through one gateway come through another one now and then.
+pub const UNTOLD_SHARE: f64 = 0.25;
+
 /// What may go on beyond a quota in each window.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Allowance {
--- a/crates/starlinghill-workbench/tests/fleet/mod.rs
+++ b/crates/starlinghill-mockup/src/fleet.rs
@@ -1,27 +1,31 @@
-//! A fleet of gateways' decisions and one counter in simulated time: messages take time, gateways stand still or are cut off.
+//! A fleet of gateways' decisions and one counter in simulated time: messages take time, gateways stand still, are cut off
+//! or started again, and the count moves. What went on to backends is held against the rules of one tenant's quota.
+//!
+//! Decisions, the gateways' side of the count and the counter are the real ones; connections are simulated here.
 
 use starlinghill_decision::api::*;
 use starlinghill_decision::Gateway;
 use starlinghill_dovetail::settings::Bounds;
-use starlinghill_gauge::{Debts, Draw, DrawEnd, Gauge, Level, Readings};
+use starlinghill_gauge::{Client, Draw, Gauge, Level, KEEP_IN_TOUCH};
 use starlinghill_workbench::count::PATIENCE;
 use starlinghill_workbench::rules;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::time::Duration;
 
+/// The tenant's quota: units a second, and at once.
 pub const RATE: f64 = 100.0;
+/// The same.
 pub const BURST: f64 = 100.0;
-pub const EXCESS: f64 = 0.1;
-pub const EXTRA: f64 = 20.0;
-pub const WINDOW: Duration = Duration::from_secs(5);
+const EXCESS: f64 = 0.1;
+const EXTRA: f64 = 20.0;
+const WINDOW: Duration = Duration::from_secs(5);
 const CUSTOMER: CustomerId = CustomerId(5);
 const SERVERS: u64 = 8;
 /// Where the clocks begin.
 const BEGINNING: u64 = 100_000_000;
 /// A connection on which no answer comes for so long is given up, as the proxy's line to the counter does.
 const SILENCE: u64 = 450_000;
-const KEEP_IN_TOUCH: u64 = 200_000;
 /// A gateway that is gone is known to be after so long.
 const DEAD_AFTER: u64 = 2_200_000;
 const ON_THE_WAY: u64 = 1_000;
@@ -59,13 +63,7 @@
 struct Proxy {
     incarnation: u64,
     module: Gateway,
-    readings: Readings,
-    debts: Debts,
-    last_said: u64,
-    /// The counter of that term was heard last.
-    term: u64,
-    paid: u64,
-    share: f64,
+    client: Client,
     /// The connection to the counter, where there is one.
     connection: Option<u64>,
     /// Something was lost on it: no answer comes any more.
@@ -82,13 +80,17 @@
 }
 
 /// What a fleet is to be played with.
+#[derive(Debug, Clone, Copy)]
 pub struct Play {
+    /// All chance comes from it.
     pub seed: u64,
+    /// How many there are.
     pub gateways: usize,
     /// Of how many answers one finds its gateway standing still.
     pub one_late_in: u64,
 }
 
+/// The fleet, with the clients of one tenant.
 pub struct Fleet {
     rng: fastrand::Rng,
     now: u64,
@@ -104,7 +106,9 @@
     queue: BinaryHeap<Reverse<(u64, u64, What)>>,
     /// When each request went on to a backend.
     pub granted: Vec<u64>,
+    /// How many requests were refused or failed.
     pub refused: u64,
+    /// How many draws were answered too late for their requests.
     pub late: u64,
 }
 
@@ -157,12 +161,7 @@
         Proxy {
             incarnation: at as u64 + 1,
             module: module(seed ^ at as u64, at as u32, gateways as u32),
-            readings: Readings::default(),
-            debts: Debts::default(),
-            last_said: now,
-            term: 0,
-            paid: now,
-            share: 1.0 / gateways as f64,
+            client: Client::new(Duration::from_micros(now)),
             connection: None,
             broken: false,
             sent: VecDeque::new(),
@@ -177,6 +176,7 @@
 }
 
 impl Fleet {
+    /// One that begins, with all gateways in touch with the counter.
     pub fn new(play: Play) -> Fleet {
         let Play { seed, gateways, one_late_in } = play;
         let lives = 1..=gateways as u64;
@@ -231,6 +231,7 @@
         }
     }
 
+    /// How many gateways there are.
     pub fn gateways(&self) -> usize {
         self.proxies.len()
     }
@@ -298,11 +299,11 @@
             What::KeepInTouch(at) => {
                 if self.proxies[at].connection.is_some() {
                     self.send(at, None, None);
-                    self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
+                    self.after(KEEP_IN_TOUCH.as_micros() as u64, What::KeepInTouch(at));
                 }
             }
             What::TellDebts(at) => {
-                if self.proxies[at].connection.is_some() && !self.proxies[at].debts.is_empty() {
+                if self.proxies[at].connection.is_some() && self.proxies[at].client.owes() {
                     self.send(at, None, None);
                 }
             }
@@ -334,7 +335,7 @@
     fn recall(&mut self, at: usize) {
         let now = self.instant();
         let proxy = &mut self.proxies[at];
-        let readings = proxy.readings.all(self.now);
+        let readings = proxy.client.recall(now, self.now);
         if let Some(gauge) = &mut self.gauge {
             gauge.recall(now, proxy.incarnation, &readings);
         }
@@ -343,14 +344,12 @@
     fn connect(&mut self, at: usize) {
         self.serial += 1;
         let connection = self.serial;
+        let (now, term) = (self.instant(), self.term);
+        self.proxies[at].client.calls(now, term);
         self.recall(at);
         let proxy = &mut self.proxies[at];
-        let last = if proxy.term == self.term { proxy.last_said } else { proxy.heard };
-        proxy.debts.unheard_for(Duration::from_micros(self.now - last.max(proxy.paid)));
-        proxy.paid = self.now;
-        proxy.last_said = self.now;
         (proxy.connection, proxy.broken, proxy.heard) = (Some(connection), false, self.now);
-        self.after(KEEP_IN_TOUCH, What::KeepInTouch(at));
+        self.after(KEEP_IN_TOUCH.as_micros() as u64, What::KeepInTouch(at));
     }
 
     /// The connection to the counter is given up: what is out is decided here.
@@ -358,7 +357,7 @@
         self.proxies[at].connection = None;
         for sent in std::mem::take(&mut self.proxies[at].sent) {
             if let Some(draw) = sent.draw {
-                self.proxies[at].debts.settle(draw.name, (draw.owed, draw.units), DrawEnd::Unknown, false);
+                self.proxies[at].client.failed(&draw);
             }
             if let Some(call) = sent.call.filter(|call| self.proxies[at].calls.contains(call)) {
                 self.counted(at, call, Outcome::Reset, 0.0, None);
@@ -403,8 +402,8 @@
             Action::SetTimer(timer, after) => self.after(after.0, What::Timer(at, timer.0)),
             Action::Draw(name, units, _) => self.draw(at, name, units),
             Action::Charge(name, units) => {
-                let proxy = &mut self.proxies[at];
-                proxy.debts.charge(name.0, units, RATE * proxy.share);
+                let gateways = self.proxies.len();
+                self.proxies[at].client.charge(name.0, units, RATE, gateways);
                 self.after(TELL, What::TellDebts(at));
             }
             _ => {}
@@ -428,15 +427,15 @@
     fn send(&mut self, at: usize, call: Option<u64>, draw: Option<Draw>) {
         let (now, late) = (self.instant(), self.rng.u64(0..self.one_late_in) == 0);
         let proxy = &mut self.proxies[at];
-        proxy.last_said = self.now;
         let hears = proxy.cut_until <= self.now;
         let reached = (hears || proxy.cut_one_way) && !(proxy.broken && hears);
         let name = starlinghill_decision::store_name(CUSTOMER).0;
         let nothing =
             Draw { name, owed: 0.0, units: 0.0, rate: RATE, burst: BURST, service: 0, within_ms: 0 };
-        let owed = proxy.debts.take(name);
-        let draw = draw.or((owed != 0.0).then_some(nothing)).map(|draw| Draw { owed, ..draw });
-        let draws = Vec::from_iter(draw);
+        let mut draws = Vec::from_iter(draw);
+        let others = proxy.client.tells(now, draws.iter_mut(), 1);
+        draws.extend(others.into_iter().map(|(_, owed)| Draw { owed, ..nothing }));
+        let draw = draws.first().copied();
         let gauge = self.gauge.as_mut().filter(|_| reached);
         let levels = gauge.and_then(|gauge| gauge.draw(now, proxy.incarnation, &draws));
         if late {
@@ -452,24 +451,20 @@
     }
 
     fn answered(&mut self, at: usize) {
+        let (now, term) = (self.instant(), self.term);
         self.proxies[at].heard = self.now;
         let Some(Sent { call, draw, answer }) = self.proxies[at].sent.pop_front() else { return };
-        let Some(draw) = draw else { return };
+        let Some(draw) = draw else { return self.proxies[at].client.hears(now, term) };
         let waits = call.filter(|call| self.proxies[at].calls.contains(call));
         let Some(level) = answer else {
             // The counter took nothing in. It is told again what was heard, as it may have forgotten this gateway.
             self.recall(at);
-            self.proxies[at].debts.settle(draw.name, (draw.owed, draw.units), DrawEnd::Unknown, false);
+            self.proxies[at].client.failed(&draw);
             return waits.into_iter().for_each(|call| self.counted(at, call, Outcome::Full, 0.0, None));
         };
-        self.proxies[at].term = self.term;
-        let granted = level.level >= 0.0;
-        let unused = if granted { 0.0 } else { draw.units };
-        let proxy = &mut self.proxies[at];
-        proxy.readings.heard(draw.name, level.level + unused, level.share, self.now);
-        proxy.share = level.share;
-        let end = if granted { DrawEnd::Granted } else { DrawEnd::Refused };
-        proxy.debts.settle(draw.name, (draw.owed, draw.units), end, waits.is_some());
+        let client = &mut self.proxies[at].client;
+        client.hears(now, term);
+        client.answered(self.now, &draw, &level, waits.is_some());
         if let Some(call) = waits {
             self.counted(at, call, Outcome::Ok, level.level, Some(level.share));
         }
@@ -490,12 +485,24 @@
     }
 }
 
-/// The busiest windows of so many seeds. In none did the counter itself see too much.
-pub fn busiest_of(seeds: std::ops::Range<u64>, play: impl Fn(u64) -> Fleet) -> BTreeMap<u64, usize> {
-    let played = seeds.map(|seed| {
-        let fleet = play(seed);
-        assert_eq!(fleet.violations(), 0, "seed {seed}");
-        (seed, fleet.busiest())
-    });
-    played.collect()
+/// Up to three troubles at a time befall the fleet while a tenant asks for far more than its quota now and then.
+pub fn troubled(seed: u64) -> Fleet {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let gateways = rng.usize(3..30);
+    let mut fleet = Fleet::new(Play { seed, gateways, one_late_in: rng.u64(20..2_000) });
+    for _ in 0..12 {
+        for _ in 0..rng.usize(0..=3) {
+            let (at, span) = (rng.usize(0..fleet.gateways()), Duration::from_millis(rng.u64(50..4_000)));
+            match rng.u32(0..5) {
+                0 => (0..fleet.gateways() / 4).for_each(|at| fleet.cut_one(at, span, false)),
+                1 => fleet.cut_one(at, span, true),
+                2 => fleet.restart(at, span),
+                3 => fleet.move_counter(span / 3),
+                _ => fleet.cut_one(at, span, false),
+            }
+        }
+        let (span, per_s) = (rng.u64(100..2_500), rng.choice([30.0, 90.0, 400.0, 900.0]).unwrap_or(90.0));
+        fleet.run(Duration::from_millis(span), per_s);
+    }
+    fleet
 }
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod proxy;
 pub mod quota;
 pub mod rooms;
+pub mod soak;
 pub mod system;
 pub mod world;
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -5,7 +5,7 @@
 use starlinghill_dovetail::net::Net;
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
-use starlinghill_gauge::{untold_share, Debts, Draw, DrawEnd, Level, Readings, Room, Word, KEEP_IN_TOUCH};
+use starlinghill_gauge::{Client, Draw, Level, Room, Word, KEEP_IN_TOUCH};
 use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
@@ -82,40 +82,12 @@
     Recall,
 }
 
-/// When a gateway and a counter last spoke.
-#[derive(Debug, Clone, Copy)]
-struct LastWords {
-    /// This gateway said something to any counter, or began.
-    said: Instant,
-    /// It heard what stores hold, or began, and from the counter of that term.
-    heard: Instant,
-    term: u64,
-    /// Debts were paid by this gateway's shares for the time until then.
-    paid: Instant,
-}
-
-impl LastWords {
-    fn none_yet() -> LastWords {
-        let now = Instant::now();
-        LastWords { said: now, heard: now, term: 0, paid: now }
-    }
-
-    /// From when on the counter of that term has kept this gateway's share free. The same one that was heard last does so
-    /// from the last word that it may have heard; another one begins with what was heard of the one before. No time counts
-    /// twice, however often a counter is called in vain.
-    fn kept_free_since(&self, term: u64) -> Instant {
-        let last = if self.term == term { self.said } else { self.heard };
-        last.max(self.paid)
-    }
-}
-
 /// The count, as a gateway reaches it.
 pub struct Counter {
     net: Net,
-    readings: RefCell<Readings>,
-    debts: RefCell<Debts>,
-    /// The last words between this gateway and a counter.
-    last_words: Cell<LastWords>,
+    /// What was heard and what is owed, with times since this.
+    client: RefCell<Client>,
+    start: Instant,
     /// The quotas by the names of their stores.
     pub quotas: RefCell<HashMap<u64, (f64, f64)>>,
     calls: mpsc::Sender<Waiting>,
@@ -144,9 +116,8 @@
         let (calls, queue) = mpsc::channel(QUEUE);
         let counter = Rc::new(Counter {
             net,
-            readings: RefCell::default(),
-            debts: RefCell::default(),
-            last_words: Cell::new(LastWords::none_yet()),
+            client: RefCell::new(Client::new(Duration::ZERO)),
+            start: Instant::now(),
             quotas: RefCell::default(),
             calls,
             reached: Cell::new(false),
@@ -201,10 +172,9 @@
         };
         stream.tune();
         let mut reader = Reader::default();
-        self.pay_debts(term);
+        self.client.borrow_mut().calls(self.start.elapsed(), term);
         // First what was heard before: a counter that begins must know of it.
         let recall = self.recall(life, term);
-        self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
         if frame::write(&mut stream, &recall).await.is_err() {
             return "broken";
         }
@@ -241,7 +211,7 @@
                     match (out.pop_front(), answer) {
                         (Some(Sent::Draws(calls, _)), Answer::Levels(levels, time)) if levels.len() == calls.len() => {
                             self.hear_time(time);
-                            self.last_words.set(LastWords { heard: Instant::now(), term, ..self.last_words.get() });
+                            self.client.borrow_mut().hears(self.start.elapsed(), term);
                             calls.into_iter().zip(levels).for_each(|(call, level)| self.answered(call, level, time));
                         }
                         (Some(Sent::Draws(calls, told)), Answer::NotMine(known)) => {
@@ -257,7 +227,6 @@
                                 recalled = Instant::now();
                                 let recall = self.recall(life, term);
                                 out.push_back(Sent::Recall);
-                                self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
                                 match timeout(SILENCE, frame::write(&mut to, &recall)).await {
                                     Ok(Ok(())) => {}
                                     _ => break "broken",
@@ -326,26 +295,16 @@
 
     /// What a counter that begins, or that has forgotten this gateway, must know.
     fn recall(&self, life: u64, term: u64) -> Question {
-        let readings = self.readings.borrow_mut().all(*self.time.borrow());
+        let readings = self.client.borrow_mut().recall(self.start.elapsed(), *self.time.borrow());
         Question::Recall { term, from: life, readings }
     }
 
-    /// What this gateway's shares came to since nobody else had them pays its debts.
-    fn pay_debts(&self, term: u64) {
-        let (now, words) = (Instant::now(), self.last_words.get());
-        let kept_free = now.saturating_duration_since(words.kept_free_since(term));
-        self.debts.borrow_mut().unheard_for(kept_free);
-        self.last_words.set(LastWords { paid: now, ..words });
-    }
-
     /// One message with these draws, and with what else is to be told.
     fn message(&self, (life, term): (u64, u64), mut calls: Vec<Waiting>) -> (Sent, Question) {
-        let mut debts = self.debts.borrow_mut();
-        for call in &mut calls {
-            call.draw.owed += debts.take(call.draw.name);
-        }
+        let drawn = calls.iter_mut().map(|call| &mut call.draw);
+        let owed_elsewhere = self.client.borrow_mut().tells(self.start.elapsed(), drawn, BATCH);
         let quotas = self.quotas.borrow();
-        for (name, owed) in debts.take_some(BATCH) {
+        for (name, owed) in owed_elsewhere {
             // The tenant of a store without a quota was taken away.
             let Some((rate, burst)) = quotas.get(&name).copied() else { continue };
             let draw = Draw { name, owed, units: 0.0, rate, burst, service: 0, within_ms: 0 };
@@ -354,26 +313,21 @@
         let words = self.words();
         let told = words.iter().map(|word| word.backend).collect();
         let draws = calls.iter().map(|call| call.draw).collect();
-        self.last_words.set(LastWords { said: Instant::now(), ..self.last_words.get() });
         (Sent::Draws(calls, told), Question::Count { term, from: life, draws, words })
     }
 
     /// What became of a draw, as the counter tells it.
     fn answered(&self, call: Waiting, level: Level, time: u64) {
-        let Level { level: total, share, rooms } = level;
-        let draw = call.draw;
-        let granted = total >= 0.0;
-        let unused = if granted { 0.0 } else { draw.units };
-        self.readings.borrow_mut().heard(draw.name, total + unused, share, time);
-        let named = || rooms.into_iter().map(named).collect();
+        let (draw, granted) = (call.draw, level.level >= 0.0);
+        let named = || level.rooms.iter().copied().map(named).collect();
         let rooms = self.beside(draw.service).unwrap_or_else(named);
         let asked = call.reply.is_some();
-        let waited = call.answer(Counted { outcome: Outcome::Ok, total, share: Some(share), rooms });
+        let (outcome, total, share) = (Outcome::Ok, level.level, Some(level.share));
+        let waited = call.answer(Counted { outcome, total, share, rooms });
         if asked {
             self.count_answer(waited, granted);
         }
-        let end = if granted { DrawEnd::Granted } else { DrawEnd::Refused };
-        self.debts.borrow_mut().settle(draw.name, (draw.owed, draw.units), end, waited);
+        self.client.borrow_mut().answered(time, &draw, &level, waited);
     }
 
     /// What has to be told of backends. How attempts ended is told once: what is lost of it is no harm. What is out is told
@@ -406,7 +360,7 @@
     async fn pause(&self) {
         let told = async {
             sleep(TELL * self.gateways.get()).await;
-            while self.changed.borrow().is_empty() && self.debts.borrow().is_empty() {
+            while self.changed.borrow().is_empty() && !self.client.borrow().owes() {
                 self.new_words.notified().await;
             }
         };
@@ -424,8 +378,7 @@
 
     /// A call ends without an answer.
     fn failed(&self, call: Waiting, outcome: Outcome) {
-        let Draw { name, owed, units, .. } = call.draw;
-        self.debts.borrow_mut().settle(name, (owed, units), DrawEnd::Unknown, false);
+        self.client.borrow_mut().failed(&call.draw);
         if call.reply.is_some() {
             self.count_draws(|counts| counts.failed += 1);
         }
@@ -475,9 +428,7 @@
 
     fn charge(&self, name: CountName, units: f64) {
         let rate = self.quotas.borrow().get(&name.0).map_or(0.0, |(rate, _)| *rate);
-        let untold = || untold_share(self.gateways.get() as usize);
-        let share = self.readings.borrow().share(name.0).unwrap_or_else(untold);
-        self.debts.borrow_mut().charge(name.0, units, rate * share);
+        self.client.borrow_mut().charge(name.0, units, rate, self.gateways.get() as usize);
         self.new_words.notify_one();
     }
 
