--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -320,3 +320,43 @@
         }
     });
 }
+
+/// A core machine is cut off from the others for longer than any registry waits for a backend that it does not hear, with
+/// backends that call either side.
+#[test]
+fn a_long_cut_between_core_machines_takes_no_backend_from_any_gateway() {
+    simulated(async {
+        let world = World::new(1, 3, 0, 1);
+        (0..3).for_each(|i| world.start_store(i));
+        (0..3).for_each(|i| world.start_registry(i, true));
+        world.start_gateway(0);
+        sleep(s(2)).await;
+        let net = world.fabric.at(ip(3, 0));
+        let mut calls = 0;
+        for second in 0..60 {
+            match second {
+                4 => [0, 2].into_iter().for_each(|other| {
+                    world.fabric.cut(ip(0, 1), ip(0, other));
+                    world.fabric.cut(ip(0, other), ip(0, 1));
+                }),
+                44 => world.fabric.mend(),
+                _ => {}
+            }
+            calls += 1;
+            for (core, id) in [(0, "b-0"), (1, "b-1"), (2, "b-2")] {
+                let beat = format!(
+                    r#"{{"address":"10.0.3.{}:9000","details":{{"service":"ledger","version":"v1","zone":"a","capacity":4}},"observed":{{"state":"ready","call_count":{calls},"warmup_left":"0ms"}}}}"#,
+                    core + 1
+                );
+                let path = format!("/api/backends/{id}");
+                let said = call(&net, world.control(core), Method::PUT, &path, beat.into_bytes())
+                    .await
+                    .map(|said| said.0);
+                assert_eq!(said, Some(200), "beat of {id} in second {second}");
+            }
+            sleep(s(1)).await;
+            let all = ["b-0", "b-1", "b-2"].map(String::from);
+            assert_eq!(world.listed(0), BTreeSet::from(all), "in second {second}");
+        }
+    });
+}
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -313,3 +313,80 @@
         assert!(told <= 85 + 100, "{told}");
     }
 }
+
+/// What each of two registries told the gateway of its changes so far.
+#[derive(Default)]
+struct Followed {
+    wall: Wall,
+    seqs: [u64; 2],
+}
+
+impl Followed {
+    fn follow(&mut self, now: Duration, boards: &[Board; 2]) {
+        for (rack, board) in boards.iter().enumerate() {
+            let news = board.since(self.seqs[rack]);
+            self.seqs[rack] = board.seq();
+            self.wall.told(now, rack, 1, news.backends);
+        }
+        self.wall.tick(now);
+    }
+
+    fn serving(&self) -> usize {
+        self.wall.serving(["tally"])["tally"]
+    }
+}
+
+/// Two registries that are cut off from each other for so long, each called by a backend of its own, then joined.
+fn two_sides_of_a_cut(cut: Duration) -> (usize, usize) {
+    let mut boards = [Board::new(BEAT), Board::new(BEAT)];
+    let mut gateway = Followed::default();
+    let (mut fewest, mut calls) = (usize::MAX, 0);
+    let end = cut + BEAT * 8;
+    for step in 0..end.as_millis() as u64 / 500 {
+        let now = ms(step * 500);
+        if step % 3 == 0 {
+            calls += 1;
+            for (side, id) in ["i-1", "i-2"].into_iter().enumerate() {
+                boards[side].heard(now, peg(id, calls, State::Ready), Duration::ZERO);
+            }
+        }
+        let is_joined = step < 6 || now > cut;
+        if is_joined {
+            for (from, to) in [(0, 1), (1, 0)] {
+                for (heard, ago) in boards[from].heard_within(now, Duration::MAX) {
+                    boards[to].heard(now, heard, ms(ago));
+                }
+            }
+        }
+        boards.iter_mut().for_each(|board| drop(board.tick(now)));
+        gateway.follow(now, &boards);
+        fewest = fewest.min(gateway.serving());
+    }
+    (fewest, gateway.serving())
+}
+
+#[test]
+fn backends_that_one_side_of_a_cut_does_not_hear_keep_their_work_however_long_it_lasts() {
+    for cut in [6, 20, 26, 40, 170, 400] {
+        assert_eq!(two_sides_of_a_cut(Duration::from_secs(cut)), (2, 2), "cut for {cut} s");
+    }
+}
+
+#[test]
+fn a_backend_that_was_not_heard_of_for_long_serves_again_once_it_is() {
+    for away in [10, 24, 30, 100, 200] {
+        let mut boards = [Board::new(BEAT), Board::new(BEAT)];
+        let mut gateway = Followed::default();
+        boards[0].heard(ms(0), peg("i-1", 1, State::Ready), Duration::ZERO);
+        gateway.follow(ms(0), &boards);
+        for step in 1..away * 2 {
+            boards.iter_mut().for_each(|board| drop(board.tick(ms(step * 500))));
+            gateway.follow(ms(step * 500), &boards);
+        }
+        assert_eq!(gateway.serving(), 0, "away for {away} s");
+        let back = ms(away * 1_000);
+        boards[1].heard(back, peg("i-1", 2, State::Ready), Duration::ZERO);
+        gateway.follow(back, &boards);
+        assert_eq!(gateway.serving(), 1, "away for {away} s");
+    }
+}
