What an observer has not heard is told beside a backend's own word, not as its end

Cause: a registry that heard nothing of a backend for 25 s noted it as gone, the word of one that left. That word is final and outranks all others wherever lists merge, so that a cut of 25 s between registries ended all backends of both sides, in gateways at once and in the other registries when it healed. Change: Liveness (alive, silent, lost) is what one observer sees; the newest beat takes it back, and of several observers the one that heard last is right. Only a backend's own word ends it. The count names none that its registry lost, and gateways give those their part by chance. Messages have version 5 (a backend bears its liveness).

--- a/crates/starlinghill-console/src/picture.rs
+++ b/crates/starlinghill-console/src/picture.rs
@@ -1,7 +1,7 @@
 //! How things stand over all registries, as one picture, and what changed since the last one.
 
 use starlinghill_gauge::Seen;
-use starlinghill_pegboard::{Peg, State};
+use starlinghill_pegboard::{Liveness, Peg, State};
 use starlinghill_template::Kind;
 use starlinghill_toolrack::wire::Status;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -105,12 +105,13 @@
             }
             for (told, _) in &status.backends {
                 let service = picture.services.entry(told.peg.service.clone()).or_default();
-                match told.peg.state {
-                    State::Draining => drop(service.draining.insert(told.peg.id.clone())),
-                    State::Ready if told.silent => drop(service.silent.insert(told.peg.id.clone())),
-                    State::Ready => drop(service.ready.insert(told.peg.id.clone())),
-                    State::Gone => {}
-                }
+                let seen_as = match (told.peg.state, told.liveness) {
+                    (State::Gone, _) | (_, Liveness::Lost) => continue,
+                    (State::Draining, _) => &mut service.draining,
+                    (State::Ready, Liveness::Silent) => &mut service.silent,
+                    (State::Ready, Liveness::Alive) => &mut service.ready,
+                };
+                seen_as.insert(told.peg.id.clone());
             }
             if let Some(count) = &status.count {
                 let names = status.backends.iter().map(|(told, _)| (told.peg.number(), &told.peg));
--- a/crates/starlinghill-console/tests/words.rs
+++ b/crates/starlinghill-console/tests/words.rs
@@ -5,7 +5,7 @@
 use starlinghill_decision::api::CustomerId;
 use starlinghill_decision::store_name;
 use starlinghill_gauge::Seen;
-use starlinghill_pegboard::{Gateway, Peg, State, Told};
+use starlinghill_pegboard::{Gateway, Liveness, Peg, State, Told};
 use starlinghill_template::book::digest;
 use starlinghill_template::{Change, History, Item, Kind};
 use starlinghill_toolrack::wire::{Count, Status};
@@ -28,12 +28,12 @@
     IpAddr::from([10, 0, 0, last])
 }
 
-fn told(id: &str, state: State, silent: bool) -> (Told, u64) {
+fn told(id: &str, state: State, liveness: Liveness) -> (Told, u64) {
     let (version, zone, service) = ("v1".into(), "a".into(), "ledger".into());
     let address = SocketAddr::new(ip(9), 80);
     let peg =
         Peg { id: id.into(), service, address, zone, version, capacity: 2, state, calls: 1, warm_at: 0 };
-    (Told { peg, silent }, 5)
+    (Told { peg, liveness }, 5)
 }
 
 fn item(name: &str, version: u64) -> Item {
@@ -52,7 +52,7 @@
         fresh: true,
         items: list,
         digest: digest(items.iter()),
-        backends: vec![told("i-1", State::Ready, false)],
+        backends: vec![told("i-1", State::Ready, Liveness::Alive)],
         gateways: vec![(gateway, 100, digest([item("r-1", 8)].iter()))],
         holder: Some((3, ip(1))),
         count: None,
@@ -92,8 +92,10 @@
 #[test]
 fn a_drain_that_one_registry_knows_of_holds_and_silence_counts_only_where_nobody_hears() {
     let (mut one, mut two) = (status(1, &[]), status(2, &[]));
-    one.backends = vec![told("i-1", State::Draining, false), told("i-2", State::Ready, true)];
-    two.backends = vec![told("i-1", State::Ready, false), told("i-2", State::Ready, false)];
+    one.backends =
+        vec![told("i-1", State::Draining, Liveness::Alive), told("i-2", State::Ready, Liveness::Silent)];
+    two.backends =
+        vec![told("i-1", State::Ready, Liveness::Alive), told("i-2", State::Ready, Liveness::Alive)];
     let picture = Picture::of(&[(at(1), Some(one)), (at(2), Some(two))]);
     let ledger = &picture.services["ledger"];
     assert!(ledger.draining.contains("i-1") && !ledger.ready.contains("i-1"));
@@ -103,7 +105,7 @@
 #[test]
 fn backends_that_are_slow_or_ill_are_named_as_the_counter_sees_them() {
     let mut status = status(1, &[]);
-    status.backends = (1..=3).map(|i| told(&format!("i-{i}"), State::Ready, false)).collect();
+    status.backends = (1..=3).map(|i| told(&format!("i-{i}"), State::Ready, Liveness::Alive)).collect();
     let before = Picture::of(&[(at(1), Some(status.clone()))]);
     let seen = |i: usize, slow: f32, ill: f32| {
         let backend = status.backends[i].0.peg.number();
@@ -126,7 +128,7 @@
 fn what_changed_is_said_once() {
     let before = Picture::of(&[(at(1), Some(status(1, &[item("r-1", 7)])))]);
     let mut next = status(1, &[item("r-1", 8)]);
-    next.backends = vec![told("i-1", State::Draining, false)];
+    next.backends = vec![told("i-1", State::Draining, Liveness::Alive)];
     next.holder = Some((4, ip(2)));
     next.gateways[0].0.life = 2;
     let after = Picture::of(&[(at(1), Some(next))]);
--- a/crates/starlinghill-dovetail/src/frame.rs
+++ b/crates/starlinghill-dovetail/src/frame.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// The version of all messages; another one is refused.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// The longest message.
 pub const LONGEST: usize = 8 << 20;
 const HEAD: usize = 5;
--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-pegboard/src/board.rs
@@ -1,16 +1,13 @@
 //! A registry's own list.
 
-use crate::{Gateway, Peg, State, Told};
+use crate::{Gateway, Liveness, Peg, State, Told};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::Duration;
 
 /// The most backends and gateways that are kept. Guards memory: anybody may call.
 const MOST: usize = 20_000;
-/// A backend is silent when so many beats were missed, and lost after so many more.
-const SILENT_BEATS: f64 = 2.5;
-const LOST: Duration = Duration::from_secs(25);
-/// How long it is remembered that a backend is gone: longer than any beat of it may be on its way.
+/// How long a backend is remembered after it was last heard of: longer than any beat of one that is gone may be on its way.
 const TOMB: Duration = Duration::from_secs(180);
 /// A gateway that has not asked for so long is one no more. Long: a count that is too small doubles shares.
 const AWAY: Duration = Duration::from_secs(30);
@@ -32,7 +29,7 @@
 struct Entry {
     peg: Peg,
     heard: Duration,
-    silent: bool,
+    liveness: Liveness,
     changed: u64,
 }
 
@@ -93,15 +90,17 @@
                 let id = peg.id.clone();
                 // Another registry may tell of one that has been silent for long: nobody is to take it for one that serves
                 // until the next tick.
-                let silent = peg.state == State::Ready && ago > self.silence();
-                self.backends.insert(id, Entry { peg, heard, silent, changed });
+                let liveness = Liveness::of(peg.state, ago, self.beat);
+                self.backends.insert(id, Entry { peg, heard, liveness, changed });
                 true
             }
             Some(entry) => {
                 entry.heard = entry.heard.max(heard);
                 let state = entry.peg.state.max(peg.state);
                 let newer = peg.calls > entry.peg.calls;
-                let news = state != entry.peg.state || entry.silent && newer;
+                let since = now.saturating_sub(entry.heard);
+                let liveness = if newer { Liveness::of(state, since, self.beat) } else { entry.liveness };
+                let news = state != entry.peg.state || liveness != entry.liveness;
                 let moved = newer
                     && state != State::Gone
                     && (peg.address, &peg.service) != (entry.peg.address, &entry.peg.service);
@@ -111,9 +110,7 @@
                     entry.peg = Peg { warm_at, ..peg };
                 }
                 entry.peg.state = state;
-                if newer {
-                    entry.silent = false;
-                }
+                entry.liveness = liveness;
                 if news || moved {
                     self.seq += 1;
                     self.urgent = self.seq;
@@ -169,24 +166,17 @@
         }
     }
 
-    fn silence(&self) -> Duration {
-        self.beat.mul_f64(SILENT_BEATS)
-    }
-
-    /// Notes who was not heard of for long. Returns the backends that are given up now.
+    /// Notes who was not heard of for long. Returns the backends that are lost now.
     pub fn tick(&mut self, now: Duration) -> Vec<String> {
-        let silence = self.silence();
         let mut seq = self.seq;
-        let mut given_up = Vec::new();
+        let mut lost = Vec::new();
         for entry in self.backends.values_mut() {
-            let since = now.saturating_sub(entry.heard);
-            let lost = entry.peg.state != State::Gone && since > LOST;
-            if lost {
-                entry.peg.state = State::Gone;
-                given_up.push(entry.peg.id.clone());
-            }
-            if lost || !entry.silent && entry.peg.state == State::Ready && since > silence {
-                entry.silent = true;
+            let liveness = Liveness::of(entry.peg.state, now.saturating_sub(entry.heard), self.beat);
+            if liveness > entry.liveness {
+                entry.liveness = liveness;
+                if liveness == Liveness::Lost {
+                    lost.push(entry.peg.id.clone());
+                }
                 seq += 1;
                 self.urgent = seq;
                 entry.changed = seq;
@@ -203,7 +193,7 @@
         }
         self.gateways.retain(|_, member| now.saturating_sub(member.heard) < TOMB);
         self.seq = seq;
-        given_up
+        lost
     }
 
     /// What has changed since that number.
@@ -213,7 +203,7 @@
             return News::default();
         }
         let new = self.backends.values().filter(|entry| entry.changed > seq);
-        let backends = new.map(|entry| Told { peg: entry.peg.clone(), silent: entry.silent }).collect();
+        let backends = new.map(|entry| Told { peg: entry.peg.clone(), liveness: entry.liveness }).collect();
         let members = self.gateways.values().filter(|member| member.changed > seq);
         let gateways = members.map(|member| (member.gateway.clone(), member.here)).collect();
         News { backends, gateways }
@@ -236,7 +226,7 @@
         let here = self.backends.values().filter(|entry| entry.peg.state != State::Gone);
         let told = |entry: &Entry| {
             let ago = now.saturating_sub(entry.heard).as_millis() as u64;
-            (Told { peg: entry.peg.clone(), silent: entry.silent }, ago)
+            (Told { peg: entry.peg.clone(), liveness: entry.liveness }, ago)
         };
         here.map(told).collect()
     }
--- a/crates/starlinghill-pegboard/src/lib.rs
+++ b/crates/starlinghill-pegboard/src/lib.rs
@@ -4,12 +4,15 @@
 //! [`Board`] is a registry's own; [`Wall`] is what a gateway makes of several registries' boards.
 //!
 //! A backend's id is one life. What was once said to drain or to be gone never serves again, whoever says so later: beats
-//! may come late, out of order, and at three registries. No I/O and no clock.
+//! may come late, out of order, and at three registries. What an observer has not heard for long is no such word: see
+//! [`Liveness`]. No I/O and no clock.
 
 mod board;
+mod liveness;
 mod wall;
 
 pub use board::{Board, News};
+pub use liveness::Liveness;
 pub use wall::{Change, Unknown, Wall};
 
 use bitcode::{Decode, Encode};
@@ -23,7 +26,7 @@
     Ready,
     /// It finishes what it has.
     Draining,
-    /// It has left, or was lost.
+    /// It has left.
     Gone,
 }
 
@@ -87,8 +90,8 @@
 pub struct Told {
     /// The backend.
     pub peg: Peg,
-    /// Nothing was heard of it for several beats.
-    pub silent: bool,
+    /// How lately that registry heard of it.
+    pub liveness: Liveness,
 }
 
 /// A gateway that carries traffic.
--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-pegboard/src/wall.rs
@@ -1,6 +1,6 @@
 //! What a gateway makes of several registries' lists.
 
-use crate::{Peg, State, Told};
+use crate::{Liveness, Peg, State, Told};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -12,14 +12,14 @@
 const YIELDS: Duration = Duration::from_secs(5);
 /// A gateway that did not look at its list for so long stood still: it looks twice a second.
 const STOOD: Duration = Duration::from_secs(1);
-/// How long a gateway remembers that a backend is gone.
+/// How long a gateway remembers a backend that is gone, or that all who tell of it have lost.
 const TOMB: Duration = Duration::from_secs(180);
 
 #[derive(Debug)]
 struct Seen {
     peg: Peg,
-    /// Who tells of it, in which life, and whether it is silent there.
-    by: BTreeMap<usize, (u64, bool)>,
+    /// Who tells of it, in which life, and how lately it was heard of there.
+    by: BTreeMap<usize, (u64, Liveness)>,
     /// When somebody last told of it. Only what changes is told: that may be long ago.
     at: Duration,
     /// Since when nobody has known it.
@@ -48,8 +48,8 @@
 pub struct Change {
     /// The backend.
     pub peg: Peg,
-    /// All who tell of it say that it is silent.
-    pub silent: bool,
+    /// How lately any of those who tell of it heard of it.
+    pub liveness: Liveness,
 }
 
 /// Backends of a service that take work and that one registry does not know.
@@ -68,9 +68,9 @@
         self.heard.insert(by, now);
         self.absent.remove(&by);
         let mut changes = Vec::new();
-        for Told { peg, silent } in told {
+        for Told { peg, liveness } in told {
             let id = peg.id.clone();
-            let before = self.backends.get(&id).map(|seen| (seen.peg.clone(), self.silent(seen)));
+            let before = self.backends.get(&id).map(|seen| (seen.peg.clone(), self.liveness(seen)));
             let seen = self.backends.entry(id.clone()).or_insert_with(|| Seen {
                 peg: peg.clone(),
                 by: BTreeMap::new(),
@@ -84,16 +84,16 @@
                 seen.peg = peg;
             }
             seen.peg.state = state;
-            seen.by.insert(by, (life, silent));
+            seen.by.insert(by, (life, liveness));
             (seen.at, seen.unknown, seen.yields) = (now, None, false);
             let Some(seen) = self.backends.get(&id) else { continue };
-            let after = (seen.peg.clone(), self.silent(seen));
-            let same = before.as_ref().is_some_and(|(peg, silent)| {
-                (peg.state, peg.address, &peg.service, *silent)
+            let after = (seen.peg.clone(), self.liveness(seen));
+            let same = before.as_ref().is_some_and(|(peg, liveness)| {
+                (peg.state, peg.address, &peg.service, *liveness)
                     == (after.0.state, after.0.address, &after.0.service, after.1)
             });
             if !same {
-                changes.push(Change { peg: after.0, silent: after.1 });
+                changes.push(Change { peg: after.0, liveness: after.1 });
             }
         }
         changes
@@ -106,16 +106,22 @@
         self.absent.remove(&by);
     }
 
-    fn silent(&self, seen: &Seen) -> bool {
-        let mut known = self.known(seen).peekable();
-        seen.yields || known.peek().is_some() && known.all(|silent| silent)
+    /// By whoever heard of it last. What nobody knows stands as it did, until it yields.
+    fn liveness(&self, seen: &Seen) -> Liveness {
+        let least = if seen.yields { Liveness::Silent } else { Liveness::Alive };
+        self.known(seen).min().unwrap_or(Liveness::Alive).max(least)
     }
 
-    /// Whether it is silent, by each registry that knows it in its present life.
-    fn known<'a>(&'a self, seen: &'a Seen) -> impl Iterator<Item = bool> + 'a {
+    /// It takes new work.
+    fn serves(&self, seen: &Seen) -> bool {
+        seen.peg.state == State::Ready && self.liveness(seen) == Liveness::Alive
+    }
+
+    /// How lately it was heard of, by each registry that knows it in its present life.
+    fn known<'a>(&'a self, seen: &'a Seen) -> impl Iterator<Item = Liveness> + 'a {
         let is_present = |by: &usize, life| self.lives.get(by) == Some(life) && !self.absent.contains(by);
         let present = seen.by.iter().filter(move |(by, (life, _))| is_present(by, life));
-        present.map(|(_, (_, silent))| *silent)
+        present.map(|(_, (_, liveness))| *liveness)
     }
 
     /// What nobody tells of any more gets no new work, and is forgotten in the end. Returns what is other than it was.
@@ -127,7 +133,7 @@
         let known = |seen: &Seen| self.known(seen).next().is_some();
         let unknown: BTreeSet<String> =
             self.backends.iter().filter(|(_, seen)| !known(seen)).map(|(id, _)| id.clone()).collect();
-        let serves = |seen: &&Seen| seen.peg.state == State::Ready && known(seen) && !self.silent(seen);
+        let serves = |seen: &&Seen| known(seen) && self.serves(seen);
         let served: BTreeSet<String> =
             self.backends.values().filter(serves).map(|seen| seen.peg.service.clone()).collect();
         let before = std::mem::replace(&mut self.looked, now);
@@ -145,9 +151,8 @@
             let Some(seen) = self.backends.get_mut(&id) else { continue };
             seen.unknown = None;
             if std::mem::take(&mut seen.yields) {
-                let (peg, silent) =
-                    (seen.peg.clone(), self.backends.get(&id).is_some_and(|s| self.silent(s)));
-                changes.push(Change { peg, silent });
+                let Some(seen) = self.backends.get(&id) else { continue };
+                changes.push(Change { peg: seen.peg.clone(), liveness: self.liveness(seen) });
             }
         }
         for id in unknown {
@@ -158,23 +163,36 @@
             }
             if since > UNKNOWN {
                 let peg = Peg { state: State::Gone, ..seen.peg.clone() };
-                changes.push(Change { peg, silent: true });
+                changes.push(Change { peg, liveness: Liveness::Lost });
                 self.backends.remove(&id);
             } else if since > YIELDS && !seen.yields && served.contains(&seen.peg.service) {
                 seen.yields = true;
-                changes.push(Change { peg: seen.peg.clone(), silent: true });
+                changes.push(Change { peg: seen.peg.clone(), liveness: Liveness::Silent });
             }
         }
-        self.backends.retain(|_, seen| seen.peg.state != State::Gone || now.saturating_sub(seen.at) < TOMB);
+        self.forget(now);
         changes
     }
 
-    /// What takes work and what that registry, in its present life, has never told of, by service: it began while it was cut off
-    /// from whom these backends call. Nothing where it has not told of anything yet.
+    /// Forgets what was dropped long ago. Registries have forgotten it by then: they remember no longer from the last beat on
+    /// than this does from their last word.
+    fn forget(&mut self, now: Duration) {
+        let is_dropped = |seen: &Seen| seen.peg.state == State::Gone || self.liveness(seen) == Liveness::Lost;
+        let is_old = |seen: &Seen| now.saturating_sub(seen.at) >= TOMB;
+        let old = self.backends.iter().filter(|(_, seen)| is_old(seen) && is_dropped(seen));
+        let old: Vec<String> = old.map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.backends.remove(&id);
+        }
+    }
+
+    /// What takes work and what that registry, in its present life, has never told of or has lost, by service: it began while it
+    /// was cut off from whom these backends call, or has been for long. Nothing where it has not told of anything yet.
     pub fn unknown_to(&self, rack: usize) -> BTreeMap<&str, Unknown> {
         let Some(life) = self.lives.get(&rack) else { return BTreeMap::new() };
-        let knows = |seen: &Seen| seen.by.get(&rack).is_some_and(|(of, _)| of == life);
-        let serves = |seen: &&Seen| seen.peg.state == State::Ready && !self.silent(seen);
+        let holds = |(of, liveness): &(u64, Liveness)| of == life && *liveness < Liveness::Lost;
+        let knows = |seen: &Seen| seen.by.get(&rack).is_some_and(holds);
+        let serves = |seen: &&Seen| self.serves(seen);
         let mut all: BTreeMap<&str, (u32, u32, Vec<u64>)> = BTreeMap::new();
         for seen in self.backends.values().filter(serves) {
             let (capacity, unknown, backends) = all.entry(&seen.peg.service).or_default();
@@ -195,15 +213,16 @@
         let mut counts: BTreeMap<&str, usize> = services.into_iter().map(|service| (service, 0)).collect();
         for seen in self.backends.values() {
             if let Some(count) = counts.get_mut(seen.peg.service.as_str()) {
-                *count += usize::from(seen.peg.state == State::Ready && !self.silent(seen));
+                *count += usize::from(self.serves(seen));
             }
         }
         counts
     }
 
-    /// The services that have a backend which takes work.
+    /// The services that have a backend which takes work, or may again at any moment.
     pub fn served(&self) -> BTreeSet<&str> {
-        let ready = self.backends.values().filter(|seen| seen.peg.state == State::Ready);
+        let is_here = |seen: &&Seen| seen.peg.state == State::Ready && self.liveness(seen) < Liveness::Lost;
+        let ready = self.backends.values().filter(is_here);
         ready.map(|seen| seen.peg.service.as_str()).collect()
     }
 }
--- a/crates/starlinghill-pegboard/tests/lists.rs
+++ b/crates/starlinghill-pegboard/tests/lists.rs
@@ -1,6 +1,6 @@
 //! Beats out of order at three registries, drains that are told late, registries that begin with nothing.
 
-use starlinghill_pegboard::{Board, Gateway, Peg, State, Told, Unknown, Wall};
+use starlinghill_pegboard::{Board, Gateway, Liveness, Peg, State, Told, Unknown, Wall};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -30,7 +30,7 @@
 }
 
 fn told(peg: Peg) -> Vec<Told> {
-    vec![Told { peg, silent: false }]
+    vec![Told { peg, liveness: Liveness::Alive }]
 }
 
 #[test]
@@ -103,7 +103,7 @@
 fn backends_that_were_known_for_long_outlive_a_restart_of_all_registries() {
     let mut wall = Wall::default();
     for rack in 0..3 {
-        wall.told(ms(0), rack, 1, vec![Told { peg: peg("i-1", 1, State::Ready), silent: false }]);
+        wall.told(ms(0), rack, 1, vec![Told { peg: peg("i-1", 1, State::Ready), liveness: Liveness::Alive }]);
     }
     // Nothing changed for an hour; then all registries are back in other lives, before any beat has come.
     let hour = ms(3_600_000);
@@ -126,11 +126,14 @@
     (2..12).for_each(|step| assert_eq!(wall.tick(ms(500 * step)), Vec::new()));
     assert_eq!(wall.tick(ms(6_000)), Vec::new());
     let changes = wall.tick(ms(6_100));
-    assert!(changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].silent, "{changes:?}");
+    assert!(
+        changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].liveness == Liveness::Silent,
+        "{changes:?}"
+    );
     assert_eq!(wall.tick(ms(6_600)), Vec::new());
     // It was only slow to find the registry.
     let changes = wall.told(ms(7_000), 0, 2, told(peg("i-1", 2, State::Ready)));
-    assert!(changes.len() == 1 && !changes[0].silent, "{changes:?}");
+    assert!(changes.len() == 1 && changes[0].liveness == Liveness::Alive, "{changes:?}");
 }
 
 #[test]
@@ -147,16 +150,16 @@
             }
             changes.extend(wall.tick(ms(500 * step)));
         }
-        changes.into_iter().map(|change| (change.peg.id, change.silent)).collect::<Vec<_>>()
+        changes.into_iter().map(|change| (change.peg.id, change.liveness)).collect::<Vec<_>>()
     };
     // Neither answers: this gateway may be the one that is cut off.
     assert_eq!(unknown(&mut wall, 1, 100, false), []);
     // One does, and the other one does not: what only that one knew yields in the end, until it is told again.
     assert_eq!(unknown(&mut wall, 100, 110, true), []);
-    assert_eq!(unknown(&mut wall, 110, 125, true), [("i-1".to_string(), true)]);
+    assert_eq!(unknown(&mut wall, 110, 125, true), [("i-1".to_string(), Liveness::Silent)]);
     // It answers again, and has nothing new to tell.
     assert_eq!(wall.told(ms(62_500), 0, 1, Vec::new()), []);
-    assert_eq!(unknown(&mut wall, 125, 126, true), [("i-1".to_string(), false)]);
+    assert_eq!(unknown(&mut wall, 125, 126, true), [("i-1".to_string(), Liveness::Alive)]);
     // As long ago as that was does not count the next time.
     assert_eq!(unknown(&mut wall, 126, 136, true), []);
 }
@@ -170,15 +173,20 @@
     // It stands still for six seconds: i-1 leaves, and the registry that noted it is killed.
     wall.told(ms(7_500), 0, 2, told(peg("i-2", 2, State::Ready)));
     let changes = wall.tick(ms(7_500));
-    assert!(changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].silent, "{changes:?}");
+    assert!(
+        changes.len() == 1 && changes[0].peg.id == "i-1" && changes[0].liveness == Liveness::Silent,
+        "{changes:?}"
+    );
 }
 
 #[test]
 fn what_a_registry_that_began_while_it_was_cut_off_does_not_know_is_told_by_service() {
     let mut wall = Wall::default();
     let ready = |id| told(peg(id, 1, State::Ready));
-    let other =
-        vec![Told { peg: Peg { service: "other".into(), ..peg("o-1", 1, State::Ready) }, silent: false }];
+    let other = vec![Told {
+        peg: Peg { service: "other".into(), ..peg("o-1", 1, State::Ready) },
+        liveness: Liveness::Alive,
+    }];
     (0..2).for_each(|rack| drop(wall.told(ms(0), rack, 1, ready("i-1"))));
     wall.told(ms(0), 0, 1, ready("i-2"));
     wall.told(ms(0), 1, 1, other);
@@ -191,7 +199,7 @@
     wall.told(ms(100), 1, 2, Vec::new());
     let parts: Vec<f64> = wall.unknown_to(1).values().map(|unknown| unknown.part).collect();
     assert_eq!(parts, [1.0, 1.0]);
-    wall.told(ms(200), 0, 1, vec![Told { peg: peg("i-2", 2, State::Draining), silent: false }]);
+    wall.told(ms(200), 0, 1, vec![Told { peg: peg("i-2", 2, State::Draining), liveness: Liveness::Alive }]);
     assert_eq!(wall.unknown_to(1)["tally"].backends.len(), 1);
 }
 
@@ -200,8 +208,8 @@
     let mut board = Board::new(BEAT);
     board.heard(ms(60_000), peg("i-1", 1, State::Ready), BEAT * 4);
     board.heard(ms(60_000), peg("i-2", 1, State::Ready), BEAT);
-    let silent: Vec<bool> = board.since(0).backends.iter().map(|told| told.silent).collect();
-    assert_eq!(silent, [true, false]);
+    let heard: Vec<Liveness> = board.since(0).backends.iter().map(|told| told.liveness).collect();
+    assert_eq!(heard, [Liveness::Silent, Liveness::Alive]);
 }
 
 #[test]
@@ -229,12 +237,12 @@
     assert_eq!(board.seq(), seq);
     board.tick(BEAT * 3);
     let news = board.since(seq).backends;
-    assert!(news.len() == 1 && news[0].silent);
+    assert!(news.len() == 1 && news[0].liveness == Liveness::Silent);
     let mut wall = Wall::default();
-    let told = |silent| vec![Told { peg: peg("i-1", 1, State::Ready), silent }];
-    assert!(!wall.told(ms(0), 0, 1, told(false))[0].silent);
-    assert!(wall.told(ms(1), 1, 1, told(true)).is_empty());
-    assert!(wall.told(ms(2), 0, 1, told(true))[0].silent);
+    let told = |liveness| vec![Told { peg: peg("i-1", 1, State::Ready), liveness }];
+    assert_eq!(wall.told(ms(0), 0, 1, told(Liveness::Alive))[0].liveness, Liveness::Alive);
+    assert!(wall.told(ms(1), 1, 1, told(Liveness::Silent)).is_empty());
+    assert_eq!(wall.told(ms(2), 0, 1, told(Liveness::Silent))[0].liveness, Liveness::Silent);
 }
 
 #[test]
--- a/crates/starlinghill-rig/examples/scale/pieces.rs
+++ b/crates/starlinghill-rig/examples/scale/pieces.rs
@@ -3,7 +3,7 @@
 use starlinghill_dovetail::frame;
 use starlinghill_gauge::{Allowance, Draw, Gauge, Listed, Word};
 use starlinghill_grindstone::{Seen, Sight};
-use starlinghill_pegboard::{number, service_number, Board, Gateway, Peg, State, Told};
+use starlinghill_pegboard::{number, service_number, Board, Gateway, Liveness, Peg, State, Told};
 use starlinghill_template::{Book, Change, Item};
 use starlinghill_toolrack::wire::{Answer, Have, Heard, News, Question};
 use std::collections::BTreeSet;
@@ -65,7 +65,7 @@
         let all: Vec<T> = (0..1_000).map(make).collect();
         println!("| {name} | {one} | {:.1} |", bitcode::encode(&all).len() as f64 / 1_000.0);
     }
-    weigh("backend in news (`Told`)", |i| Told { peg: peg(i, 950), silent: false });
+    weigh("backend in news (`Told`)", |i| Told { peg: peg(i, 950), liveness: Liveness::Alive });
     weigh("backend between registries (`Peg`, age)", |i| (peg(i, 950), 400u64));
     weigh("gateway (`Gateway`, here)", |i| (gateway(i), true));
     let items: Vec<Item> = book(8_575).items().map(|held| held.item.clone()).collect();
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -11,7 +11,7 @@
 use starlinghill_holdfast::{self as holdfast, Holdfast};
 use starlinghill_ledger::Allowance;
 use starlinghill_patternbook::wire::Value;
-use starlinghill_pegboard::{number, service_number, Board, Peg, State, Told};
+use starlinghill_pegboard::{number, service_number, Board, Liveness, Peg, State, Told};
 use starlinghill_template::book::digest;
 use starlinghill_template::{Item, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -244,7 +244,7 @@
     fn list_backends(&mut self, now: Duration) {
         let (seq, time) = (self.board.seq(), self.time());
         let Some(gauge) = self.gauge.as_mut().filter(|_| self.listed != seq) else { return };
-        for Told { peg, silent } in self.board.since(self.listed).backends {
+        for Told { peg, liveness } in self.board.since(self.listed).backends {
             gauge.loads.listed(
                 now,
                 Listed {
@@ -252,8 +252,8 @@
                     service: service_number(&peg.service),
                     zone: number(&peg.zone),
                     capacity: peg.capacity,
-                    serves: peg.state == State::Ready,
-                    silent,
+                    serves: peg.state == State::Ready && liveness < Liveness::Lost,
+                    silent: liveness == Liveness::Silent,
                     cold_for: Duration::from_micros(peg.warm_at.saturating_sub(time)),
                 },
             );
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -13,7 +13,7 @@
 use starlinghill_dovetail::TOOLRACK;
 use starlinghill_gateway::inbox::{Clock, Inbox, Input, Listing};
 use starlinghill_holdfast::contact::{Chain, LastContact};
-use starlinghill_pegboard::{number, service_number, Change, Gateway, State, Wall};
+use starlinghill_pegboard::{number, service_number, Change, Gateway, Liveness, State, Wall};
 use starlinghill_template::book::digest;
 use starlinghill_template::table::Tenant;
 use starlinghill_template::{Book, Table};
@@ -377,12 +377,11 @@
         self.log_serving(&changes);
         let (now, time) = (self.clock.now(), *self.counter.time.borrow());
         let listing = |change: Change| {
-            let Change { peg, silent } = change;
-            let listed = match peg.state {
-                State::Ready if silent => Listed::Draining,
-                State::Ready => Listed::InService,
-                State::Draining => Listed::Draining,
-                State::Gone => Listed::Gone,
+            let Change { peg, liveness } = change;
+            let listed = match (peg.state, liveness) {
+                (State::Gone, _) | (_, Liveness::Lost) => Listed::Gone,
+                (State::Ready, Liveness::Alive) => Listed::InService,
+                (State::Ready, Liveness::Silent) | (State::Draining, _) => Listed::Draining,
             };
             let warm_in = peg.warm_at.saturating_sub(time);
             let started = (warm_in > 0).then(|| now + Micros(warm_in.min(COLD.0)) - COLD);
