--- a/crates/starlinghill-mockup/src/backends.rs
+++ b/crates/starlinghill-mockup/src/backends.rs
@@ -33,7 +33,7 @@
 
 impl Backend {
     async fn live(&mut self) {
-        let until = Instant::now() + self.run.ms(2_000, 9_000);
+        let until = Instant::now() + self.run.ms(2_000, 9_000 * self.run.stretch);
         self.at = self.run.any_core();
         while Instant::now() < until && !self.run.over.get() {
             let begun = self.run.now();
--- a/crates/starlinghill-mockup/src/play.rs
+++ b/crates/starlinghill-mockup/src/play.rs
@@ -32,12 +32,19 @@
     pub disks_lie: bool,
     /// Disks are lost before what was lost last is made up for: more than is borne, which must be found.
     pub losses_overlap: bool,
+    /// How many times longer cuts may last, and backends live, than by default.
+    pub stretch: u64,
 }
 
 impl Play {
     /// As it is played by default.
     pub fn of(seed: u64) -> Play {
-        Play { seed, troubled: Duration::from_secs(16), disks_lie: false, losses_overlap: false }
+        Play { seed, troubled: Duration::from_secs(16), disks_lie: false, losses_overlap: false, stretch: 1 }
+    }
+
+    /// A long day, with cuts that outlast all that registries and gateways wait for.
+    pub fn long(seed: u64) -> Play {
+        Play { troubled: Duration::from_secs(90), stretch: 8, ..Play::of(seed) }
     }
 }
 
@@ -77,6 +84,8 @@
     pub is_losing: Cell<bool>,
     /// Disks are lost whatever was lost before.
     pub losses_overlap: bool,
+    /// How many times longer cuts may last, and backends live, than by default.
+    pub stretch: u64,
     highest: RefCell<BTreeMap<String, u64>>,
     /// Callers end.
     pub over: Cell<bool>,
@@ -104,6 +113,7 @@
         disturbed: RefCell::new(vec![0; FOUNDERS + SPARES]),
         is_losing: Cell::new(false),
         losses_overlap: play.losses_overlap,
+        stretch: play.stretch,
         highest: RefCell::default(),
         over: Cell::new(false),
         beating: RefCell::default(),
--- a/crates/starlinghill-mockup/src/trouble.rs
+++ b/crates/starlinghill-mockup/src/trouble.rs
@@ -16,6 +16,8 @@
 const MEMBERS: (usize, usize) = (5, 3);
 /// A registry that is told to end has ended by then.
 const GRACE: Duration = Duration::from_secs(2);
+/// How long a cut lasts at most, by default.
+const LONGEST_CUT_MS: u64 = 8_000;
 /// So often people give an order for the members.
 const ORDERED: usize = 12;
 
@@ -57,6 +59,11 @@
         self.seen.borrow_mut().troubles.push((self.now(), what));
     }
 
+    /// How long a cut lasts.
+    fn cut_lasts(&self) -> Duration {
+        self.ms(100, LONGEST_CUT_MS * self.stretch)
+    }
+
     fn disturb(&self, core: usize) {
         self.disturbed.borrow_mut()[core] += 1;
     }
@@ -137,7 +144,7 @@
             world.fabric.cut(there, here);
         }
     }
-    sleep(run.ms(100, 8_000)).await;
+    sleep(run.cut_lasts()).await;
     mend(run);
 }
 
@@ -154,7 +161,7 @@
         run.world.fabric.cut(here, there);
         run.world.fabric.cut(there, here);
     }
-    sleep(run.ms(100, 8_000)).await;
+    sleep(run.cut_lasts()).await;
     mend(run);
 }
 
--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -3,7 +3,7 @@
 //! A seed that fails is played again with its troubles printed by
 //! `SEED=n cargo test -p starlinghill-mockup --test control one_seed -- --ignored --nocapture`; a long hunt is
 //! `SEEDS=1000 cargo test --profile measure -p starlinghill-mockup --test control long_hunt -- --ignored --nocapture`
-//! (`SEED` is the first).
+//! (`SEED` is the first; with `LONG=1` both play long days).
 
 use hyper::Method;
 use starlinghill_dovetail::call::Caller;
@@ -24,6 +24,8 @@
 
 /// As many as CI has time for on two cores.
 const SEEDS: u64 = 60;
+/// The same for long days.
+const LONG_SEEDS: u64 = 16;
 /// Where they begin: any number will do.
 const FIRST: u64 = 42_000;
 /// Where they begin for disks that lie: soon before one that shows it, as few do.
@@ -78,6 +80,13 @@
     assert!(bad.is_empty(), "{} of {SEEDS} seeds", bad.len());
 }
 
+#[test]
+fn no_seed_of_a_long_day_breaks_the_control_side() {
+    let bad = hunt(FIRST, LONG_SEEDS, MOST, Play::long);
+    print(&bad);
+    assert!(bad.is_empty(), "{} of {LONG_SEEDS} seeds", bad.len());
+}
+
 #[test]
 fn a_seed_plays_the_same_again() {
     let (mut epochs, mut granted) = (0, 0);
@@ -113,7 +122,8 @@
 fn long_hunt() {
     let (first, seeds) = (var("SEED", 1_000_000), var("SEEDS", 1_000));
     let started = std::time::Instant::now();
-    let bad = hunt(first, seeds, MOST, Play::of);
+    let as_played = if var("LONG", 0) == 1 { Play::long } else { Play::of };
+    let bad = hunt(first, seeds, MOST, as_played);
     print(&bad);
     println!("{} of {seeds} seeds from {first} ended badly, in {:?}", bad.len(), started.elapsed());
     assert!(bad.is_empty());
@@ -122,7 +132,9 @@
 #[test]
 #[ignore = "by command"]
 fn one_seed() {
-    let seen = play(&Play { disks_lie: var("LIE", 0) == 1, ..Play::of(var("SEED", FIRST)) });
+    let seed = var("SEED", FIRST);
+    let as_played = if var("LONG", 0) == 1 { Play::long(seed) } else { Play::of(seed) };
+    let seen = play(&Play { disks_lie: var("LIE", 0) == 1, ..as_played });
     seen.troubles.iter().for_each(|(at, what)| println!("{at:?} {what}"));
     for attempt in &seen.attempts {
         println!(
