A process ends where a task that it can't do without does: tables, votes, count, calls

A panic ended one task and no more: a process whose owner of tables had ended lived on, answered that it was ready and refused everything. Essentials name the tasks without which a process is of no use; the first that ends is logged (event=task_ended) and ends the process with a failure, so that whoever runs it starts it again. Tasks that serve one call may still panic by themselves. A store whose writer is gone ends too: it had stayed silent for good. Not this incident's cause, as its logs show; the class was seen beside it. Tests: dovetail/tests/essential.rs, patternbook/tests/keeper.rs (a_voter_whose_writer_is_no_more..).

--- /dev/null
+++ b/crates/starlinghill-dovetail/tests/essential.rs
@@ -0,0 +1,41 @@
+//! Tasks that a process can't do without.
+
+use starlinghill_dovetail::essential::Essentials;
+use std::time::Duration;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout};
+
+fn run<F: std::future::Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test)
+}
+
+#[test]
+fn the_first_task_that_panics_or_returns_is_named() {
+    for panics in [true, false] {
+        let name = run(async move {
+            let (essentials, mut first_end) = Essentials::new();
+            essentials.spawn("goes on", std::future::pending());
+            essentials.spawn("ends", async move {
+                sleep(Duration::from_secs(1)).await;
+                assert!(!panics, "on purpose");
+            });
+            first_end.name().await
+        });
+        assert_eq!(name, "ends");
+    }
+}
+
+#[test]
+fn a_task_that_serves_one_call_may_panic() {
+    run(async {
+        let (essentials, mut first_end) = Essentials::new();
+        essentials.spawn("goes on", std::future::pending());
+        let call = spawn_local(async { panic!("on purpose") });
+        assert!(call.await.is_err());
+        assert!(timeout(Duration::from_secs(60), first_end.name()).await.is_err());
+        // Nor does a process end where all who could start tasks are gone.
+        drop(essentials);
+        assert!(timeout(Duration::from_secs(60), first_end.name()).await.is_err());
+    });
+}
--- a/crates/starlinghill-mockup/src/world.rs
+++ b/crates/starlinghill-mockup/src/world.rs
@@ -7,6 +7,7 @@
 use starlinghill_clamp::Members;
 use starlinghill_decision::api::{CustomerId, Listed, Micros, Outcome, ServiceId};
 use starlinghill_decision::store_name;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::net::Net;
 use starlinghill_dovetail::settings::{Bounds, Node};
 use starlinghill_dovetail::{PATTERNBOOK, TOOLRACK, WORKBENCH};
@@ -346,7 +347,7 @@
         gateway.listed.borrow_mut().clear();
         let listed = gateway.listed.clone();
         let (node, net, slot) = (self.node(gateway.ip, false), self.net(gateway.ip), gateway.shared.clone());
-        let (granted, begun) = (self.granted.clone(), self.begun);
+        let (granted, begun, ended) = (self.granted.clone(), self.begun, self.ended.clone());
         *gateway.process.borrow_mut() = Process::begin(async move {
             let (_stop, stopping) = watch::channel(false);
             let view = View { table: Table::default(), places: Places::default(), gateways: 1 };
@@ -354,13 +355,15 @@
                 Rc::new(Shared { view: RefCell::new(view), ready: watch::channel(false).0, stopping });
             *slot.borrow_mut() = Some(shared.clone());
             let (holder, held) = news::nowhere();
-            let counter = Counter::start(net.clone(), life, held);
+            let essentials = Essentials::default();
+            let counter = Counter::start(net.clone(), life, held, &essentials);
             // What the module would hear of it.
             let (driver, mut inputs) = mpsc::channel(64);
             let clock = Clock::from(Micros(100_000_000));
             let ring = Rc::new(Ring::new(node.port(node.ip, WORKBENCH), life));
             spawn_local(draw(counter.clone(), granted, begun));
-            news::start(&node, shared, Ways { net, driver, clock, counter, holder, ring }, life);
+            let ways = Ways { net, driver, clock, counter, holder, ring };
+            news::start(&node, shared, ways, life, &essentials);
             while let Some(input) = inputs.recv().await {
                 let Input::Backends(_, listings) = input else { continue };
                 for Listing { entry, name, .. } in listings {
@@ -371,6 +374,7 @@
                     };
                 }
             }
+            ended.borrow_mut().push(format!("gateway {i} ended: nobody follows the registries any more"));
         });
     }
 
--- a/crates/starlinghill-patternbook/src/keeper.rs
+++ b/crates/starlinghill-patternbook/src/keeper.rs
@@ -4,6 +4,7 @@
 use crate::shelf::{Disk, Order};
 use crate::wire::Value;
 use starlinghill_clamp::{Ask, Ballot, Kept, Member, Members, Save, Tell, Voter};
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::queue::Fill;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -43,12 +44,12 @@
 }
 
 impl Keeper {
-    /// Runs the owner.
-    pub fn start(voter: Voter<Value>, disk: Disk) -> Keeper {
+    /// Runs the owner. Without it the process is of no use.
+    pub fn start(voter: Voter<Value>, disk: Disk, essentials: &Essentials) -> Keeper {
         let (queue, commands) = mpsc::channel(QUEUE);
         let (show, view) = watch::channel(view(&voter));
         let me = voter.me();
-        tokio::task::spawn_local(own(voter, disk, commands, show));
+        essentials.spawn("vote", own(voter, disk, commands, show));
         Keeper { me, queue, view }
     }
 
@@ -81,16 +82,23 @@
             // Given up by who asked, as behind a disk that hung: it is as though it had been lost on its way.
             continue;
         }
-        unkept = unkept && !write(&voter, true, &disk).await;
         if unkept {
-            continue;
+            match write(&voter, true, &disk).await {
+                Written::Kept => {}
+                Written::Refused => continue,
+                Written::NoWriter => return,
+            }
         }
         let (tell, save) = voter.handle(to, *ask);
-        let saved = match save {
-            Save::Nothing => true,
+        let written = match save {
+            Save::Nothing => Written::Kept,
             Save::Kept => write(&voter, false, &disk).await,
             Save::State => write(&voter, true, &disk).await,
         };
+        if written == Written::NoWriter {
+            return;
+        }
+        let saved = written == Written::Kept;
         unkept = !saved;
         publish(&voter, &show);
         if saved {
@@ -100,20 +108,31 @@
     }
 }
 
+/// What became of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// It is on disk.
+    Kept,
+    /// The disk refuses.
+    Refused,
+    /// Whoever writes is no more: nothing is ever kept again by this process.
+    NoWriter,
+}
+
 /// Has it on disk; nothing is said of what is not. A disk that refuses leaves the voter silent, and the others decide.
-async fn write(voter: &Voter<Value>, state: bool, disk: &Disk) -> bool {
+async fn write(voter: &Voter<Value>, state: bool, disk: &Disk) -> Written {
     let (done, saved) = oneshot::channel();
     let state = state.then(|| voter.state().clone());
     if disk.send(Order { kept: voter.kept().clone(), state, done }).is_err() {
-        return false;
+        return Written::NoWriter;
     }
     match saved.await {
-        Ok(Ok(())) => true,
+        Ok(Ok(())) => Written::Kept,
         Ok(Err(error)) => {
             log::error!("event=disk_failed error=\"{error}\"");
-            false
+            Written::Refused
         }
-        Err(_) => false,
+        Err(_) => Written::NoWriter,
     }
 }
 
--- a/crates/starlinghill-patternbook/src/program.rs
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -8,6 +8,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_clamp::{Member, Members, Voter};
 use starlinghill_dovetail::call::serve;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::net::{self, Net};
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::signals::{Reread, Signals};
@@ -20,7 +21,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
 /// The pause before a disk that refused is opened again.
@@ -47,6 +47,12 @@
         /// What is wrong.
         source: ShelfError,
     },
+    /// A task that it can't do without has ended.
+    #[snafu(display("the task {task} ended"))]
+    Task {
+        /// Which one.
+        task: &'static str,
+    },
     /// Whoever writes to the disk is no more.
     #[snafu(display("nobody writes to the disk"))]
     Gone,
@@ -123,23 +129,28 @@
         !was_there,
         node.first_start
     );
-    let keeper = Keeper::start(voter, disk);
+    let (essentials, mut first_end) = Essentials::new();
+    let keeper = Keeper::start(voter, disk, &essentials);
     let by = fastrand::u32(1..);
     let chain = Chain::of(node.bounds.apply);
     let times = Times::of(node.bounds.sync_time, chain.contact + chain.store_holds + LEASE);
     let stores = Rc::new(Stores::new(net, keeper, address.port(), by, times, chain));
-    spawn_local(stores.clone().follow());
+    essentials.spawn("follow", stores.clone().follow());
     // Seeds of a file that was read again are asked from then on.
     let (first, latest) = (seeds(node), move || reread.borrow().as_deref().map(seeds));
-    spawn_local(stores.clone().belong(move || latest().unwrap_or_else(|| first.clone())));
+    essentials.spawn("belong", stores.clone().belong(move || latest().unwrap_or_else(|| first.clone())));
     let asked = stores.clone();
     // An order whose caller has left may be refused by another store meanwhile.
     let order = |question: &Question| matches!(question, Question::Change(_));
-    spawn_local(serve(listener, node.most_peers(), order, move |question, _| {
+    let answer = move |question, _| {
         let stores = asked.clone();
         async move { answer(question, &stores, chain).await }
-    }));
-    end.await;
+    };
+    essentials.spawn("calls", serve(listener, node.most_peers(), order, answer));
+    tokio::select! {
+        () = &mut end => {}
+        task = first_end.name() => return TaskSnafu { task }.fail(),
+    }
     stores.leave().await;
     Ok(())
 }
--- a/crates/starlinghill-patternbook/tests/keeper.rs
+++ b/crates/starlinghill-patternbook/tests/keeper.rs
@@ -1,6 +1,7 @@
 //! A disk that refuses, or hangs: what was not kept is not told.
 
 use starlinghill_clamp::{Ask, Ballot, Members, State, Tell, Voter};
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_patternbook::keeper::Keeper;
 use starlinghill_patternbook::shelf::{Order, ShelfError};
 use std::net::IpAddr;
@@ -24,7 +25,8 @@
     let task = LocalSet::new();
     task.run_until(async {
         let members = Members::first((1..4).map(|i| IpAddr::from([10, 0, 0, i])));
-        let keeper = Keeper::start(Voter::new(members.voters[0], members.clone()), disk);
+        let keeper =
+            Keeper::start(Voter::new(members.voters[0], members.clone()), disk, &Essentials::default());
         let ballot = Ballot { round: 1, by: 1 };
         let state = State { members, value: Vec::new() };
         let accept = Ask::Accept { ballot, epoch: 0, state };
@@ -44,7 +46,8 @@
     let task = LocalSet::new();
     task.run_until(async {
         let members = Members::first((1..4).map(|i| IpAddr::from([10, 0, 0, i])));
-        let keeper = Keeper::start(Voter::new(members.voters[0], members.clone()), disk);
+        let keeper =
+            Keeper::start(Voter::new(members.voters[0], members.clone()), disk, &Essentials::default());
         let ballot = Ballot { round: 1, by: 1 };
         let state = State { members, value: Vec::new() };
         let accept = Ask::Accept { ballot, epoch: 0, state };
@@ -73,7 +76,8 @@
     let task = LocalSet::new();
     task.run_until(async {
         let members = Members::first((1..4).map(|i| IpAddr::from([10, 0, 0, i])));
-        let keeper = Keeper::start(Voter::new(members.voters[0], members.clone()), disk);
+        let keeper =
+            Keeper::start(Voter::new(members.voters[0], members.clone()), disk, &Essentials::default());
         let accept = |round| {
             let (keeper, ballot) = (keeper.clone(), Ballot { round, by: 1 });
             let state = State { members: members.clone(), value: Vec::new() };
@@ -97,3 +101,20 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_voter_whose_writer_is_no_more_ends_its_process() {
+    let (disk, orders) = mpsc::unbounded_channel::<Order>();
+    drop(orders);
+    let task = LocalSet::new();
+    task.run_until(async {
+        let members = Members::first((1..4).map(|i| IpAddr::from([10, 0, 0, i])));
+        let (essentials, mut first_end) = Essentials::new();
+        let keeper = Keeper::start(Voter::new(members.voters[0], members.clone()), disk, &essentials);
+        let state = State { members, value: Vec::new() };
+        let accept = Ask::Accept { ballot: Ballot { round: 1, by: 1 }, epoch: 0, state };
+        assert!(keeper.ask(accept).await.is_none());
+        assert_eq!(first_end.name().await, "vote");
+    })
+    .await;
+}
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::members::Sets;
 use crate::wire::{Answer, Count, Have, Heard, News, Question, Status};
 use starlinghill_clamp::Members;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::queue::Fill;
 use starlinghill_dovetail::settings::Node;
 use starlinghill_gauge::{Gauge, Listed};
@@ -104,8 +105,8 @@
     rounds: u32,
 }
 
-/// Runs the owner of a registry.
-pub fn start(node: &Node) -> Owner {
+/// Runs the owner of a registry. Without it the process is of no use.
+pub fn start(node: &Node, essentials: &Essentials) -> Owner {
     let me = node.ip;
     let (queue, mut commands) = mpsc::channel(QUEUE);
     let chain = Chain::of(node.bounds.apply);
@@ -135,7 +136,7 @@
         relayed: Duration::ZERO,
         rounds: 0,
     };
-    tokio::task::spawn_local(async move {
+    essentials.spawn("tables", async move {
         let mut fill = Fill::new("tables", QUEUE);
         while let Some(command) = commands.recv().await {
             fill.log(commands.len() + 1);
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -7,6 +7,7 @@
 use crate::wire::Answer;
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_dovetail::call;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::net::{self, Listener, Net};
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::signals::Signals;
@@ -17,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// What is under way at the end has so long to be answered.
@@ -43,6 +43,12 @@
         /// How.
         source: std::io::Error,
     },
+    /// A task that it can't do without has ended.
+    #[snafu(display("the task {task} ended"))]
+    Task {
+        /// Which one.
+        task: &'static str,
+    },
 }
 
 async fn listen(net: &Net, address: SocketAddr) -> Result<Box<dyn Listener>, StartError> {
@@ -63,11 +69,12 @@
     let seeds: Vec<IpAddr> = node.seeds.iter().map(|seed| seed.ip()).collect();
     let peers = Rc::new(Peers::new(net, node.ip, node.port(node.ip, TOOLRACK).port(), seeds));
     let store = node.port(node.ip, PATTERNBOOK);
-    let owner = owner::start(node);
+    let (essentials, mut first_end) = Essentials::new();
+    let owner = owner::start(node, &essentials);
     let (stop, stopping) = watch::channel(false);
-    spawn_local(peers.clone().run(owner.clone()));
+    essentials.spawn("peers", peers.clone().run(owner.clone()));
     let chain = Chain::of(node.bounds.apply);
-    spawn_local(follow_store(net.clone(), store, owner.clone(), peers.clone(), chain));
+    essentials.spawn("store", follow_store(net.clone(), store, owner.clone(), peers.clone(), chain));
     let desk = Desk {
         net: net.clone(),
         owner: owner.clone(),
@@ -76,22 +83,21 @@
         tree: Place::tree(),
         stopping,
     };
-    spawn_local(serve::serve(control, Rc::new(desk)));
+    essentials.spawn("control", serve::serve(control, Rc::new(desk)));
     let asked = owner.clone();
-    spawn_local(call::serve(
-        own,
-        node.most_peers(),
-        |_| false,
-        move |question, _| {
-            let owner = asked.clone();
-            async move {
-                let (reply, answer) = oneshot::channel();
-                let _ = owner.send(Command::Ask(question, reply)).await;
-                answer.await.unwrap_or(Answer::NotMine(0))
-            }
-        },
-    ));
-    end.await;
+    let answer = move |question, _| {
+        let owner = asked.clone();
+        async move {
+            let (reply, answer) = oneshot::channel();
+            let _ = owner.send(Command::Ask(question, reply)).await;
+            answer.await.unwrap_or(Answer::NotMine(0))
+        }
+    };
+    essentials.spawn("calls", call::serve(own, node.most_peers(), |_| false, answer));
+    tokio::select! {
+        () = end => {}
+        task = first_end.name() => return TaskSnafu { task }.fail(),
+    }
     // Nobody may be left to hear it.
     let _ = stop.send(true);
     let (reply, end) = oneshot::channel();
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -1,6 +1,7 @@
 //! The way to the shared count: draws go to whoever keeps it, many in one message, and what the stores hold comes back.
 
 use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId, ServiceId};
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_dovetail::net::Net;
 use starlinghill_gateway::counter::{Count, Counting};
@@ -112,7 +113,12 @@
 
 impl Counter {
     /// The count, for the gateway process of that life, over a network.
-    pub fn start(net: Net, life: u64, holder: watch::Receiver<Holder>) -> Rc<Counter> {
+    pub fn start(
+        net: Net,
+        life: u64,
+        holder: watch::Receiver<Holder>,
+        essentials: &Essentials,
+    ) -> Rc<Counter> {
         let (calls, queue) = mpsc::channel(QUEUE);
         let counter = Rc::new(Counter {
             net,
@@ -130,7 +136,7 @@
             unknown: RefCell::default(),
             draw_counts: Cell::default(),
         });
-        tokio::task::spawn_local(counter.clone().run(life, holder, queue));
+        essentials.spawn("count", counter.clone().run(life, holder, queue));
         counter
     }
 
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -8,6 +8,7 @@
 use starlinghill_decision::api::*;
 use starlinghill_decision::store_name;
 use starlinghill_dovetail::call::Caller;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::net::Net;
 use starlinghill_dovetail::settings::Node;
 use starlinghill_dovetail::TOOLRACK;
@@ -85,7 +86,7 @@
 }
 
 /// Asks all registries, again and again, and takes in what they tell.
-pub fn start(node: &Node, shared: Rc<Shared>, ways: Ways, life: u64) {
+pub fn start(node: &Node, shared: Rc<Shared>, ways: Ways, life: u64, essentials: &Essentials) {
     let Ways { net, driver, clock, counter, holder, ring } = ways;
     let (tell, told) = mpsc::channel(QUEUE);
     let me = Gateway { ip: node.ip, life, zone: node.zone.clone(), node: node.name.clone() };
@@ -136,7 +137,7 @@
         chain,
         contact: None,
     };
-    spawn_local(owner.run(told));
+    essentials.spawn("tables", owner.run(told));
 }
 
 /// The registries that are asked.
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -9,6 +9,7 @@
 use crate::rules::{self, Places};
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_decision::api::Micros;
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::net;
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::signals::Signals;
@@ -73,9 +74,12 @@
         /// How.
         source: std::io::Error,
     },
-    /// The driver ended.
-    #[snafu(display("the driver ended"))]
-    Driver,
+    /// A task that it can't do without has ended.
+    #[snafu(display("the task {task} ended"))]
+    Task {
+        /// Which one.
+        task: &'static str,
+    },
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -136,7 +140,8 @@
     let life = fastrand::u64(1..);
     let net = net::tcp();
     let (holder, held) = news::nowhere();
-    let counter = Counter::start(net.clone(), life, held);
+    let (essentials, mut first_end) = Essentials::new();
+    let counter = Counter::start(net.clone(), life, held, &essentials);
     let clock = Clock::from(BEGINNING);
     let sockets = node.open_files.saturating_sub(OTHERS).max(16) as usize;
     let pool = Pool::new(sockets / 3, DIAL, KEPT, Rc::new(System));
@@ -150,10 +155,10 @@
     let at = node.port(node.ip, WORKBENCH);
     let socket = UdpSocket::bind(at).await.context(SystemSnafu { what: format!("listen on {at}") })?;
     let ring = Rc::new(Ring::new(at, life));
-    spawn_local(ring.clone().run(socket));
+    essentials.spawn("ring", ring.clone().run(socket));
     let ways = Ways { net, driver: inbox.clone(), clock, counter, holder, ring };
-    news::start(&node, shared.clone(), ways, life);
-    spawn_local(crate::ready::serve(asked, shared.clone()));
+    news::start(&node, shared.clone(), ways, life, &essentials);
+    essentials.spawn("ready", crate::ready::serve(asked, shared.clone()));
     let bodies = (node.memory_mb << 20) / BODIES_PART;
     let intake = Intake {
         inbox: inbox.clone(),
@@ -173,10 +178,9 @@
         let _ = inbox.send(Input::Closing(by)).await;
         std::future::pending::<()>().await;
     });
-    let driving = spawn_local(driver.run());
-    // Guards against living on without a driver, taking requests that nobody decides.
+    essentials.spawn("driver", driver.run());
     tokio::select! {
         () = serve(clients, front, sockets * 2 / 3) => Ok(()),
-        _ = driving => Err(StartError::Driver),
+        task = first_end.name() => TaskSnafu { task }.fail(),
     }
 }
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -1,6 +1,7 @@
 //! A gateway's line to the counter, against one that a test plays over a socket.
 
 use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId, ServiceId};
+use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_dovetail::net::tcp;
 use starlinghill_gateway::counter::Count;
@@ -74,7 +75,7 @@
             }
         });
         let (holder, held) = nowhere();
-        let counter = Counter::start(tcp(), 7, held);
+        let counter = Counter::start(tcp(), 7, held, &Essentials::default());
         counter.quotas.borrow_mut().insert(NAME.0, (10.0, 10.0));
         counter.unknown.borrow_mut().extend(unknown.map(|unknown| (SERVICE.0, unknown)));
         holder.send_replace(Some((TERM, address)));
@@ -160,7 +161,7 @@
     let play = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (holder, held) = nowhere();
-        let counter = Counter::start(tcp(), 7, held);
+        let counter = Counter::start(tcp(), 7, held, &Essentials::default());
         counter.quotas.borrow_mut().insert(NAME.0, (rate, rate));
         let begun = Instant::now();
         counter.charge(NAME, charged);
