--- a/crates/starlinghill-pegboard/src/board.rs
+++ b/crates/starlinghill-catalog/src/catalog.rs
@@ -1,6 +1,6 @@
 //! A registry's own list.
 
-use crate::{Gateway, Liveness, Peg, State, Told};
+use crate::{Gateway, Instance, Liveness, Observation, State};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -27,7 +27,7 @@
 
 #[derive(Debug)]
 struct Entry {
-    peg: Peg,
+    instance: Instance,
     heard: Duration,
     liveness: Liveness,
     changed: u64,
@@ -35,7 +35,7 @@
 
 /// A registry's list.
 #[derive(Debug)]
-pub struct Board {
+pub struct Catalog {
     beat: Duration,
     backends: BTreeMap<String, Entry>,
     gateways: BTreeMap<IpAddr, Member>,
@@ -48,19 +48,19 @@
 #[derive(Debug, Default)]
 pub struct News {
     /// Backends.
-    pub backends: Vec<Told>,
+    pub backends: Vec<Observation>,
     /// Gateways that changed, and whether they carry traffic now.
     pub gateways: Vec<(Gateway, bool)>,
 }
 
-impl Board {
+impl Catalog {
     /// An empty one.
-    pub fn new(beat: Duration) -> Board {
+    pub fn new(beat: Duration) -> Catalog {
         let (backends, gateways) = (BTreeMap::new(), BTreeMap::new());
-        Board { beat, backends, gateways, seq: 0, urgent: 0 }
+        Catalog { beat, backends, gateways, seq: 0, urgent: 0 }
     }
 
-    /// The number of the last change. Callers number changes of their own with [`Board::number`].
+    /// The number of the last change. Callers number changes of their own with [`Catalog::number`].
     pub fn seq(&self) -> u64 {
         self.seq
     }
@@ -79,37 +79,38 @@
     }
 
     /// A backend has said something, here or at another registry, so long ago. Returns whether that is news.
-    pub fn heard(&mut self, now: Duration, peg: Peg, ago: Duration) -> bool {
+    pub fn heard(&mut self, now: Duration, instance: Instance, ago: Duration) -> bool {
         let heard = now.saturating_sub(ago);
-        match self.backends.get_mut(&peg.id) {
+        match self.backends.get_mut(&instance.id) {
             None => {
                 if self.backends.len() >= MOST {
                     return false;
                 }
                 let changed = self.number();
-                let id = peg.id.clone();
+                let id = instance.id.clone();
                 // Another registry may tell of one that has been silent for long: nobody is to take it for one that serves
                 // until the next tick.
-                let liveness = Liveness::of(peg.state, ago, self.beat);
-                self.backends.insert(id, Entry { peg, heard, liveness, changed });
+                let liveness = Liveness::of(instance.state, ago, self.beat);
+                self.backends.insert(id, Entry { instance, heard, liveness, changed });
                 true
             }
             Some(entry) => {
                 entry.heard = entry.heard.max(heard);
-                let state = entry.peg.state.max(peg.state);
-                let newer = peg.calls > entry.peg.calls;
+                let state = entry.instance.state.max(instance.state);
+                let newer = instance.calls > entry.instance.calls;
                 let since = now.saturating_sub(entry.heard);
                 let liveness = if newer { Liveness::of(state, since, self.beat) } else { entry.liveness };
-                let news = state != entry.peg.state || liveness != entry.liveness;
+                let news = state != entry.instance.state || liveness != entry.liveness;
                 let moved = newer
                     && state != State::Gone
-                    && (peg.address, &peg.service) != (entry.peg.address, &entry.peg.service);
+                    && (instance.address, &instance.service)
+                        != (entry.instance.address, &entry.instance.service);
                 if newer {
                     // What a beat says of warmth is reckoned anew each time and shifts a little; that is no news.
-                    let warm_at = entry.peg.warm_at;
-                    entry.peg = Peg { warm_at, ..peg };
+                    let warm_at = entry.instance.warm_at;
+                    entry.instance = Instance { warm_at, ..instance };
                 }
-                entry.peg.state = state;
+                entry.instance.state = state;
                 entry.liveness = liveness;
                 if news || moved {
                     self.seq += 1;
@@ -124,16 +125,16 @@
     /// A backend has left. One that is not known here is noted all the same: gateways may know it, by what this registry
     /// knew before it was started again, and its word counts once it is acknowledged. Returns whether it was known.
     pub fn left(&mut self, now: Duration, id: &str) -> bool {
-        let known = self.backends.get(id).map(|entry| entry.peg.clone());
+        let known = self.backends.get(id).map(|entry| entry.instance.clone());
         let was_known = known.is_some();
-        let peg = Peg { state: State::Gone, ..known.unwrap_or_else(|| Peg::gone(id)) };
-        self.heard(now, peg, Duration::ZERO);
+        let instance = Instance { state: State::Gone, ..known.unwrap_or_else(|| Instance::gone(id)) };
+        self.heard(now, instance, Duration::ZERO);
         was_known
     }
 
     /// A backend by its id.
-    pub fn get(&self, id: &str) -> Option<&Peg> {
-        self.backends.get(id).map(|entry| &entry.peg)
+    pub fn get(&self, id: &str) -> Option<&Instance> {
+        self.backends.get(id).map(|entry| &entry.instance)
     }
 
     /// A gateway asks, or another registry says that it did so long ago.
@@ -171,11 +172,11 @@
         let mut seq = self.seq;
         let mut lost = Vec::new();
         for entry in self.backends.values_mut() {
-            let liveness = Liveness::of(entry.peg.state, now.saturating_sub(entry.heard), self.beat);
+            let liveness = Liveness::of(entry.instance.state, now.saturating_sub(entry.heard), self.beat);
             if liveness > entry.liveness {
                 entry.liveness = liveness;
                 if liveness == Liveness::Lost {
-                    lost.push(entry.peg.id.clone());
+                    lost.push(entry.instance.id.clone());
                 }
                 seq += 1;
                 self.urgent = seq;
@@ -203,7 +204,9 @@
             return News::default();
         }
         let new = self.backends.values().filter(|entry| entry.changed > seq);
-        let backends = new.map(|entry| Told { peg: entry.peg.clone(), liveness: entry.liveness }).collect();
+        let backends = new
+            .map(|entry| Observation { instance: entry.instance.clone(), liveness: entry.liveness })
+            .collect();
         let members = self.gateways.values().filter(|member| member.changed > seq);
         let gateways = members.map(|member| (member.gateway.clone(), member.here)).collect();
         News { backends, gateways }
@@ -215,18 +218,18 @@
     }
 
     /// All backends that were heard of within that time, and how long ago: for another registry.
-    pub fn heard_within(&self, now: Duration, within: Duration) -> Vec<(Peg, u64)> {
+    pub fn heard_within(&self, now: Duration, within: Duration) -> Vec<(Instance, u64)> {
         let ago = |entry: &Entry| now.saturating_sub(entry.heard);
         let recent = self.backends.values().filter(|entry| ago(entry) <= within);
-        recent.map(|entry| (entry.peg.clone(), ago(entry).as_millis() as u64)).collect()
+        recent.map(|entry| (entry.instance.clone(), ago(entry).as_millis() as u64)).collect()
     }
 
     /// All backends that are not gone, and how long ago each was heard of, in milliseconds.
-    pub fn all(&self, now: Duration) -> Vec<(Told, u64)> {
-        let here = self.backends.values().filter(|entry| entry.peg.state != State::Gone);
+    pub fn all(&self, now: Duration) -> Vec<(Observation, u64)> {
+        let here = self.backends.values().filter(|entry| entry.instance.state != State::Gone);
         let told = |entry: &Entry| {
             let ago = now.saturating_sub(entry.heard).as_millis() as u64;
-            (Told { peg: entry.peg.clone(), liveness: entry.liveness }, ago)
+            (Observation { instance: entry.instance.clone(), liveness: entry.liveness }, ago)
         };
         here.map(told).collect()
     }
--- a/crates/starlinghill-pegboard/src/lib.rs
+++ b/crates/starlinghill-catalog/src/lib.rs
@@ -1,19 +1,18 @@
-//! Workshop: a pegboard has a peg for each tool, and shows at a glance which one is missing. Here it is who there is:
-//! backends by what they say of themselves, gateways by what they ask.
+//! The backends and gateways that are known: backends by what they say of themselves, gateways by what they ask.
 //!
-//! [`Board`] is a registry's own; [`Wall`] is what a gateway makes of several registries' boards.
+//! [`Catalog`] is a registry's own; [`MergedView`] is what a gateway makes of several registries' catalogs.
 //!
-//! A backend's id is one life. What was once said to drain or to be gone never serves again, whoever says so later: beats
+//! A backend's id is one incarnation. What was once said to drain or to be gone never serves again, whoever says so later: beats
 //! may come late, out of order, and at three registries. What an observer has not heard for long is no such word: see
 //! [`Liveness`]. No I/O and no clock.
 
-mod board;
+mod catalog;
 mod liveness;
-mod wall;
+mod merged;
 
-pub use board::{Board, News};
+pub use catalog::{Catalog, News};
 pub use liveness::Liveness;
-pub use wall::{Change, Unknown, Wall};
+pub use merged::{Change, MergedView, Unknown};
 
 use bitcode::{Decode, Encode};
 use std::net::{IpAddr, SocketAddr};
@@ -30,10 +29,10 @@
     Gone,
 }
 
-/// A backend, as it last said.
+/// An instance of a service, a backend, as it last said.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
-pub struct Peg {
-    /// Its id: one life.
+pub struct Instance {
+    /// Its id: one incarnation.
     pub id: String,
     /// The service that it is of.
     pub service: String,
@@ -53,10 +52,10 @@
     pub warm_at: u64,
 }
 
-impl Peg {
+impl Instance {
     /// One of which no more is known than that it has left.
-    fn gone(id: &str) -> Peg {
-        Peg {
+    fn gone(id: &str) -> Instance {
+        Instance {
             id: id.into(),
             service: String::new(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
@@ -85,11 +84,11 @@
     number(name) as u32 | 1
 }
 
-/// A backend as a registry tells of it.
+/// A backend as a registry observes it.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
-pub struct Told {
+pub struct Observation {
     /// The backend.
-    pub peg: Peg,
+    pub instance: Instance,
     /// How lately that registry heard of it.
     pub liveness: Liveness,
 }
--- a/crates/starlinghill-pegboard/src/wall.rs
+++ b/crates/starlinghill-catalog/src/merged.rs
@@ -1,6 +1,6 @@
 //! What a gateway makes of several registries' lists.
 
-use crate::{Liveness, Peg, State, Told};
+use crate::{Instance, Liveness, Observation, State};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 
 #[derive(Debug)]
 struct Seen {
-    peg: Peg,
+    instance: Instance,
     /// Who tells of it, in which life, and how lately it was heard of there.
     by: BTreeMap<usize, (u64, Liveness)>,
     /// When somebody last told of it. Only what changes is told: that may be long ago.
@@ -30,7 +30,7 @@
 
 /// All backends, as this gateway knows them.
 #[derive(Debug, Default)]
-pub struct Wall {
+pub struct MergedView {
     backends: BTreeMap<String, Seen>,
     lives: BTreeMap<usize, u64>,
     /// When each registry last answered.
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Change {
     /// The backend.
-    pub peg: Peg,
+    pub instance: Instance,
     /// How lately any of those who tell of it heard of it.
     pub liveness: Liveness,
 }
@@ -61,39 +61,39 @@
     pub backends: Vec<u64>,
 }
 
-impl Wall {
+impl MergedView {
     /// A registry, in that life, tells of backends. Returns those that are other than they were.
-    pub fn told(&mut self, now: Duration, by: usize, life: u64, told: Vec<Told>) -> Vec<Change> {
+    pub fn told(&mut self, now: Duration, by: usize, life: u64, told: Vec<Observation>) -> Vec<Change> {
         self.lives.insert(by, life);
         self.heard.insert(by, now);
         self.absent.remove(&by);
         let mut changes = Vec::new();
-        for Told { peg, liveness } in told {
-            let id = peg.id.clone();
-            let before = self.backends.get(&id).map(|seen| (seen.peg.clone(), self.liveness(seen)));
+        for Observation { instance, liveness } in told {
+            let id = instance.id.clone();
+            let before = self.backends.get(&id).map(|seen| (seen.instance.clone(), self.liveness(seen)));
             let seen = self.backends.entry(id.clone()).or_insert_with(|| Seen {
-                peg: peg.clone(),
+                instance: instance.clone(),
                 by: BTreeMap::new(),
                 at: now,
                 unknown: None,
                 yields: false,
             });
             // What once drained never serves again, whoever says so.
-            let state = seen.peg.state.max(peg.state);
-            if peg.calls > seen.peg.calls {
-                seen.peg = peg;
+            let state = seen.instance.state.max(instance.state);
+            if instance.calls > seen.instance.calls {
+                seen.instance = instance;
             }
-            seen.peg.state = state;
+            seen.instance.state = state;
             seen.by.insert(by, (life, liveness));
             (seen.at, seen.unknown, seen.yields) = (now, None, false);
             let Some(seen) = self.backends.get(&id) else { continue };
-            let after = (seen.peg.clone(), self.liveness(seen));
-            let same = before.as_ref().is_some_and(|(peg, liveness)| {
-                (peg.state, peg.address, &peg.service, *liveness)
+            let after = (seen.instance.clone(), self.liveness(seen));
+            let same = before.as_ref().is_some_and(|(instance, liveness)| {
+                (instance.state, instance.address, &instance.service, *liveness)
                     == (after.0.state, after.0.address, &after.0.service, after.1)
             });
             if !same {
-                changes.push(Change { peg: after.0, liveness: after.1 });
+                changes.push(Change { instance: after.0, liveness: after.1 });
             }
         }
         changes
@@ -114,7 +114,7 @@
 
     /// It takes new work.
     fn serves(&self, seen: &Seen) -> bool {
-        seen.peg.state == State::Ready && self.liveness(seen) == Liveness::Alive
+        seen.instance.state == State::Ready && self.liveness(seen) == Liveness::Alive
     }
 
     /// How lately it was heard of, by each registry that knows it in its present life.
@@ -135,7 +135,7 @@
             self.backends.iter().filter(|(_, seen)| !known(seen)).map(|(id, _)| id.clone()).collect();
         let serves = |seen: &&Seen| known(seen) && self.serves(seen);
         let served: BTreeSet<String> =
-            self.backends.values().filter(serves).map(|seen| seen.peg.service.clone()).collect();
+            self.backends.values().filter(serves).map(|seen| seen.instance.service.clone()).collect();
         let before = std::mem::replace(&mut self.looked, now);
         if now.saturating_sub(before) > STOOD {
             self.stood = Some((before, now));
@@ -152,22 +152,22 @@
             seen.unknown = None;
             if std::mem::take(&mut seen.yields) {
                 let Some(seen) = self.backends.get(&id) else { continue };
-                changes.push(Change { peg: seen.peg.clone(), liveness: self.liveness(seen) });
+                changes.push(Change { instance: seen.instance.clone(), liveness: self.liveness(seen) });
             }
         }
         for id in unknown {
             let Some(seen) = self.backends.get_mut(&id) else { continue };
             let since = now.saturating_sub(*seen.unknown.get_or_insert(from));
-            if seen.peg.state == State::Gone {
+            if seen.instance.state == State::Gone {
                 continue;
             }
             if since > UNKNOWN {
-                let peg = Peg { state: State::Gone, ..seen.peg.clone() };
-                changes.push(Change { peg, liveness: Liveness::Lost });
+                let instance = Instance { state: State::Gone, ..seen.instance.clone() };
+                changes.push(Change { instance, liveness: Liveness::Lost });
                 self.backends.remove(&id);
-            } else if since > YIELDS && !seen.yields && served.contains(&seen.peg.service) {
+            } else if since > YIELDS && !seen.yields && served.contains(&seen.instance.service) {
                 seen.yields = true;
-                changes.push(Change { peg: seen.peg.clone(), liveness: Liveness::Silent });
+                changes.push(Change { instance: seen.instance.clone(), liveness: Liveness::Silent });
             }
         }
         self.forget(now);
@@ -177,7 +177,8 @@
     /// Forgets what was dropped long ago. Registries have forgotten it by then: they remember no longer from the last beat on
     /// than this does from their last word.
     fn forget(&mut self, now: Duration) {
-        let is_dropped = |seen: &Seen| seen.peg.state == State::Gone || self.liveness(seen) == Liveness::Lost;
+        let is_dropped =
+            |seen: &Seen| seen.instance.state == State::Gone || self.liveness(seen) == Liveness::Lost;
         let is_old = |seen: &Seen| now.saturating_sub(seen.at) >= TOMB;
         let old = self.backends.iter().filter(|(_, seen)| is_old(seen) && is_dropped(seen));
         let old: Vec<String> = old.map(|(id, _)| id.clone()).collect();
@@ -195,11 +196,11 @@
         let serves = |seen: &&Seen| self.serves(seen);
         let mut all: BTreeMap<&str, (u32, u32, Vec<u64>)> = BTreeMap::new();
         for seen in self.backends.values().filter(serves) {
-            let (capacity, unknown, backends) = all.entry(&seen.peg.service).or_default();
-            *capacity += seen.peg.capacity;
+            let (capacity, unknown, backends) = all.entry(&seen.instance.service).or_default();
+            *capacity += seen.instance.capacity;
             if !knows(seen) {
-                *unknown += seen.peg.capacity;
-                backends.push(seen.peg.number());
+                *unknown += seen.instance.capacity;
+                backends.push(seen.instance.number());
             }
         }
         let part = |unknown: u32, capacity: u32| f64::from(unknown) / f64::from(capacity.max(1));
@@ -212,7 +213,7 @@
     pub fn serving<'a>(&self, services: impl IntoIterator<Item = &'a str>) -> BTreeMap<&'a str, usize> {
         let mut counts: BTreeMap<&str, usize> = services.into_iter().map(|service| (service, 0)).collect();
         for seen in self.backends.values() {
-            if let Some(count) = counts.get_mut(seen.peg.service.as_str()) {
+            if let Some(count) = counts.get_mut(seen.instance.service.as_str()) {
                 *count += usize::from(self.serves(seen));
             }
         }
@@ -221,8 +222,9 @@
 
     /// The services that have a backend which takes work, or may again at any moment.
     pub fn served(&self) -> BTreeSet<&str> {
-        let is_here = |seen: &&Seen| seen.peg.state == State::Ready && self.liveness(seen) < Liveness::Lost;
+        let is_here =
+            |seen: &&Seen| seen.instance.state == State::Ready && self.liveness(seen) < Liveness::Lost;
         let ready = self.backends.values().filter(is_here);
-        ready.map(|seen| seen.peg.service.as_str()).collect()
+        ready.map(|seen| seen.instance.service.as_str()).collect()
     }
 }
--- a/crates/starlinghill-console/src/explain.rs
+++ b/crates/starlinghill-console/src/explain.rs
@@ -2,9 +2,9 @@
 
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
+use starlinghill_catalog::State;
 use starlinghill_decision::api::CustomerId;
 use starlinghill_decision::store_name;
-use starlinghill_pegboard::State;
 use starlinghill_template::{Book, Change, Refusal, Table};
 use starlinghill_toolrack::wire::Status;
 use xxhash_rust::xxh3::xxh3_64;
@@ -81,8 +81,8 @@
             let mut ids: Vec<&str> = statuses
                 .iter()
                 .flat_map(|status| &status.backends)
-                .filter(|(told, _)| told.peg.service == *service && told.peg.state == state)
-                .map(|(told, _)| told.peg.id.as_str())
+                .filter(|(told, _)| told.instance.service == *service && told.instance.state == state)
+                .map(|(told, _)| told.instance.id.as_str())
                 .collect();
             ids.sort_unstable();
             ids.dedup();
--- a/crates/starlinghill-console/src/picture.rs
+++ b/crates/starlinghill-console/src/picture.rs
@@ -1,7 +1,7 @@
 //! How things stand over all registries, as one picture, and what changed since the last one.
 
+use starlinghill_catalog::{Instance, Liveness, State};
 use starlinghill_gauge::Seen;
-use starlinghill_pegboard::{Liveness, Peg, State};
 use starlinghill_template::Kind;
 use starlinghill_toolrack::wire::Status;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -104,17 +104,17 @@
                 }
             }
             for (told, _) in &status.backends {
-                let service = picture.services.entry(told.peg.service.clone()).or_default();
-                let seen_as = match (told.peg.state, told.liveness) {
+                let service = picture.services.entry(told.instance.service.clone()).or_default();
+                let seen_as = match (told.instance.state, told.liveness) {
                     (State::Gone, _) | (_, Liveness::Lost) => continue,
                     (State::Draining, _) => &mut service.draining,
                     (State::Ready, Liveness::Silent) => &mut service.silent,
                     (State::Ready, Liveness::Alive) => &mut service.ready,
                 };
-                seen_as.insert(told.peg.id.clone());
+                seen_as.insert(told.instance.id.clone());
             }
             if let Some(count) = &status.count {
-                let names = status.backends.iter().map(|(told, _)| (told.peg.number(), &told.peg));
+                let names = status.backends.iter().map(|(told, _)| (told.instance.number(), &told.instance));
                 picture.see(&names.collect(), &count.rooms);
                 picture.stores = count.stores.clone();
                 picture.holder.iter_mut().for_each(|holder| holder.2 = count.silent);
@@ -129,17 +129,17 @@
     }
 
     /// How backends do, as whoever keeps the count sees it.
-    fn see(&mut self, pegs: &HashMap<u64, &Peg>, rooms: &[Seen]) {
+    fn see(&mut self, instances: &HashMap<u64, &Instance>, rooms: &[Seen]) {
         for room in rooms {
-            let Some(peg) = pegs.get(&room.backend) else { continue };
-            let service = self.services.entry(peg.service.clone()).or_default();
+            let Some(instance) = instances.get(&room.backend) else { continue };
+            let service = self.services.entry(instance.service.clone()).or_default();
             service.out += room.out;
             service.places += room.capacity;
             if room.slow >= SLOW {
-                service.slow.insert(peg.id.clone());
+                service.slow.insert(instance.id.clone());
             }
             if room.ill >= ILL {
-                service.ill.insert(peg.id.clone());
+                service.ill.insert(instance.id.clone());
             }
         }
     }
--- a/crates/starlinghill-console/tests/words.rs
+++ b/crates/starlinghill-console/tests/words.rs
@@ -1,11 +1,11 @@
 //! What the console says of how things stand.
 
+use starlinghill_catalog::{Gateway, Instance, Liveness, Observation, State};
 use starlinghill_console::explain::{book, differences, explain, Asked};
 use starlinghill_console::picture::Picture;
 use starlinghill_decision::api::CustomerId;
 use starlinghill_decision::store_name;
 use starlinghill_gauge::Seen;
-use starlinghill_pegboard::{Gateway, Liveness, Peg, State, Told};
 use starlinghill_template::book::digest;
 use starlinghill_template::{Change, History, Item, Kind};
 use starlinghill_toolrack::wire::{Count, Status};
@@ -28,12 +28,12 @@
     IpAddr::from([10, 0, 0, last])
 }
 
-fn told(id: &str, state: State, liveness: Liveness) -> (Told, u64) {
+fn told(id: &str, state: State, liveness: Liveness) -> (Observation, u64) {
     let (version, zone, service) = ("v1".into(), "a".into(), "ledger".into());
     let address = SocketAddr::new(ip(9), 80);
-    let peg =
-        Peg { id: id.into(), service, address, zone, version, capacity: 2, state, calls: 1, warm_at: 0 };
-    (Told { peg, liveness }, 5)
+    let instance =
+        Instance { id: id.into(), service, address, zone, version, capacity: 2, state, calls: 1, warm_at: 0 };
+    (Observation { instance, liveness }, 5)
 }
 
 fn item(name: &str, version: u64) -> Item {
@@ -108,7 +108,7 @@
     status.backends = (1..=3).map(|i| told(&format!("i-{i}"), State::Ready, Liveness::Alive)).collect();
     let before = Picture::of(&[(at(1), Some(status.clone()))]);
     let seen = |i: usize, slow: f32, ill: f32| {
-        let backend = status.backends[i].0.peg.number();
+        let backend = status.backends[i].0.instance.number();
         Seen { backend, out: 2, capacity: 3, slow, ill }
     };
     let unknown = Seen { backend: 7, out: 9, capacity: 9, slow: 9.0, ill: 1.0 };
--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -6,11 +6,11 @@
 //! (`SEED` is the first; with `LONG=1` both play long days).
 
 use hyper::Method;
+use starlinghill_catalog::State;
 use starlinghill_dovetail::call::Caller;
 use starlinghill_mockup::check::{Attempt, Held, History, InForce, Items, Order, Read, APPLY};
 use starlinghill_mockup::play::{call, play, Play};
 use starlinghill_mockup::world::{ip, World};
-use starlinghill_pegboard::State;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::collections::BTreeSet;
 use std::future::Future;
@@ -303,7 +303,8 @@
         let at = world.fabric.at(ip(0, 1));
         let asked = Caller::new(&at, world.own(1)).call(&Question::All, s(1)).await;
         let Ok(Answer::All(heard)) = asked else { panic!("{asked:?}") };
-        let states: Vec<_> = heard.backends.iter().map(|(peg, _)| (peg.id.as_str(), peg.state)).collect();
+        let states: Vec<_> =
+            heard.backends.iter().map(|(instance, _)| (instance.id.as_str(), instance.state)).collect();
         assert_eq!(states, [("b", State::Gone)]);
     });
 }
--- a/crates/starlinghill-rig/examples/scale/hollow.rs
+++ b/crates/starlinghill-rig/examples/scale/hollow.rs
@@ -1,11 +1,11 @@
 //! Gateways and backends that only speak: tasks of this process, each from a loopback address of its own.
 
 use crate::machines::Net;
+use starlinghill_catalog::{number, service_number, Gateway, Observation, State};
 use starlinghill_dovetail::frame::{self, Reader};
 use starlinghill_dovetail::net::Connection;
 use starlinghill_gauge::{Draw, Word};
 use starlinghill_grindstone::Seen;
-use starlinghill_pegboard::{number, service_number, Gateway, State, Told};
 use starlinghill_toolrack::wire::{Answer, Have, News, Question};
 use std::collections::HashMap;
 use std::io;
@@ -225,9 +225,9 @@
         gateway.time.fetch_max(news.time, Ordering::Relaxed);
         let marked = news.items.iter().find(|item| item.name == MARKED).map(|item| item.version);
         let mut drains = Vec::new();
-        for Told { peg, .. } in &news.backends {
-            let Some(index) = peg.id.strip_prefix("b-").and_then(|n| n.parse().ok()) else { continue };
-            match peg.state {
+        for Observation { instance, .. } in &news.backends {
+            let Some(index) = instance.id.strip_prefix("b-").and_then(|n| n.parse().ok()) else { continue };
+            match instance.state {
                 State::Ready => listed.told(index),
                 _ => drains.push(index),
             }
--- a/crates/starlinghill-rig/examples/scale/pieces.rs
+++ b/crates/starlinghill-rig/examples/scale/pieces.rs
@@ -1,9 +1,11 @@
 //! What single messages weigh, and what single acts cost.
 
+use starlinghill_catalog::{
+    number, service_number, Catalog, Gateway, Instance, Liveness, Observation, State,
+};
 use starlinghill_dovetail::frame;
 use starlinghill_gauge::{Allowance, Draw, Gauge, Listed, Word};
 use starlinghill_grindstone::{Seen, Sight};
-use starlinghill_pegboard::{number, service_number, Board, Gateway, Liveness, Peg, State, Told};
 use starlinghill_template::{Book, Change, Item};
 use starlinghill_toolrack::wire::{Answer, Have, Heard, News, Question};
 use std::collections::BTreeSet;
@@ -21,8 +23,8 @@
     Gateway { ip: ip(i), life: fastrand::u64(1..), zone, node: format!("front-{i:04}") }
 }
 
-fn peg(i: usize, services: usize) -> Peg {
-    Peg {
+fn instance(i: usize, services: usize) -> Instance {
+    Instance {
         id: format!("i-{:08x}", number(&i.to_string()) as u32),
         service: format!("huvo{:03}a", i % services),
         address: SocketAddr::new(ip(100_000 + i), 8080),
@@ -65,8 +67,11 @@
         let all: Vec<T> = (0..1_000).map(make).collect();
         println!("| {name} | {one} | {:.1} |", bitcode::encode(&all).len() as f64 / 1_000.0);
     }
-    weigh("backend in news (`Told`)", |i| Told { peg: peg(i, 950), liveness: Liveness::Alive });
-    weigh("backend between registries (`Peg`, age)", |i| (peg(i, 950), 400u64));
+    weigh("backend in news (`Observation`)", |i| Observation {
+        instance: instance(i, 950),
+        liveness: Liveness::Alive,
+    });
+    weigh("backend between registries (`Instance`, age)", |i| (instance(i, 950), 400u64));
     weigh("gateway (`Gateway`, here)", |i| (gateway(i), true));
     let items: Vec<Item> = book(8_575).items().map(|held| held.item.clone()).collect();
     weigh("item, as they are mixed at the target", |i| items[i * 8 % items.len()].clone());
@@ -120,7 +125,7 @@
     println!("| one draw, as a frame | {} | |", frame(&one));
     let heard = |count: usize| Heard {
         epoch: 1,
-        backends: (0..count).map(|i| (peg(i, 950), 400)).collect(),
+        backends: (0..count).map(|i| (instance(i, 950), 400)).collect(),
         gateways: (0..count / 14).map(|i| (gateway(i), 100)).collect(),
         time: 90_000_000_000,
     };
@@ -182,28 +187,28 @@
     }
 }
 
-fn boards() {
+fn catalogs() {
     println!("\n| backends, gateways | a beat that says nothing new | news since a number, none | who is dead, of all gateways | a time step |");
     println!("| --- | --- | --- | --- | --- |");
     for (backends, gateways) in [(1_000, 100), (3_000, 300), (10_000, 1_000), (19_000, 2_800)] {
-        let mut board = Board::new(Duration::from_millis(1_500));
+        let mut catalog = Catalog::new(Duration::from_millis(1_500));
         let now = Duration::from_secs(10);
-        let mut pegs: Vec<Peg> = (0..backends).map(|i| peg(i, 950)).collect();
-        for peg in &pegs {
-            board.heard(now, peg.clone(), Duration::ZERO);
+        let mut instances: Vec<Instance> = (0..backends).map(|i| instance(i, 950)).collect();
+        for instance in &instances {
+            catalog.heard(now, instance.clone(), Duration::ZERO);
         }
-        (0..gateways).for_each(|i| board.asks(now, gateway(i), Duration::ZERO));
+        (0..gateways).for_each(|i| catalog.asks(now, gateway(i), Duration::ZERO));
         let beat = timed(backends, |i| {
-            pegs[i].calls += 1;
-            black_box(board.heard(now, pegs[i].clone(), Duration::ZERO));
+            instances[i].calls += 1;
+            black_box(catalog.heard(now, instances[i].clone(), Duration::ZERO));
         });
-        let seq = board.seq();
-        let since = timed(50, |_| drop(black_box(board.since(seq))));
+        let seq = catalog.seq();
+        let since = timed(50, |_| drop(black_box(catalog.since(seq))));
         let all: BTreeSet<IpAddr> = (0..gateways).map(ip).collect();
         let mut sight = Sight::default();
         (0..gateways).for_each(|i| sight.told(now, ip(i), 1, &[]));
         let dead = timed(2, |_| drop(black_box(sight.dead(now, &all))));
-        let tick = timed(20, |_| drop(board.tick(now)));
+        let tick = timed(20, |_| drop(catalog.tick(now)));
         println!("| {backends}, {gateways} | {} | {} | {} | {} |", us(beat), us(since), us(dead), us(tick));
     }
 }
@@ -228,6 +233,6 @@
 pub fn print() {
     weights();
     draws();
-    boards();
+    catalogs();
     checks();
 }
--- a/crates/starlinghill-toolrack/src/owner.rs
+++ b/crates/starlinghill-toolrack/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::members::Sets;
 use crate::wire::{Answer, Count, Have, Heard, News, Question, Status};
+use starlinghill_catalog::{number, service_number, Catalog, Instance, Liveness, Observation, State};
 use starlinghill_clamp::Members;
 use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::queue::Fill;
@@ -12,7 +13,6 @@
 use starlinghill_holdfast::{self as holdfast, Holdfast};
 use starlinghill_ledger::Allowance;
 use starlinghill_patternbook::wire::Value;
-use starlinghill_pegboard::{number, service_number, Board, Liveness, Peg, State, Told};
 use starlinghill_template::book::digest;
 use starlinghill_template::{Item, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,7 +33,7 @@
     /// A question over the wire.
     Ask(Question, oneshot::Sender<Answer>),
     /// A backend's beat, with what it says of warmth in microseconds.
-    Beat(Peg, u64, oneshot::Sender<Peg>),
+    Beat(Instance, u64, oneshot::Sender<Instance>),
     /// A backend leaves.
     Leave(String, oneshot::Sender<()>),
     /// The store beside it says what was agreed on, with a majority's word on that, asked at that moment.
@@ -76,7 +76,7 @@
     start: Instant,
     /// The system's time at that moment. Only ever moves forward: the highest that anybody tells counts.
     base: u64,
-    board: Board,
+    catalog: Catalog,
     /// The items with the number of their last change.
     items: BTreeMap<(Kind, String), (Item, u64)>,
     chain: Chain,
@@ -94,7 +94,7 @@
     sight: Sight,
     duty: Holdfast<IpAddr>,
     gauge: Option<Gauge>,
-    /// Up to which number of the board's the count has the list.
+    /// Up to which number of the catalog's the count has the list.
     listed: u64,
     told_holder: Option<(u64, IpAddr)>,
     /// The number of the news of the last change of the holder.
@@ -117,7 +117,7 @@
         violations: 0,
         start: Instant::now(),
         base: EPOCH,
-        board: Board::new(node.beat),
+        catalog: Catalog::new(node.beat),
         items: BTreeMap::new(),
         chain,
         contact: None,
@@ -165,24 +165,24 @@
 
     fn take(&mut self, command: Command) {
         let now = self.now();
-        let before = self.board.urgent();
+        let before = self.catalog.urgent();
         match command {
             Command::Ask(question, reply) => return self.asked(now, question, reply),
-            Command::Beat(peg, warmup, reply) => {
-                let peg = Peg { warm_at: self.time() + warmup, ..peg };
-                let id = peg.id.clone();
-                if self.board.heard(now, peg.clone(), Duration::ZERO) {
-                    let state = self.board.get(&id).map_or(peg.state, |known| known.state);
+            Command::Beat(instance, warmup, reply) => {
+                let instance = Instance { warm_at: self.time() + warmup, ..instance };
+                let id = instance.id.clone();
+                if self.catalog.heard(now, instance.clone(), Duration::ZERO) {
+                    let state = self.catalog.get(&id).map_or(instance.state, |known| known.state);
                     log::info!(
                         "event=backend id={id} service={} address={} state={state:?}",
-                        peg.service,
-                        peg.address
+                        instance.service,
+                        instance.address
                     );
                 }
-                let _ = reply.send(self.board.get(&id).cloned().unwrap_or(peg));
+                let _ = reply.send(self.catalog.get(&id).cloned().unwrap_or(instance));
             }
             Command::Leave(id, reply) => {
-                let known = self.board.left(now, &id);
+                let known = self.catalog.left(now, &id);
                 log::info!("event=backend_left id={id} known={known}");
                 let _ = reply.send(());
             }
@@ -193,7 +193,7 @@
                 self.contact = LastContact::newer(self.contact, heard, now);
                 if !had && self.may_vouch(now) {
                     // Gateways that have just started wait for this word.
-                    self.board.number();
+                    self.catalog.number();
                 }
                 self.store(items.unwrap_or_default());
             }
@@ -218,7 +218,7 @@
         }
         self.look_at_duty(now);
         self.list_backends(now);
-        if self.board.urgent() != before {
+        if self.catalog.urgent() != before {
             self.answer_waiting(true);
         }
     }
@@ -227,7 +227,7 @@
     fn follow(&mut self, now: Duration, members: &Members) {
         if self.sets.follow(now, members) {
             log::info!("event=members epoch={} voters={:?}", members.epoch, members.voters);
-            self.members_changed = self.board.number();
+            self.members_changed = self.catalog.number();
         }
         let sets = self.sets.count(now);
         self.duty.vouch(sets, self.vouched);
@@ -243,19 +243,19 @@
 
     /// The count goes by the same list as the gateways.
     fn list_backends(&mut self, now: Duration) {
-        let (seq, time) = (self.board.seq(), self.time());
+        let (seq, time) = (self.catalog.seq(), self.time());
         let Some(gauge) = self.gauge.as_mut().filter(|_| self.listed != seq) else { return };
-        for Told { peg, liveness } in self.board.since(self.listed).backends {
+        for Observation { instance, liveness } in self.catalog.since(self.listed).backends {
             gauge.loads.listed(
                 now,
                 Listed {
-                    backend: peg.number(),
-                    service: service_number(&peg.service),
-                    zone: number(&peg.zone),
-                    capacity: peg.capacity,
-                    serves: peg.state == State::Ready && liveness < Liveness::Lost,
+                    backend: instance.number(),
+                    service: service_number(&instance.service),
+                    zone: number(&instance.zone),
+                    capacity: instance.capacity,
+                    serves: instance.state == State::Ready && liveness < Liveness::Lost,
                     silent: liveness == Liveness::Silent,
-                    cold_for: Duration::from_micros(peg.warm_at.saturating_sub(time)),
+                    cold_for: Duration::from_micros(instance.warm_at.saturating_sub(time)),
                 },
             );
         }
@@ -267,7 +267,7 @@
             let key = (item.kind, item.name.clone());
             let stands = self.items.get(&key).map(|(known, _)| known.version);
             if stands.is_none_or(|version| version < item.version) {
-                let seq = self.board.number();
+                let seq = self.catalog.number();
                 log::info!("event=item kind={:?} name={} version=r{}", item.kind, item.name, item.version);
                 self.items.insert(key, (item, seq));
             }
@@ -275,7 +275,7 @@
     }
 
     fn asked(&mut self, now: Duration, question: Question, reply: oneshot::Sender<Answer>) {
-        let before = self.board.urgent();
+        let before = self.catalog.urgent();
         // Whoever asked may have gone.
         let answer = |reply: oneshot::Sender<Answer>, answer| drop(reply.send(answer));
         match question {
@@ -285,11 +285,11 @@
                 self.in_force.insert(have.gateway.ip, have.digest);
                 self.sight.told(now, have.gateway.ip, have.gateway.life, &have.seen);
                 if have.leaving {
-                    self.board.leaves(now, &have.gateway);
+                    self.catalog.leaves(now, &have.gateway);
                 } else {
-                    self.board.asks(now, have.gateway.clone(), Duration::ZERO);
+                    self.catalog.asks(now, have.gateway.clone(), Duration::ZERO);
                 }
-                let nothing_new = have.rack == self.life && have.seq >= self.board.urgent();
+                let nothing_new = have.rack == self.life && have.seq >= self.catalog.urgent();
                 if nothing_new && self.waiting.len() < MOST_WAITING {
                     self.waiting.push((have, now, reply));
                 } else {
@@ -327,18 +327,18 @@
                 answer(reply, noted);
             }
             Question::Left(epoch, id) => {
-                self.board.left(now, &id);
+                self.catalog.left(now, &id);
                 answer(reply, self.noted(epoch));
             }
             Question::Status => {
                 let status = self.status(now);
                 answer(reply, Answer::Status(Box::new(status)));
             }
-            Question::Drain(id) => match self.board.get(&id).cloned() {
-                Some(peg) => {
+            Question::Drain(id) => match self.catalog.get(&id).cloned() {
+                Some(instance) => {
                     log::info!("event=drain_ordered id={id}");
-                    let state = peg.state.max(State::Draining);
-                    self.board.heard(now, Peg { state, ..peg }, Duration::ZERO);
+                    let state = instance.state.max(State::Draining);
+                    self.catalog.heard(now, Instance { state, ..instance }, Duration::ZERO);
                     answer(reply, Answer::Noted);
                 }
                 None => answer(reply, Answer::Unknown),
@@ -347,15 +347,15 @@
                 reply,
                 Answer::All(Heard {
                     epoch: self.sets.members().epoch,
-                    backends: self.board.heard_within(now, Duration::MAX),
-                    gateways: self.board.asked_within(now, Duration::MAX),
+                    backends: self.catalog.heard_within(now, Duration::MAX),
+                    gateways: self.catalog.asked_within(now, Duration::MAX),
                     time: self.time(),
                 }),
             ),
         }
         self.look_at_duty(now);
         self.list_backends(now);
-        if self.board.urgent() != before {
+        if self.catalog.urgent() != before {
             self.answer_waiting(true);
         }
     }
@@ -365,7 +365,7 @@
         let item =
             |(item, _): &(Item, u64)| (item.kind, item.name.clone(), item.version, item.body.is_some());
         let in_force = |ip: &IpAddr| self.in_force.get(ip).copied().unwrap_or_default();
-        let gateways = self.board.asked_within(now, Duration::MAX);
+        let gateways = self.catalog.asked_within(now, Duration::MAX);
         let told = |count: &Gauge| Count {
             silent: count.state().1 as u64,
             stores: count.stores(now),
@@ -379,7 +379,7 @@
             members: self.sets.members().clone(),
             items: self.items.values().map(item).collect(),
             digest: digest(self.items.values().map(|(item, _)| item)),
-            backends: self.board.all(now),
+            backends: self.catalog.all(now),
             gateways: gateways
                 .into_iter()
                 .map(|(gateway, ago)| {
@@ -394,11 +394,11 @@
 
     fn heard(&mut self, now: Duration, heard: Heard) {
         self.hear_time(heard.time);
-        for (peg, ago) in heard.backends {
-            self.board.heard(now, peg, Duration::from_millis(ago));
+        for (instance, ago) in heard.backends {
+            self.catalog.heard(now, instance, Duration::from_millis(ago));
         }
         for (gateway, ago) in heard.gateways {
-            self.board.asks(now, gateway, Duration::from_millis(ago));
+            self.catalog.asks(now, gateway, Duration::from_millis(ago));
         }
     }
 
@@ -406,14 +406,14 @@
     fn news(&self, have: &Have, asked: Duration) -> News {
         let now = self.now();
         let since = if have.rack == self.life { have.seq } else { 0 };
-        let new = self.board.since(since);
+        let new = self.catalog.since(since);
         // The same as with backends: nothing to look through where nothing is new.
-        let to_look_at = if since < self.board.seq() { self.items.len() } else { 0 };
+        let to_look_at = if since < self.catalog.seq() { self.items.len() } else { 0 };
         let items = self.items.values().take(to_look_at).filter(|(_, seq)| *seq > since);
         let holder = self.duty.holder();
         News {
             rack: self.life,
-            seq: self.board.seq(),
+            seq: self.catalog.seq(),
             contact: self.contact.filter(|_| self.may_vouch(now)).map(|contact| contact.pass_on(now, asked)),
             items: items.map(|(item, _)| item.clone()).collect(),
             backends: new.backends,
@@ -439,16 +439,16 @@
     }
 
     fn tick(&mut self, now: Duration) -> Due {
-        for id in self.board.tick(now) {
+        for id in self.catalog.tick(now) {
             log::warn!("event=backend_lost id={id}");
         }
-        let board = &self.board;
-        self.in_force.retain(|ip, _| board.gateways().any(|gateway| gateway.ip == *ip));
+        let catalog = &self.catalog;
+        self.in_force.retain(|ip, _| catalog.gateways().any(|gateway| gateway.ip == *ip));
         if let Some(gauge) = &mut self.gauge {
-            let all = self.board.gateways().map(|gateway| gateway.ip).collect();
+            let all = self.catalog.gateways().map(|gateway| gateway.ip).collect();
             // What the dead had as their share is for the others.
             let dead = self.sight.dead(now, &all);
-            let living = self.board.gateways().filter(|gateway| !dead.contains(&gateway.ip));
+            let living = self.catalog.gateways().filter(|gateway| !dead.contains(&gateway.ip));
             let mut lives = BTreeSet::new();
             for gateway in living {
                 lives.insert(gateway.life);
@@ -475,8 +475,8 @@
             let since = now.saturating_sub(std::mem::replace(&mut self.relayed, now));
             Heard {
                 epoch,
-                backends: self.board.heard_within(now, since),
-                gateways: self.board.asked_within(now, since),
+                backends: self.catalog.heard_within(now, since),
+                gateways: self.catalog.asked_within(now, since),
                 time: self.time(),
             }
         });
@@ -486,7 +486,7 @@
     fn look_at_duty(&mut self, now: Duration) {
         let holds = self.duty.holds(now);
         if let Some(term) = holds.filter(|term| self.gauge.as_ref().is_none_or(|g| g.term != *term)) {
-            let asked = self.board.asked_within(now, RECALLED_WITHIN);
+            let asked = self.catalog.asked_within(now, RECALLED_WITHIN);
             let gateways: Vec<u64> = asked.iter().map(|(gateway, _)| gateway.life).collect();
             log::info!("event=count_held term={term} gateways={}", gateways.len());
             self.gauge = Some(Gauge::begin(now, term, self.first, self.allowance, gateways));
@@ -495,7 +495,7 @@
         }
         if self.duty.holder() != self.told_holder {
             self.told_holder = self.duty.holder();
-            self.holder_changed = self.board.number();
+            self.holder_changed = self.catalog.number();
         }
     }
 }
@@ -508,6 +508,6 @@
 const RELAY_ROUNDS: u32 = 8;
 
 /// A backend says that it takes no new work.
-pub fn is_last_word(peg: &Peg) -> bool {
-    peg.state != State::Ready
+pub fn is_last_word(instance: &Instance) -> bool {
+    instance.state != State::Ready
 }
--- a/crates/starlinghill-toolrack/src/peers.rs
+++ b/crates/starlinghill-toolrack/src/peers.rs
@@ -2,12 +2,12 @@
 
 use crate::owner::{Command, Due, Owner};
 use crate::wire::{Answer, Heard, Question};
+use starlinghill_catalog::Instance;
 use starlinghill_clamp::{Ballot, Member, Members};
 use starlinghill_dovetail::call::Caller;
 use starlinghill_dovetail::net::Net;
 use starlinghill_holdfast::contact::{may_confirm_drain, Chain, ORDER_PASSED_ON};
 use starlinghill_patternbook::wire as store;
-use starlinghill_pegboard::Peg;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
@@ -121,9 +121,10 @@
     }
 
     /// What a backend said last goes to the others.
-    pub async fn tell_peg(&self, peg: Peg) -> bool {
-        let heard =
-            |epoch| Question::Heard(Heard { epoch, backends: vec![(peg.clone(), 0)], ..Heard::default() });
+    pub async fn tell_instance(&self, instance: Instance) -> bool {
+        let heard = |epoch| {
+            Question::Heard(Heard { epoch, backends: vec![(instance.clone(), 0)], ..Heard::default() })
+        };
         self.tell_most(heard).await
     }
 
--- a/crates/starlinghill-toolrack/src/serve.rs
+++ b/crates/starlinghill-toolrack/src/serve.rs
@@ -13,11 +13,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
+use starlinghill_catalog::{Instance, State};
 use starlinghill_dovetail::check::{At, Faults};
 use starlinghill_dovetail::net::{Listener, Net};
 use starlinghill_holdfast::contact::ORDER_ANSWERED;
 use starlinghill_patternbook::wire::{Answer, Outcome, Question as Ask};
-use starlinghill_pegboard::{Peg, State};
 use starlinghill_template::Book;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -131,18 +131,18 @@
     }
 
     async fn beat(&self, id: &str, body: &[u8]) -> Reply {
-        let (peg, warmup) = match read_beat(id, body) {
+        let (instance, warmup) = match read_beat(id, body) {
             Ok(read) => read,
             Err(wrong) => return problem(StatusCode::BAD_REQUEST, &wrong),
         };
         let (told, noted) = oneshot::channel();
-        if self.owner.send(Command::Beat(peg, warmup, told)).await.is_err() {
+        if self.owner.send(Command::Beat(instance, warmup, told)).await.is_err() {
             return problem(StatusCode::SERVICE_UNAVAILABLE, "ending");
         }
-        let Ok(peg) = noted.await else { return problem(StatusCode::SERVICE_UNAVAILABLE, "ending") };
-        if is_last_word(&peg) {
+        let Ok(instance) = noted.await else { return problem(StatusCode::SERVICE_UNAVAILABLE, "ending") };
+        if is_last_word(&instance) {
             // Said to be known only once it would be known without this registry as well.
-            if !self.peers.tell_peg(peg).await {
+            if !self.peers.tell_instance(instance).await {
                 return problem(StatusCode::SERVICE_UNAVAILABLE, "no majority of registries has noted it");
             }
         }
@@ -197,7 +197,7 @@
 }
 
 /// Reads a beat, and how much longer its backend is slow, in microseconds.
-fn read_beat(id: &str, body: &[u8]) -> Result<(Peg, u64), String> {
+fn read_beat(id: &str, body: &[u8]) -> Result<(Instance, u64), String> {
     let value =
         simd_json::to_owned_value(&mut body.to_vec()).map_err(|error| format!("not JSON: {error}"))?;
     let (root, mut faults) = (At::root(&value), Faults::default());
@@ -217,7 +217,7 @@
     let warmup = if warm.is_there() { warm.time(f).as_micros() as u64 } else { 0 };
     let version = details.at("version");
     let zone = details.at("zone");
-    let peg = Peg {
+    let instance = Instance {
         id: id.into(),
         service: details.at("service").text(f),
         address: address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
@@ -228,6 +228,6 @@
         calls: observed.at("call_count").count(f),
         warm_at: 0,
     };
-    let whole = faults.settle((peg, warmup));
+    let whole = faults.settle((instance, warmup));
     whole.map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
 }
--- a/crates/starlinghill-toolrack/src/wire.rs
+++ b/crates/starlinghill-toolrack/src/wire.rs
@@ -1,12 +1,12 @@
 //! What a registry is asked by gateways and by other registries.
 
 use bitcode::{Decode, Encode};
+use starlinghill_catalog::{Gateway, Instance, Observation};
 use starlinghill_clamp::Members;
 use starlinghill_gauge::{Draw, Level, Reading, Seen as Sight, Word};
 use starlinghill_grindstone::Seen;
 use starlinghill_holdfast as holdfast;
 use starlinghill_holdfast::contact::Contact;
-use starlinghill_pegboard::{Gateway, Peg, Told};
 use starlinghill_template::{Item, Kind};
 use std::net::IpAddr;
 
@@ -76,7 +76,7 @@
     /// The epoch of the members that the one who tells knows.
     pub epoch: u64,
     /// Backends.
-    pub backends: Vec<(Peg, u64)>,
+    pub backends: Vec<(Instance, u64)>,
     /// Gateways.
     pub gateways: Vec<(Gateway, u64)>,
     /// The system's time.
@@ -96,7 +96,7 @@
     /// Items that changed.
     pub items: Vec<Item>,
     /// Backends that changed.
-    pub backends: Vec<Told>,
+    pub backends: Vec<Observation>,
     /// These news hold all that is known, not only what changed.
     pub whole: bool,
     /// Gateways that changed, and whether they carry traffic now.
@@ -150,7 +150,7 @@
     /// What stands for them.
     pub digest: u64,
     /// Backends, each heard of so many milliseconds ago.
-    pub backends: Vec<(Told, u64)>,
+    pub backends: Vec<(Observation, u64)>,
     /// Gateways, likewise, each with what stands for the items in force there.
     pub gateways: Vec<(Gateway, u64, u64)>,
     /// Who keeps the count, and its term, as far as is known here.
--- a/crates/starlinghill-toolrack/tests/contact.rs
+++ b/crates/starlinghill-toolrack/tests/contact.rs
@@ -1,10 +1,10 @@
 //! What a registry vouches for, in virtual time: the age of a majority's word goes on counting while questions wait, and
 //! while the process stands still.
 
+use starlinghill_catalog::Gateway;
 use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::settings::{Bounds, Node};
 use starlinghill_holdfast::contact::{Chain, LastContact};
-use starlinghill_pegboard::Gateway;
 use starlinghill_toolrack::owner::{self, Command, Owner};
 use starlinghill_toolrack::wire::{Answer, Have, News, Question};
 use std::time::Duration;
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -1,5 +1,6 @@
 //! The way to the shared count: draws go to whoever keeps it, many in one message, and what the stores hold comes back.
 
+use starlinghill_catalog::Unknown;
 use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId, ServiceId};
 use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::frame::{self, Reader};
@@ -7,7 +8,6 @@
 use starlinghill_gateway::counter::{Count, Counting};
 use starlinghill_gateway::inbox::Counted;
 use starlinghill_gauge::{Client, Draw, Level, Room, Word, KEEP_IN_TOUCH};
-use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -4,6 +4,7 @@
 use crate::ring::Ring;
 use crate::rules::{Fleet, Places, COLD};
 use hyper::header::HeaderValue;
+use starlinghill_catalog::{number, service_number, Change, Gateway, Liveness, MergedView, State};
 use starlinghill_clamp::Members;
 use starlinghill_decision::api::*;
 use starlinghill_decision::store_name;
@@ -14,7 +15,6 @@
 use starlinghill_dovetail::TOOLRACK;
 use starlinghill_gateway::inbox::{Clock, Inbox, Input, Listing};
 use starlinghill_holdfast::contact::{Chain, LastContact};
-use starlinghill_pegboard::{number, service_number, Change, Gateway, Liveness, State, Wall};
 use starlinghill_template::book::digest;
 use starlinghill_template::table::Tenant;
 use starlinghill_template::{Book, Table};
@@ -129,7 +129,7 @@
         alone: false,
         start: Instant::now(),
         book: Book::default(),
-        wall: Wall::default(),
+        merged: MergedView::default(),
         lists: BTreeMap::new(),
         counts: VecDeque::new(),
         fleet: Fleet::default(),
@@ -248,7 +248,7 @@
     alone: bool,
     start: Instant,
     book: Book,
-    wall: Wall,
+    merged: MergedView,
     /// The gateways as each registry last told them.
     lists: BTreeMap<usize, BTreeMap<IpAddr, Gateway>>,
     /// How many there were, and when that was last so.
@@ -270,7 +270,7 @@
             tokio::select! {
                 biased;
                 _ = tick.tick() => {
-                    let gone = self.wall.tick(self.start.elapsed());
+                    let gone = self.merged.tick(self.start.elapsed());
                     self.backends(gone).await;
                     self.count_gateways();
                     self.tell_rules(false).await;
@@ -293,7 +293,7 @@
         }
         self.counter.hear_time(news.time);
         for gone in news.members.as_ref().map(|members| self.racks.follow(members)).unwrap_or_default() {
-            self.wall.left(gone);
+            self.merged.left(gone);
             self.lists.remove(&gone);
         }
         let changed = !self.book.merge(news.items).is_empty();
@@ -306,7 +306,7 @@
         if self.chain.may_vouch(self.contact.map(|contact| contact.age(now))) && !self.book.is_empty() {
             self.first_news.get_or_insert_with(Instant::now);
         }
-        let changes = self.wall.told(self.start.elapsed(), rack, news.rack, news.backends);
+        let changes = self.merged.told(self.start.elapsed(), rack, news.rack, news.backends);
         self.backends(changes).await;
         if news.whole || !news.gateways.is_empty() {
             let list = self.lists.entry(rack).or_default();
@@ -378,24 +378,28 @@
         self.log_serving(&changes);
         let (now, time) = (self.clock.now(), *self.counter.time.borrow());
         let listing = |change: Change| {
-            let Change { peg, liveness } = change;
-            let listed = match (peg.state, liveness) {
+            let Change { instance, liveness } = change;
+            let listed = match (instance.state, liveness) {
                 (State::Gone, _) | (_, Liveness::Lost) => Listed::Gone,
                 (State::Ready, Liveness::Alive) => Listed::InService,
                 (State::Ready, Liveness::Silent) | (State::Draining, _) => Listed::Draining,
             };
-            let warm_in = peg.warm_at.saturating_sub(time);
+            let warm_in = instance.warm_at.saturating_sub(time);
             let started = (warm_in > 0).then(|| now + Micros(warm_in.min(COLD.0)) - COLD);
             let entry = ServerEntry {
-                server: ServerId(peg.number()),
-                service: service(&peg.service),
-                zone: zone(&peg.zone),
+                server: ServerId(instance.number()),
+                service: service(&instance.service),
+                zone: zone(&instance.zone),
                 cell: CellId(0),
                 listed,
-                weight: f64::from(peg.capacity),
+                weight: f64::from(instance.capacity),
                 started,
             };
-            Some(Listing { entry, address: peg.address, name: HeaderValue::from_str(&peg.id).ok()? })
+            Some(Listing {
+                entry,
+                address: instance.address,
+                name: HeaderValue::from_str(&instance.id).ok()?,
+            })
         };
         let listings = changes.into_iter().filter_map(listing).collect();
         let _ = self.driver.send(Input::Backends(ListScope::Changes, listings)).await;
@@ -403,8 +407,8 @@
 
     /// How many backends of the services that changed take new work from here.
     fn log_serving(&self, changes: &[Change]) {
-        let services = changes.iter().map(|change| change.peg.service.as_str());
-        for (service, count) in self.wall.serving(services) {
+        let services = changes.iter().map(|change| change.instance.service.as_str());
+        for (service, count) in self.merged.serving(services) {
             match count {
                 0 => log::warn!("event=no_backend service={service}"),
                 _ => log::info!("event=backends service={service} serving={count}"),
@@ -424,7 +428,7 @@
     /// What the registry with the count does not know.
     fn look_beside(&self) {
         let holder = self.holder.borrow().and_then(|(_, at)| Some(self.racks.all.get(&at.ip())?.0));
-        let unknown = holder.map(|rack| self.wall.unknown_to(rack)).unwrap_or_default();
+        let unknown = holder.map(|rack| self.merged.unknown_to(rack)).unwrap_or_default();
         let unknown = unknown.into_iter().map(|(of, unknown)| (service_number(of), unknown)).collect();
         let before = self.counter.unknown.replace(unknown);
         let now = self.counter.unknown.borrow();
@@ -458,7 +462,7 @@
         if !(told || waited) {
             return;
         }
-        let served = self.wall.served();
+        let served = self.merged.served();
         let view = self.shared.view.borrow();
         let all = view.table.routes().flat_map(|route| &route.to).all(|(to, _)| served.contains(to.as_str()));
         if all || since.elapsed() > LONGEST_WAIT {
--- a/crates/starlinghill-workbench/tests/count.rs
+++ b/crates/starlinghill-workbench/tests/count.rs
@@ -1,5 +1,6 @@
 //! A gateway's line to the counter, against one that a test plays over a socket.
 
+use starlinghill_catalog::Unknown;
 use starlinghill_decision::api::{CountName, Micros, Outcome, ServerId, ServiceId};
 use starlinghill_dovetail::essential::Essentials;
 use starlinghill_dovetail::frame::{self, Reader};
@@ -7,7 +8,6 @@
 use starlinghill_gateway::counter::Count;
 use starlinghill_gateway::inbox::Counted;
 use starlinghill_gauge::{Draw, Level, Room};
-use starlinghill_pegboard::Unknown;
 use starlinghill_toolrack::wire::{Answer, Question};
 use starlinghill_workbench::count::{Counter, DrawCounts, PATIENCE};
 use starlinghill_workbench::news::nowhere;
