Soak: cut links, signals in series, kept connections, changes meanwhile, many proxies

Real processes take their own calls over a network whose links a test cuts by a file (rig/cuts.rs). Checked besides quotas: what a proxy passed on is answered, who was told to end ends with 0, each proxy serves within 15 s and follows the last change in time.

--- a/crates/starlinghill-patternbook/src/program.rs
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -67,7 +67,12 @@
 }
 
 /// Runs until SIGTERM. It ends soon then: all that it said is on disk.
-pub async fn run(mut signals: Signals) -> Result<(), StartError> {
+pub async fn run(signals: Signals) -> Result<(), StartError> {
+    run_on(net::tcp(), signals).await
+}
+
+/// The same, on a network of the caller's.
+pub async fn run_on(net: Net, mut signals: Signals) -> Result<(), StartError> {
     let reread = signals.reread();
     let node = Node::from_environment().context(SettingsSnafu)?;
     let folder = node.data_dir.clone().ok_or(StartError::Diskless)?;
@@ -80,7 +85,7 @@
     };
     // A store whose files are spoilt has lost them, also at the first start of all.
     let node = Node { first_start: node.first_start && !shelf.is_spoilt(), ..node };
-    store(&node, &net::tcp(), reread, found, shelf::run(shelf), end).await
+    store(&node, &net, reread, found, shelf::run(shelf), end).await
 }
 
 /// Waits for a disk that refuses: to end would change nothing.
--- a/crates/starlinghill-rig/examples/system.rs
+++ b/crates/starlinghill-rig/examples/system.rs
@@ -3,7 +3,7 @@
 //! system`. Called with the name of a part, it is that part: tests start their processes so.
 
 use starlinghill_dovetail::program;
-use starlinghill_rig::system::{first_items, Backend, Client, System};
+use starlinghill_rig::system::{cut_net, first_items, Backend, Client, System};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -56,9 +56,15 @@
 fn main() -> ExitCode {
     // Each part reads its own command line behind its name.
     match std::env::args().nth(1).as_deref() {
-        Some("workbench") => program::start(false, starlinghill_workbench::program::run),
-        Some("toolrack") => program::start(false, starlinghill_toolrack::program::run),
-        Some("patternbook") => program::start(false, starlinghill_patternbook::program::run),
+        Some("workbench") => program::start(false, async |signals| {
+            starlinghill_workbench::program::run_on(cut_net(), signals).await
+        }),
+        Some("toolrack") => program::start(false, async |signals| {
+            starlinghill_toolrack::program::run_on(cut_net(), signals).await
+        }),
+        Some("patternbook") => program::start(false, async |signals| {
+            starlinghill_patternbook::program::run_on(cut_net(), signals).await
+        }),
         _ => {
             let runtime =
                 tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
--- a/crates/starlinghill-rig/src/lib.rs
+++ b/crates/starlinghill-rig/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`world`]: stubs of backends, the counter and discovery, a client, and a gateway as a process.
 //! - [`catch_up`]: a core machine that was away during many changes.
 //! - [`counter`]: the shared counter with a capacity, its failures, and what it really counted.
+//! - [`cuts`]: a network between real processes whose links are cut by a file.
 //! - [`failover`]: gateways in zones that follow a group, load through them, and scripted faults.
 //! - [`group`]: a group of real member processes, with links between them.
 //! - [`history`]: the audit of what was ordered and what gateways followed.
@@ -19,6 +20,7 @@
 
 pub mod catch_up;
 pub mod counter;
+pub mod cuts;
 pub mod failover;
 pub mod group;
 pub mod history;
--- /dev/null
+++ b/crates/starlinghill-rig/src/soak/kept.rs
@@ -0,0 +1,117 @@
+//! Clients that hold on to their connection until the proxy's end of it is gone, and what became of each request.
+
+use super::Window;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// A client gives up on a request after this, and on its connection with it.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// The pause after a connection that could not be made.
+const PAUSE: Duration = Duration::from_millis(50);
+
+type Connection = SendRequest<Empty<bytes::Bytes>>;
+
+/// A request whose connection ended without an answer.
+#[derive(Debug, Clone)]
+pub(super) struct Unanswered {
+    /// Its try's id.
+    pub(super) id: String,
+    /// At which proxy.
+    pub(super) edge: usize,
+    /// From its sending to the end of the connection.
+    pub(super) during: Window,
+}
+
+/// What such clients saw.
+#[derive(Debug, Default)]
+pub(super) struct Kept {
+    answered: Mutex<u64>,
+    unanswered: Mutex<Vec<Unanswered>>,
+}
+
+impl Kept {
+    /// How many requests were served.
+    pub(super) fn served(&self) -> u64 {
+        *self.answered.lock().expect("whole")
+    }
+
+    /// Requests that a backend ran though their connection ended without an answer, at a proxy that was not disturbed at the
+    /// time. Such a one must answer all that it passed on.
+    pub(super) fn lost(
+        &self,
+        ran: &HashSet<String>,
+        is_disturbed: impl Fn(&Unanswered) -> bool,
+    ) -> Vec<String> {
+        let unanswered = self.unanswered.lock().expect("whole");
+        let lost = unanswered.iter().filter(|one| ran.contains(&one.id) && !is_disturbed(one));
+        lost.map(|one| format!("{} was passed on by proxy {} and not answered", one.id, one.edge)).collect()
+    }
+
+    /// Asks at one proxy, one request after the other, on one connection for as long as it lasts.
+    pub(super) async fn ask(
+        self: Arc<Self>,
+        edge: usize,
+        front: SocketAddr,
+        pause: Duration,
+        over: Arc<AtomicBool>,
+    ) {
+        let mut connection: Option<Connection> = None;
+        let mut number = 0;
+        while !over.load(Ordering::Relaxed) {
+            sleep(pause).await;
+            let usable = match connection.take() {
+                Some(mut kept) => kept.ready().await.is_ok().then_some(kept),
+                None => connect(front).await,
+            };
+            let Some(mut usable) = usable else {
+                sleep(PAUSE).await;
+                continue;
+            };
+            number += 1;
+            let id = format!("kept-{edge}-{number}");
+            let sent = Instant::now();
+            match timeout(PATIENCE, get(&mut usable, &id)).await {
+                Ok(Ok(status)) => {
+                    *self.answered.lock().expect("whole") += u64::from(status == 200);
+                    connection = Some(usable);
+                }
+                Ok(Err(_)) => {
+                    let during = Window { from: sent, to: Instant::now() };
+                    self.unanswered.lock().expect("whole").push(Unanswered { id, edge, during });
+                }
+                // It left by itself.
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+async fn connect(front: SocketAddr) -> Option<Connection> {
+    let stream = timeout(PATIENCE, TcpStream::connect(front)).await.ok()?.ok()?;
+    let (sender, driving) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(driving);
+    Some(sender)
+}
+
+async fn get(connection: &mut Connection, id: &str) -> Result<u16, hyper::Error> {
+    let request = Request::builder()
+        .uri("/kept/1")
+        .header("host", "a.example")
+        .header("attempt-id", id)
+        .header("authorization", "Bearer key-2")
+        .body(Empty::new())
+        .expect("a request");
+    let answer = connection.send_request(request).await?;
+    let status = answer.status().as_u16();
+    answer.into_body().collect().await?;
+    Ok(status)
+}
--- a/crates/starlinghill-rig/src/system.rs
+++ b/crates/starlinghill-rig/src/system.rs
@@ -1,6 +1,7 @@
 //! A small whole system on loopback: core machines with a registry and a store, proxies, backends that beat, an operator and
 //! clients. Machines are addresses of 127.0.0.0/8, so that ports may be alike on all, as they are on the platform.
 
+use crate::cuts::{self, Direction};
 use crate::processes::Process;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -8,8 +9,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use starlinghill_dovetail::net::Net;
+use starlinghill_dovetail::settings::Node;
+use std::collections::{BTreeSet, HashMap};
+use std::net::{IpAddr, SocketAddr};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -27,6 +30,17 @@
     folder.join("examples").join("system")
 }
 
+/// The file in a system's folder that says which of its links are cut.
+const CUTS: &str = "cuts";
+
+/// The network of the part of a system that this process is, by its settings file: cut as the system's test says.
+pub fn cut_net() -> Net {
+    let file = PathBuf::from(std::env::var_os("STARLINGHILL_CONFIG").expect("a settings file"));
+    let folder = file.parent().and_then(Path::parent).expect("a system's folder");
+    let node = Node::from_file(&file).expect("sound settings");
+    cuts::net(node.ip, folder.join(CUTS))
+}
+
 /// How long anything may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 const CONTROL: u16 = 8381;
@@ -49,6 +63,11 @@
 }
 
 impl Machine {
+    /// Its address, as one.
+    pub fn address(&self) -> IpAddr {
+        self.ip.parse().expect("an address")
+    }
+
     /// Where the operator and backends call.
     pub fn control(&self) -> SocketAddr {
         at(&self.ip, CONTROL)
@@ -163,6 +182,11 @@
         self.cores.iter().map(Machine::control).collect()
     }
 
+    /// These directions of links are cut from now on, and no others.
+    pub fn cut(&self, directions: &BTreeSet<Direction>) {
+        cuts::write(&self.folder.path().join(CUTS), directions).expect("written");
+    }
+
     /// Waits until all proxies take clients.
     pub async fn ready(&self) {
         for edge in &self.edges {
--- a/crates/starlinghill-rig/tests/soak.rs
+++ b/crates/starlinghill-rig/tests/soak.rs
@@ -9,10 +9,14 @@
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let from = number("SOAK_FROM").unwrap_or_default();
     for seed in from..from + number("SOAK_SEEDS").unwrap_or(SEEDS) {
-        let Soaked { runs, busiest, allowed, least, faults } = soak(seed).await;
-        println!("soak seed={seed} runs={runs} busiest={busiest} allowed={allowed}");
-        assert!(busiest as f64 <= allowed, "seed {seed}: {busiest} of {allowed}");
+        let Soaked { runs, busiest, allowed, least, kept, confirmed, faults, story } = soak(seed).await;
+        println!("soak seed={seed} runs={runs} busiest={busiest} allowed={allowed} kept={kept} confirmed={confirmed}");
+        assert!(busiest as f64 <= allowed, "seed {seed}: {busiest} of {allowed}: {story:#?}");
         assert!(runs as f64 > least, "seed {seed}: {runs} runs");
-        assert!(faults.is_empty(), "seed {seed}: {faults:?}");
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?} {story:#?}");
+        assert!(
+            kept > 100 && confirmed > 5,
+            "seed {seed}: {kept} served on kept connections, {confirmed} changes"
+        );
     }
 }
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -56,9 +56,14 @@
 }
 
 /// Runs until SIGTERM.
-pub async fn run(mut signals: Signals) -> Result<(), StartError> {
+pub async fn run(signals: Signals) -> Result<(), StartError> {
+    run_on(net::tcp(), signals).await
+}
+
+/// The same, on a network of the caller's.
+pub async fn run_on(net: Net, mut signals: Signals) -> Result<(), StartError> {
     let node = Node::from_environment().context(SettingsSnafu)?;
-    registry(&node, &net::tcp(), signals.end()).await
+    registry(&node, &net, signals.end()).await
 }
 
 /// Runs a registry on a network until it is to end.
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -10,7 +10,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use starlinghill_decision::api::Micros;
 use starlinghill_dovetail::essential::Essentials;
-use starlinghill_dovetail::net;
+use starlinghill_dovetail::net::{self, Net};
 use starlinghill_dovetail::settings::{Node, SettingsError};
 use starlinghill_dovetail::signals::Signals;
 use starlinghill_dovetail::WORKBENCH;
@@ -127,7 +127,12 @@
 }
 
 /// Runs until SIGTERM and until all that was taken is answered.
-pub async fn run(mut signals: Signals) -> Result<(), StartError> {
+pub async fn run(signals: Signals) -> Result<(), StartError> {
+    run_on(net::tcp(), signals).await
+}
+
+/// The same, with the system's own calls on a network of the caller's.
+pub async fn run_on(net: Net, mut signals: Signals) -> Result<(), StartError> {
     let node = Node::from_environment().context(SettingsSnafu)?;
     let front_at = node.front.context(UnreachableSnafu { which: "front" })?;
     let ready_at = node.ready.context(UnreachableSnafu { which: "ready" })?;
@@ -138,7 +143,6 @@
     let view = View { table: Table::default(), places: Places::default(), gateways: 1 };
     let shared = Rc::new(Shared { view: RefCell::new(view), ready, stopping });
     let life = fastrand::u64(1..);
-    let net = net::tcp();
     let (holder, held) = news::nowhere();
     let (essentials, mut first_end) = Essentials::new();
     let counter = Counter::start(net.clone(), life, held, &essentials);
