--- a/crates/starlinghill-mockup/tests/quota.rs
+++ b/crates/starlinghill-mockup/tests/quota.rs
@@ -59,3 +59,18 @@
     let more = std::env::var("QUOTA_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
     assert_within(0..more.unwrap_or(TROUBLED_SEEDS), troubled);
 }
+
+/// So many gateways that an even share of the burst is less than one request at each.
+#[test]
+fn a_tenant_keeps_its_quota_at_many_gateways_while_nobody_keeps_the_count() {
+    assert_within(SEEDS, |seed| {
+        let mut fleet = Fleet::new(Play { seed, gateways: 150, one_late_in: 200 });
+        fleet.run(Duration::from_secs(3), 60.0);
+        for _ in 0..2 {
+            fleet.run(Duration::from_millis(500 + 150 * (seed % 8)), 600.0);
+            fleet.move_counter(Duration::from_millis(2_400));
+            fleet.run(Duration::from_secs(6), 600.0);
+        }
+        fleet
+    });
+}
--- a/crates/starlinghill-rig/src/soak/mod.rs
+++ b/crates/starlinghill-rig/src/soak/mod.rs
@@ -11,7 +11,7 @@
 mod operator;
 
 use crate::cuts::Direction;
-use crate::processes::Process;
+use crate::processes::{state, Process};
 use crate::system::{call, first_items, program, Backend, Client, Does, System};
 use kept::{Kept, Unanswered};
 use operator::Operator;
@@ -168,12 +168,23 @@
             9 => What::AnswersLost(backend),
             _ => What::Cut(self.some_cut(core, edge)),
         };
-        if !self.troubles.iter().any(|other| meets(&other.what, &what)) {
+        if !self.troubles.iter().any(|other| meets(&other.what, &what)) && self.can_befall(&what) {
             let span = Duration::from_millis(self.rng.u64(50..2_500));
             self.befall(what, span);
         }
     }
 
+    /// A process hears signals from its first moments on; one that the system has only just begun to load is ended by any of
+    /// them, as every program is.
+    fn can_befall(&self, what: &What) -> bool {
+        let System { cores, edges, .. } = &self.system;
+        match what {
+            What::EdgeEnds(at) | What::EdgeReloads(at) => edges[*at].processes.iter().all(hears_signals),
+            What::CoreEnds(at) | What::CoreReloads(at) => cores[*at].processes.iter().all(hears_signals),
+            _ => true,
+        }
+    }
+
     /// A core machine is cut off from another one, from all of them or from a proxy; both ways, or one.
     fn some_cut(&mut self, core: usize, edge: usize) -> BTreeSet<Direction> {
         let others = match self.rng.u32(0..3) {
@@ -369,6 +380,15 @@
     }
 }
 
+/// The signals by which a process is told to read its settings again, and to end, as `/proc` has them.
+const HANG_UP: u64 = 1;
+const TERMINATE: u64 = 1 << 14;
+
+fn hears_signals(process: &Process) -> bool {
+    let handled = process.pid().and_then(state).map_or(0, |(_, handled)| handled);
+    handled & HANG_UP != 0 && handled & TERMINATE != 0
+}
+
 /// What was told to end must have ended with success.
 fn end_in_order(processes: &mut [Process], faults: &mut Vec<String>) {
     for process in processes {
--- a/crates/starlinghill-rig/src/soak/operator.rs
+++ b/crates/starlinghill-rig/src/soak/operator.rs
@@ -24,9 +24,12 @@
     )
 }
 
-/// The route of a number: each number moves it to another prefix.
+/// The route of a number: each number moves it to another prefix. It leads to the second service: what the first one runs
+/// is held against the quota of the first tenant.
 fn moved(number: u64) -> String {
-    change(&rule("r-moved", number, "safe", &format!("/moved-{number}/"), "2000ms"))
+    change(
+        &rule("r-moved", number, "safe", &format!("/moved-{number}/"), "2000ms").replace("ledger", "lobby"),
+    )
 }
 
 /// Counts the changes that were sent.
