Soak: a long cut has backends on both sides, and registries that live through it

As it was first drawn, the long cut showed nothing: all backends called one registry, and those that should have lost sight of them were restarted. Now each begins at another registry, registries know all before the cut, and none is killed or stopped while it lasts.

--- a/crates/starlinghill-rig/src/soak/mod.rs
+++ b/crates/starlinghill-rig/src/soak/mod.rs
@@ -41,6 +41,8 @@
 const KEPT_PAUSE: Duration = Duration::from_millis(20);
 /// A request is disturbed by what befell its proxy so long before or after.
 const AROUND: Duration = Duration::from_secs(1);
+/// In this time all registries have heard of all backends.
+const ACQUAINTED: Duration = Duration::from_secs(2);
 /// A long cut lasts longer than registries wait before they take a backend for lost.
 const LONG_CUT: Duration = Duration::from_secs(29);
 
@@ -122,11 +124,11 @@
         let (mut backends, mut lobby) = (Vec::new(), Vec::new());
         for i in 0..BACKENDS {
             let id = format!("i-{i}");
-            backends.push(Backend::start(&id, "ledger", system.backend(i), system.controls()).await);
+            backends.push(Backend::start(&id, "ledger", system.backend(i), spread(&system, i)).await);
         }
         for i in 0..LOBBY {
             let (id, at) = (format!("l-{i}"), system.backend(BACKENDS + i));
-            lobby.push(Backend::start(&id, "lobby", at, system.controls()).await);
+            lobby.push(Backend::start(&id, "lobby", at, spread(&system, i)).await);
         }
         for core in &system.cores {
             core.processes[1].wait_for_log("event=start program=patternbook", Duration::from_secs(10));
@@ -174,13 +176,16 @@
         }
     }
 
-    /// A process hears signals from its first moments on; one that the system has only just begun to load is ended by any of
+    /// Whether it may. A process hears signals from its first moments on; one that the system has only just begun to load is ended by any of
     /// them, as every program is.
     fn can_befall(&self, what: &What) -> bool {
         let System { cores, edges, .. } = &self.system;
         match what {
             What::EdgeEnds(at) | What::EdgeReloads(at) => edges[*at].processes.iter().all(hears_signals),
-            What::CoreEnds(at) | What::CoreReloads(at) => cores[*at].processes.iter().all(hears_signals),
+            What::CoreReloads(at) => cores[*at].processes.iter().all(hears_signals),
+            // Registries that are to lose sight of backends for long must live as long, and backends stay with them.
+            What::CoreEnds(_) | What::CoreKilled(_) | What::RegistryStopped(_) if self.play.long_cut => false,
+            What::CoreEnds(at) => cores[*at].processes.iter().all(hears_signals),
             _ => true,
         }
     }
@@ -299,6 +304,7 @@
 
     async fn trouble(&mut self) {
         if self.play.long_cut {
+            sleep(ACQUAINTED).await;
             self.long_cut();
         }
         let until = Instant::now() + self.play.span;
@@ -352,7 +358,7 @@
 
     /// What registries said of the count, and when.
     fn count_lines(&self) -> Vec<String> {
-        let told = ["event=count_held", "event=gateways_silent", "event=count_handed_over"];
+        let told = ["event=count_held", "event=count_handed_over", "event=backend_lost"];
         let mut lines = Vec::new();
         for (core, machine) in self.system.cores.iter().enumerate() {
             for line in machine.processes[0].lines() {
@@ -380,6 +386,14 @@
     }
 }
 
+/// The registries in the order in which a backend calls them: each begins at another one, so that a cut has some on both sides.
+fn spread(system: &System, number: usize) -> Vec<SocketAddr> {
+    let mut controls = system.controls();
+    let first = number % controls.len();
+    controls.rotate_left(first);
+    controls
+}
+
 /// The signals by which a process is told to read its settings again, and to end, as `/proc` has them.
 const HANG_UP: u64 = 1;
 const TERMINATE: u64 = 1 << 14;
--- a/crates/starlinghill-rig/tests/soak.rs
+++ b/crates/starlinghill-rig/tests/soak.rs
@@ -1,4 +1,5 @@
-//! Real processes under troubles by seed. `SOAK_SEEDS=20` plays more seeds than CI does, `SOAK_FROM=100` others.
+//! Real processes under troubles by seed. `SOAK_SEEDS=20` plays more seeds than CI does, `SOAK_FROM=100` others; with
+//! `SOAK_STORY=1` each tells what befell.
 
 use starlinghill_rig::soak::{soak, Soaked};
 
@@ -16,6 +17,9 @@
     for seed in seeds {
         let Soaked { runs, busiest, allowed, least, kept, confirmed, faults, story } = soak(seed).await;
         println!("soak seed={seed} runs={runs} busiest={busiest} allowed={allowed} kept={kept} confirmed={confirmed}");
+        if number("SOAK_STORY").is_some() {
+            story.iter().for_each(|line| println!("    {line}"));
+        }
         assert!(busiest as f64 <= allowed, "seed {seed}: {busiest} of {allowed}: {story:#?}");
         assert!(runs as f64 > least, "seed {seed}: {runs} runs");
         assert!(faults.is_empty(), "seed {seed}: {faults:#?} {story:#?}");
