Known red: a backend that only an absent registry hears is never given work again

Found by reading the mend against the incident: while a registry does not answer a gateway, others may say that they have lost a backend which calls that one alone; the gateway drops it. Once that registry answers, with nothing new, the gateway reckons the backend alive before and after each word and tells nobody.

--- a/crates/starlinghill-catalog/tests/lists.rs
+++ b/crates/starlinghill-catalog/tests/lists.rs
@@ -415,3 +415,44 @@
         assert_eq!(gateway.serving(), 1, "away for {away} s");
     }
 }
+
+/// A registry is cut off from the others and from this gateway, but not from a backend, which goes on calling it alone.
+#[test]
+fn a_backend_that_a_registry_heard_which_was_away_serves_again_once_that_one_answers() {
+    for away in [8, 24, 30, 100] {
+        let (mut near, mut far) = (Catalog::new(BEAT), Catalog::new(BEAT));
+        let mut gateway = Followed::default();
+        for catalog in [&mut near, &mut far] {
+            catalog.heard(ms(0), instance("i-1", 1, State::Ready), Duration::ZERO);
+        }
+        let mut both = [near, far];
+        gateway.follow(ms(0), &both);
+        assert_eq!(gateway.serving(), 1);
+        let [mut near, mut far] = both;
+        let mut changes = Vec::new();
+        for step in 1..away * 2 {
+            let now = ms(step * 500);
+            if step % 3 == 0 {
+                far.heard(now, instance("i-1", 1 + step, State::Ready), Duration::ZERO);
+            }
+            drop((near.tick(now), far.tick(now)));
+            let news = near.since(gateway.seqs[0]);
+            gateway.seqs[0] = near.seq();
+            changes.extend(gateway.merged.told(now, 0, 1, news.backends));
+            changes.extend(gateway.merged.tick(now));
+        }
+        // It answers again, with nothing new; then the others hear the backend, too.
+        let back = ms(away * 1_000);
+        changes.extend(gateway.merged.told(back, 1, 1, far.since(gateway.seqs[1]).backends));
+        changes.extend(gateway.merged.tick(back));
+        for (heard, ago) in far.heard_within(back, Duration::MAX) {
+            near.heard(back, heard, ms(ago));
+        }
+        changes.extend(gateway.merged.told(back, 0, 1, near.since(gateway.seqs[0]).backends));
+        changes.extend(gateway.merged.tick(back + ms(500)));
+        // What whoever sends requests was told last.
+        let last = changes.last().map_or(Liveness::Alive, |change| change.liveness);
+        assert_eq!(last, Liveness::Alive, "away for {away} s: {changes:?}");
+        assert_eq!(gateway.serving(), 1, "away for {away} s");
+    }
+}
