A gateway tells of a backend by what it told last, and keeps what one away has

Cause: the merged view compared what it reckoned before and after a word. While a registry is absent that comparison leaves out what it says, so that a backend which calls it alone is dropped on others' word and never told of again when it answers with nothing new. Now each backend bears what was announced of it, and all that a registry spoke for is looked at when it answers again. A backend that only an absent registry knows was forgotten after 20 s; it is dropped and remembered, and with it its place in that registry's news.

--- a/crates/starlinghill-catalog/src/merged.rs
+++ b/crates/starlinghill-catalog/src/merged.rs
@@ -2,6 +2,7 @@
 
 use crate::{Instance, Liveness, Observation, State};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A backend that no registry knows in its present life is forgotten after this; registries may only have begun anew.
@@ -24,8 +25,20 @@
     at: Duration,
     /// Since when nobody has known it.
     unknown: Option<Duration>,
-    /// Nobody has known it for long, while others of its service were known.
-    yields: bool,
+    /// It is no better than that while nobody knows it: silent where it yields to others of its service, lost where it is
+    /// dropped.
+    doubt: Liveness,
+    /// What was said of it last to whoever sends requests.
+    announced: Option<Announced>,
+}
+
+/// What whoever sends requests goes by.
+#[derive(Debug, Clone, PartialEq)]
+struct Announced {
+    state: State,
+    address: SocketAddr,
+    service: String,
+    liveness: Liveness,
 }
 
 /// All backends, as this gateway knows them.
@@ -66,17 +79,17 @@
     pub fn told(&mut self, now: Duration, by: usize, life: u64, told: Vec<Observation>) -> Vec<Change> {
         self.lives.insert(by, life);
         self.heard.insert(by, now);
-        self.absent.remove(&by);
+        let was_absent = self.absent.remove(&by);
         let mut changes = Vec::new();
         for Observation { instance, liveness } in told {
             let id = instance.id.clone();
-            let before = self.backends.get(&id).map(|seen| (seen.instance.clone(), self.liveness(seen)));
             let seen = self.backends.entry(id.clone()).or_insert_with(|| Seen {
                 instance: instance.clone(),
                 by: BTreeMap::new(),
                 at: now,
                 unknown: None,
-                yields: false,
+                doubt: Liveness::Alive,
+                announced: None,
             });
             // What once drained never serves again, whoever says so.
             let state = seen.instance.state.max(instance.state);
@@ -85,20 +98,33 @@
             }
             seen.instance.state = state;
             seen.by.insert(by, (life, liveness));
-            (seen.at, seen.unknown, seen.yields) = (now, None, false);
-            let Some(seen) = self.backends.get(&id) else { continue };
-            let after = (seen.instance.clone(), self.liveness(seen));
-            let same = before.as_ref().is_some_and(|(instance, liveness)| {
-                (instance.state, instance.address, &instance.service, *liveness)
-                    == (after.0.state, after.0.address, &after.0.service, after.1)
-            });
-            if !same {
-                changes.push(Change { instance: after.0, liveness: after.1 });
+            (seen.at, seen.unknown, seen.doubt) = (now, None, Liveness::Alive);
+            changes.extend(self.announce(&id));
+        }
+        if was_absent {
+            // What it said before counts again, and it has no need to say it again.
+            let ids =
+                self.backends.iter().filter(|(_, seen)| seen.by.contains_key(&by)).map(|(id, _)| id.clone());
+            for id in ids.collect::<Vec<_>>() {
+                changes.extend(self.announce(&id));
             }
         }
         changes
     }
 
+    /// How a backend is, if that is other than what was said of it last.
+    fn announce(&mut self, id: &str) -> Option<Change> {
+        let seen = self.backends.get(id)?;
+        let (instance, liveness) = (seen.instance.clone(), self.liveness(seen));
+        let Instance { state, address, service, .. } = &instance;
+        let news = Announced { state: *state, address: *address, service: service.clone(), liveness };
+        if seen.announced.as_ref() == Some(&news) {
+            return None;
+        }
+        self.backends.get_mut(id)?.announced = Some(news);
+        Some(Change { instance, liveness })
+    }
+
     /// A registry is asked no more: what it told counts as that of a life which has ended.
     pub fn left(&mut self, by: usize) {
         self.lives.remove(&by);
@@ -108,8 +134,7 @@
 
     /// By whoever heard of it last. What nobody knows stands as it did, until it yields.
     fn liveness(&self, seen: &Seen) -> Liveness {
-        let least = if seen.yields { Liveness::Silent } else { Liveness::Alive };
-        self.known(seen).min().unwrap_or(Liveness::Alive).max(least)
+        self.known(seen).min().unwrap_or(Liveness::Alive).max(seen.doubt)
     }
 
     /// It takes new work.
@@ -149,11 +174,8 @@
         let back = self.backends.iter().filter(|(id, seen)| back(id, seen)).map(|(id, _)| id.clone());
         for id in back.collect::<Vec<_>>() {
             let Some(seen) = self.backends.get_mut(&id) else { continue };
-            seen.unknown = None;
-            if std::mem::take(&mut seen.yields) {
-                let Some(seen) = self.backends.get(&id) else { continue };
-                changes.push(Change { instance: seen.instance.clone(), liveness: self.liveness(seen) });
-            }
+            (seen.unknown, seen.doubt) = (None, Liveness::Alive);
+            changes.extend(self.announce(&id));
         }
         for id in unknown {
             let Some(seen) = self.backends.get_mut(&id) else { continue };
@@ -162,23 +184,33 @@
                 continue;
             }
             if since > UNKNOWN {
-                let instance = Instance { state: State::Gone, ..seen.instance.clone() };
-                changes.push(Change { instance, liveness: Liveness::Lost });
+                seen.doubt = Liveness::Lost;
+            } else if since > YIELDS && served.contains(&seen.instance.service) {
+                seen.doubt = Liveness::Silent;
+            }
+            changes.extend(self.announce(&id));
+            if since > UNKNOWN && self.backends.get(&id).is_some_and(|seen| !self.is_spoken_for(seen)) {
                 self.backends.remove(&id);
-            } else if since > YIELDS && !seen.yields && served.contains(&seen.instance.service) {
-                seen.yields = true;
-                changes.push(Change { instance: seen.instance.clone(), liveness: Liveness::Silent });
             }
         }
         self.forget(now);
         changes
     }
 
+    /// A registry, absent or not, has it in its present life and has not lost it. One that is absent has no need to tell of it
+    /// again once it answers, so that it must not be forgotten here.
+    fn is_spoken_for(&self, seen: &Seen) -> bool {
+        let speaks = |(by, (life, liveness)): (&usize, &(u64, Liveness))| {
+            self.lives.get(by) == Some(life) && *liveness < Liveness::Lost
+        };
+        seen.by.iter().any(speaks)
+    }
+
     /// Forgets what was dropped long ago. Registries have forgotten it by then: they remember no longer from the last beat on
     /// than this does from their last word.
     fn forget(&mut self, now: Duration) {
-        let is_dropped =
-            |seen: &Seen| seen.instance.state == State::Gone || self.liveness(seen) == Liveness::Lost;
+        let is_lost = |seen: &Seen| self.liveness(seen) == Liveness::Lost && !self.is_spoken_for(seen);
+        let is_dropped = |seen: &Seen| seen.instance.state == State::Gone || is_lost(seen);
         let is_old = |seen: &Seen| now.saturating_sub(seen.at) >= TOMB;
         let old = self.backends.iter().filter(|(_, seen)| is_old(seen) && is_dropped(seen));
         let old: Vec<String> = old.map(|(id, _)| id.clone()).collect();
--- a/crates/starlinghill-catalog/tests/lists.rs
+++ b/crates/starlinghill-catalog/tests/lists.rs
@@ -419,13 +419,13 @@
 /// A registry is cut off from the others and from this gateway, but not from a backend, which goes on calling it alone.
 #[test]
 fn a_backend_that_a_registry_heard_which_was_away_serves_again_once_that_one_answers() {
-    for away in [8, 24, 30, 100] {
+    for away in [8, 24, 30, 100, 300] {
         let (mut near, mut far) = (Catalog::new(BEAT), Catalog::new(BEAT));
         let mut gateway = Followed::default();
         for catalog in [&mut near, &mut far] {
             catalog.heard(ms(0), instance("i-1", 1, State::Ready), Duration::ZERO);
         }
-        let mut both = [near, far];
+        let both = [near, far];
         gateway.follow(ms(0), &both);
         assert_eq!(gateway.serving(), 1);
         let [mut near, mut far] = both;
@@ -456,3 +456,23 @@
         assert_eq!(gateway.serving(), 1, "away for {away} s");
     }
 }
+
+#[test]
+fn a_backend_that_only_an_absent_registry_knows_serves_again_once_that_one_answers() {
+    let mut gateway = MergedView::default();
+    gateway.told(ms(0), 0, 1, told(instance("i-1", 1, State::Ready)));
+    gateway.told(ms(0), 1, 1, Vec::new());
+    let serving = |gateway: &MergedView| gateway.serving(["tally"])["tally"];
+    let mut last = None;
+    for step in 1..800 {
+        gateway.told(ms(500 * step), 1, 1, Vec::new());
+        last = gateway.tick(ms(500 * step)).pop().or(last);
+    }
+    assert_eq!((last.map(|change| change.liveness), serving(&gateway)), (Some(Liveness::Lost), 0));
+    // It has nothing new to tell.
+    let changes = gateway.told(ms(400_000), 0, 1, Vec::new());
+    assert_eq!(changes.into_iter().map(|change| change.liveness).collect::<Vec<_>>(), []);
+    let changes = gateway.tick(ms(400_500));
+    assert_eq!(changes.into_iter().map(|change| change.liveness).collect::<Vec<_>>(), [Liveness::Alive]);
+    assert_eq!(serving(&gateway), 1);
+}
