--- a/crates/starlinghill-catalog/tests/lists.rs
+++ b/crates/starlinghill-catalog/tests/lists.rs
@@ -476,3 +476,21 @@
     assert_eq!(changes.into_iter().map(|change| change.liveness).collect::<Vec<_>>(), [Liveness::Alive]);
     assert_eq!(serving(&gateway), 1);
 }
+
+#[test]
+fn a_backend_that_all_had_lost_is_not_taken_for_alive_where_all_registries_begin_anew() {
+    let mut gateway = MergedView::default();
+    let lost = Observation { instance: instance("i-1", 1, State::Ready), liveness: Liveness::Lost };
+    let mut changes = gateway.told(ms(0), 0, 1, told(instance("i-1", 1, State::Ready)));
+    (0..50).for_each(|step| assert_eq!(gateway.tick(ms(500 * step)), []));
+    changes.extend(gateway.told(ms(25_000), 0, 1, vec![lost]));
+    (50..60).for_each(|step| assert_eq!(gateway.tick(ms(500 * step)), []));
+    assert_eq!(changes.last().map(|change| change.liveness), Some(Liveness::Lost));
+    // Nobody knows it any more, and nobody has heard it.
+    let mut later = gateway.told(ms(30_000), 0, 2, Vec::new());
+    for step in 60..120 {
+        later.extend(gateway.tick(ms(500 * step)));
+        assert_eq!(gateway.serving(["tally"])["tally"], 0, "in step {step}");
+    }
+    assert_eq!(later, []);
+}
