What nobody knows any more stands as it was announced, and costs no copy to look at

Change: without anybody who knows it a backend stays as it was announced, until it yields or is dropped. Besides: nothing is copied where nothing changed, and what is to be forgotten is looked for by what was announced, not reckoned anew for each backend twice a second.

--- a/crates/starlinghill-catalog/src/merged.rs
+++ b/crates/starlinghill-catalog/src/merged.rs
@@ -33,7 +33,7 @@
 }
 
 /// What whoever sends requests goes by.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 struct Announced {
     state: State,
     address: SocketAddr,
@@ -41,6 +41,13 @@
     liveness: Liveness,
 }
 
+impl Announced {
+    fn still_holds(&self, instance: &Instance, liveness: Liveness) -> bool {
+        (self.state, self.address, &self.service, self.liveness)
+            == (instance.state, instance.address, &instance.service, liveness)
+    }
+}
+
 /// All backends, as this gateway knows them.
 #[derive(Debug, Default)]
 pub struct MergedView {
@@ -115,12 +122,13 @@
     /// How a backend is, if that is other than what was said of it last.
     fn announce(&mut self, id: &str) -> Option<Change> {
         let seen = self.backends.get(id)?;
-        let (instance, liveness) = (seen.instance.clone(), self.liveness(seen));
-        let Instance { state, address, service, .. } = &instance;
-        let news = Announced { state: *state, address: *address, service: service.clone(), liveness };
-        if seen.announced.as_ref() == Some(&news) {
+        let liveness = self.liveness(seen);
+        if seen.announced.as_ref().is_some_and(|said| said.still_holds(&seen.instance, liveness)) {
             return None;
         }
+        let instance = seen.instance.clone();
+        let Instance { state, address, service, .. } = &instance;
+        let news = Announced { state: *state, address: *address, service: service.clone(), liveness };
         self.backends.get_mut(id)?.announced = Some(news);
         Some(Change { instance, liveness })
     }
@@ -132,9 +140,11 @@
         self.absent.remove(&by);
     }
 
-    /// By whoever heard of it last. What nobody knows stands as it did, until it yields.
+    /// By whoever heard of it last. What nobody knows stands as it was announced, until it yields: that nobody knows it says
+    /// nothing of it, neither well nor ill.
     fn liveness(&self, seen: &Seen) -> Liveness {
-        self.known(seen).min().unwrap_or(Liveness::Alive).max(seen.doubt)
+        let before = || seen.announced.as_ref().map_or(Liveness::Alive, |said| said.liveness);
+        self.known(seen).min().unwrap_or_else(before).max(seen.doubt)
     }
 
     /// It takes new work.
@@ -209,8 +219,10 @@
     /// Forgets what was dropped long ago. Registries have forgotten it by then: they remember no longer from the last beat on
     /// than this does from their last word.
     fn forget(&mut self, now: Duration) {
-        let is_lost = |seen: &Seen| self.liveness(seen) == Liveness::Lost && !self.is_spoken_for(seen);
-        let is_dropped = |seen: &Seen| seen.instance.state == State::Gone || is_lost(seen);
+        let is_lost =
+            |seen: &Seen| seen.announced.as_ref().is_some_and(|said| said.liveness == Liveness::Lost);
+        let is_dropped =
+            |seen: &Seen| seen.instance.state == State::Gone || is_lost(seen) && !self.is_spoken_for(seen);
         let is_old = |seen: &Seen| now.saturating_sub(seen.at) >= TOMB;
         let old = self.backends.iter().filter(|(_, seen)| is_old(seen) && is_dropped(seen));
         let old: Vec<String> = old.map(|(id, _)| id.clone()).collect();
