--- a/crates/starlinghill-control/tests/group.rs
+++ b/crates/starlinghill-control/tests/group.rs
@@ -505,3 +505,20 @@
     let named = |line: &&String| line.contains("absurd") && line.contains("can't be used");
     assert_eq!(group.members[0].log().iter().filter(named).count(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_that_is_killed_while_it_makes_its_file_is_blank_at_its_next_start() {
+    let mut group = Group::new(Path::new(PROGRAM), &["a", "b", "c"], 1).await;
+    tokio::task::block_in_place(|| {
+        for round in 0..60 {
+            group.members[0].start();
+            std::thread::sleep(Duration::from_micros(500 * round));
+            group.members[0].kill();
+            group.members[0].start();
+            group.members[0].wait_for_log("blank", LIMIT);
+            group.members[0].kill();
+            // The next round begins with an empty disk.
+            std::fs::remove_dir_all(group.disk(0).parent().expect("a folder")).expect("removed");
+        }
+    });
+}
