A member of the group makes its file under another name, and gives it its own once whole

Cause: a process that was killed while redb made the file left one without a magic number, which can't be told from one that was spoilt: the member stayed out for good. Change: made as member-N.new, renamed when whole, the folder synced before anything is promised in it.

--- a/crates/starlinghill-group/src/store.rs
+++ b/crates/starlinghill-group/src/store.rs
@@ -15,6 +15,8 @@
 use serde::{Deserialize, Serialize};
 use starlinghill_accord::state::State;
 use std::fmt;
+use std::fs::File;
+use std::io;
 use std::ops::{Bound, RangeBounds};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -30,6 +32,8 @@
 const VERSION: u32 = 1;
 /// Bytes of a record's checksum, before its text.
 const SUM: usize = 8;
+/// What the file's name ends with until it is whole.
+const HALF_MADE: &str = "new";
 /// The store's cache: the whole of a common log.
 const CACHE: usize = 4 << 20;
 
@@ -100,13 +104,34 @@
 impl Store {
     /// Opens the file, or makes it, and checks all of it.
     pub fn open(path: &Path) -> Result<Store, StoreError> {
-        let wrong = |what: String| StoreError { file: path.into(), what };
-        if let Some(folder) = path.parent().filter(|f| !f.as_os_str().is_empty()) {
-            std::fs::create_dir_all(folder).map_err(|e| wrong(e.to_string()))?;
+        let wrong = |e: io::Error| StoreError { file: path.into(), what: e.to_string() };
+        let folder = path.parent().filter(|f| !f.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        std::fs::create_dir_all(folder).map_err(wrong)?;
+        if !path.try_exists().map_err(wrong)? {
+            Store::make(path, folder)?;
         }
+        Store::open_file(path)
+    }
+
+    /// Makes the file under another name, and gives it its own once it is whole. Guards against a process that is killed
+    /// meanwhile: half a file can't be told from one that was spoilt, and its member would stay out for good.
+    fn make(path: &Path, folder: &Path) -> Result<(), StoreError> {
+        let wrong = |e: io::Error| StoreError { file: path.into(), what: e.to_string() };
+        let half_made = path.with_extension(HALF_MADE);
+        match std::fs::remove_file(&half_made) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(wrong(e)),
+            _ => {}
+        }
+        drop(Store::open_file(&half_made)?);
+        std::fs::rename(&half_made, path).map_err(wrong)?;
+        // Or a loss of power would take the name, and with it what the member has promised since.
+        File::open(folder).and_then(|folder| folder.sync_all()).map_err(wrong)
+    }
+
+    fn open_file(path: &Path) -> Result<Store, StoreError> {
         let mut builder = Database::builder();
         builder.set_check_integrity_on_open(true).set_cache_size(CACHE);
-        let db = builder.create(path).map_err(|e| wrong(e.to_string()))?;
+        let db = builder.create(path).map_err(|e| StoreError { file: path.into(), what: e.to_string() })?;
         Store::checked(db, path)
     }
 
