The test of zones' evidence waits for the word that it wants, as for the finding before

Failed requests come again at once, so that while answers from before still count a zone looks asked for more than usual: "loaded", for some tenths of a second after the finding is made. Shown without load by a test of its own (evidence/tests/watch.rs: well, sick, loaded, loaded, then sick for good). The same two texts must be said, both in one answer, within the limit that the finding itself has.

--- a/crates/starlinghill-control/tests/failover.rs
+++ b/crates/starlinghill-control/tests/failover.rs
@@ -339,9 +339,8 @@
         // All fail: no zone is to blame.
         fleet.nodes.iter().for_each(|(_, node)| node.fail(true));
         fleet.wait_until_found(["trouble everywhere", "trouble everywhere", "trouble everywhere"]);
-        let one = fleet.group.command(&["why"], &["b"]);
-        let said = String::from_utf8_lossy(&one.stdout);
-        assert!(said.contains("sees it sick") && said.contains("6 of 6 gateways say"), "{said}");
+        // In between, answers from before and what is asked again look like more work than usual: "loaded".
+        fleet.wait_until_said("b", &["sees it sick", "6 of 6 gateways say"]);
         let none = fleet.group.command(&["why"], &["x"]);
         assert_eq!(none.status.code(), Some(1));
         assert!(
--- a/crates/starlinghill-evidence/tests/watch.rs
+++ b/crates/starlinghill-evidence/tests/watch.rs
@@ -42,6 +42,21 @@
     assert_eq!(watch.report(secs(63.99)).zones["a"].sight(), Sight::Well);
 }
 
+/// Failed requests come again at once, so that more is asked than usual, while the answers from before are still counted.
+#[test]
+fn a_zone_at_which_all_begins_to_fail_looks_loaded_for_a_moment_and_sick_from_then_on() {
+    let seen = |failing: f64| {
+        let mut watch = watch();
+        run(&mut watch, 0.0, 60.0, 20.0, "a", |_| Became::Answered);
+        run(&mut watch, 60.0, failing, 120.0, "a", |_| Became::Failed);
+        watch.report(secs(60.0 + failing)).zones["a"].sight()
+    };
+    let all: Vec<Sight> = (1..=60).map(|tenth| seen(f64::from(tenth) / 10.0)).collect();
+    let last = all.iter().rposition(|sight| *sight == Sight::Loaded).expect("loaded at some moment");
+    assert!(last < 10, "for less than a second: {all:?}");
+    assert!(all[last + 1..].iter().all(|sight| *sight == Sight::Sick), "{all:?}");
+}
+
 #[test]
 fn a_zone_that_is_late_because_more_is_asked_of_it_is_loaded_and_one_that_is_late_by_itself_is_sick() {
     let late = |_| Became::Late;
--- a/crates/starlinghill-rig/src/failover.rs
+++ b/crates/starlinghill-rig/src/failover.rs
@@ -330,6 +330,20 @@
         }
     }
 
+    /// Waits until `why` says all of that of a zone at once.
+    pub fn wait_until_said(&self, zone: &str, wanted: &[&str]) {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let one = self.group.command(&["why"], &[zone]);
+            let said = String::from_utf8_lossy(&one.stdout);
+            if wanted.iter().all(|text| said.contains(text)) {
+                return;
+            }
+            assert!(Instant::now() < until, "{wanted:?}, found {said}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
     /// What each gateway has followed, from its log: position (generation, epoch), mode, when; by life.
     pub fn followed(&self) -> Vec<Vec<crate::history::Follows>> {
         self.gateways.iter().map(|g| crate::history::follows(&g.lines())).collect()
