Backends are counted for the log once a tick; one way to what was added to counts

Rereading. event=backends went through all backends at each word of a registry: now once a tick, for the services that changed. What was added since a moment stood twice, by hand (event=draws, event=refusals). A proxy ends also where a task that asks one registry has panicked. Branches of a select that may be due together have an order, as elsewhere.

--- a/crates/starlinghill-patternbook/src/program.rs
+++ b/crates/starlinghill-patternbook/src/program.rs
@@ -153,6 +153,7 @@
     };
     essentials.spawn("calls", serve(listener, node.most_peers(), order, answer));
     tokio::select! {
+        biased;
         () = &mut end => {}
         task = first_end.name() => return TaskSnafu { task }.fail(),
     }
--- a/crates/starlinghill-toolrack/src/program.rs
+++ b/crates/starlinghill-toolrack/src/program.rs
@@ -100,6 +100,7 @@
     };
     essentials.spawn("calls", call::serve(own, node.most_peers(), |_| false, answer));
     tokio::select! {
+        biased;
         () = end => {}
         task = first_end.name() => return TaskSnafu { task }.fail(),
     }
--- a/crates/starlinghill-workbench/src/count.rs
+++ b/crates/starlinghill-workbench/src/count.rs
@@ -75,6 +75,26 @@
     pub attempts: u64,
 }
 
+impl DrawCounts {
+    /// What was added since an earlier moment.
+    pub fn since(&self, earlier: &DrawCounts) -> DrawCounts {
+        DrawCounts {
+            asked: self.asked - earlier.asked,
+            granted: self.granted - earlier.granted,
+            refused: self.refused - earlier.refused,
+            late_granted: self.late_granted - earlier.late_granted,
+            late_refused: self.late_refused - earlier.late_refused,
+            failed: self.failed - earlier.failed,
+            attempts: self.attempts - earlier.attempts,
+        }
+    }
+
+    /// Draws that did not decide the request that they were for.
+    pub fn too_late(&self) -> u64 {
+        self.late_granted + self.late_refused + self.failed
+    }
+}
+
 /// What went to the holder and has no answer yet.
 enum Sent {
     /// Draws, and the backends whose loads were told with them.
--- a/crates/starlinghill-workbench/src/news.rs
+++ b/crates/starlinghill-workbench/src/news.rs
@@ -130,6 +130,7 @@
         start: Instant::now(),
         book: Book::default(),
         merged: MergedView::default(),
+        changed_services: BTreeSet::new(),
         lists: BTreeMap::new(),
         counts: VecDeque::new(),
         fleet: Fleet::default(),
@@ -172,6 +173,11 @@
         numbers
     }
 
+    /// One that is to be asked for ever is asked no more: its task has panicked.
+    fn has_stopped_asking(&self) -> bool {
+        self.all.values().any(|(_, task)| task.is_finished())
+    }
+
     /// Those are the members. An older set is no news: whoever tells it lags.
     fn follow(&mut self, members: &Members) -> Vec<usize> {
         if members.voters.is_empty() || self.epoch.is_some_and(|epoch| members.epoch <= epoch) {
@@ -249,6 +255,8 @@
     start: Instant,
     book: Book,
     merged: MergedView,
+    /// Services with a backend that changed since the last tick.
+    changed_services: BTreeSet<String>,
     /// The gateways as each registry last told them.
     lists: BTreeMap<usize, BTreeMap<IpAddr, Gateway>>,
     /// How many there were, and when that was last so.
@@ -272,6 +280,10 @@
                 _ = tick.tick() => {
                     let gone = self.merged.tick(self.start.elapsed());
                     self.backends(gone).await;
+                    self.log_serving();
+                    if self.racks.has_stopped_asking() {
+                        return;
+                    }
                     self.count_gateways();
                     self.tell_rules(false).await;
                     self.look_around().await;
@@ -375,7 +387,7 @@
         if changes.is_empty() {
             return;
         }
-        self.log_serving(&changes);
+        self.changed_services.extend(changes.iter().map(|change| change.instance.service.clone()));
         let (now, time) = (self.clock.now(), *self.counter.time.borrow());
         let listing = |change: Change| {
             let Change { instance, liveness } = change;
@@ -405,10 +417,14 @@
         let _ = self.driver.send(Input::Backends(ListScope::Changes, listings)).await;
     }
 
-    /// How many backends of the services that changed take new work from here.
-    fn log_serving(&self, changes: &[Change]) {
-        let services = changes.iter().map(|change| change.instance.service.as_str());
-        for (service, count) in self.merged.serving(services) {
+    /// How many backends of the services that changed since the last tick take new work from here. Once a tick: it goes through
+    /// all backends.
+    fn log_serving(&mut self) {
+        let services = std::mem::take(&mut self.changed_services);
+        if services.is_empty() {
+            return;
+        }
+        for (service, count) in self.merged.serving(services.iter().map(String::as_str)) {
             match count {
                 0 => log::warn!("event=no_backend service={service}"),
                 _ => log::info!("event=backends service={service} serving={count}"),
--- a/crates/starlinghill-workbench/src/program.rs
+++ b/crates/starlinghill-workbench/src/program.rs
@@ -105,24 +105,18 @@
 
 /// Tells the log what became of the draws, after each span in which some were answered too late or not at all.
 async fn tell_draws(counter: Rc<Counter>) {
-    let (mut told, mut late) = (DrawCounts::default(), 0);
+    let mut told = DrawCounts::default();
     loop {
         tokio::time::sleep(TELL_DRAWS).await;
         let counts = counter.draw_counts();
-        let late_now = counts.late_granted + counts.late_refused + counts.failed;
-        if std::mem::replace(&mut late, late_now) != late_now {
+        let new = counts.since(&std::mem::replace(&mut told, counts));
+        if new.too_late() > 0 {
+            let DrawCounts { asked, granted, refused, late_granted, late_refused, failed, attempts } = new;
             log::info!(
-                "event=draws asked={} granted={} refused={} late_granted={} late_refused={} failed={} attempts={}",
-                counts.asked - told.asked,
-                counts.granted - told.granted,
-                counts.refused - told.refused,
-                counts.late_granted - told.late_granted,
-                counts.late_refused - told.late_refused,
-                counts.failed - told.failed,
-                counts.attempts - told.attempts,
+                "event=draws asked={asked} granted={granted} refused={refused} late_granted={late_granted} \
+                 late_refused={late_refused} failed={failed} attempts={attempts}"
             );
         }
-        told = counts;
     }
 }
 
--- a/crates/starlinghill-workbench/src/refusals.rs
+++ b/crates/starlinghill-workbench/src/refusals.rs
@@ -34,6 +34,18 @@
     failed: u64,
 }
 
+impl Counts {
+    fn since(&self, earlier: &Counts) -> Counts {
+        Counts {
+            not_ready: self.not_ready - earlier.not_ready,
+            no_class: self.no_class - earlier.no_class,
+            limited: self.limited - earlier.limited,
+            no_room: self.no_room - earlier.no_room,
+            failed: self.failed - earlier.failed,
+        }
+    }
+}
+
 /// Counts them.
 #[derive(Debug, Default)]
 pub struct Refusals {
@@ -61,22 +73,17 @@
         let (mut told, mut told_draws) = (Counts::default(), DrawCounts::default());
         loop {
             sleep(TELL).await;
-            let (counts, draws) = (self.counts.get(), counter.draw_counts());
-            if counts != told {
+            let (counts, draw_counts) = (self.counts.get(), counter.draw_counts());
+            let Counts { not_ready, no_class, limited, no_room, failed } =
+                counts.since(&std::mem::replace(&mut told, counts));
+            let draws = draw_counts.since(&std::mem::replace(&mut told_draws, draw_counts));
+            if not_ready + no_class + limited + no_room + failed > 0 {
+                let DrawCounts { granted, refused, attempts, .. } = draws;
                 log::info!(
-                    "event=refusals not_ready={} no_class={} limited={} no_room={} failed={} draws_granted={} draws_refused={} \
-                     attempts={}",
-                    counts.not_ready - told.not_ready,
-                    counts.no_class - told.no_class,
-                    counts.limited - told.limited,
-                    counts.no_room - told.no_room,
-                    counts.failed - told.failed,
-                    draws.granted - told_draws.granted,
-                    draws.refused - told_draws.refused,
-                    draws.attempts - told_draws.attempts,
+                    "event=refusals not_ready={not_ready} no_class={no_class} limited={limited} no_room={no_room} \
+                     failed={failed} draws_granted={granted} draws_refused={refused} attempts={attempts}"
                 );
             }
-            (told, told_draws) = (counts, draws);
         }
     }
 }
