--- a/crates/starlinghill-mockup/src/backends.rs
+++ b/crates/starlinghill-mockup/src/backends.rs
@@ -11,6 +11,14 @@
 /// So often one says that it drains, or that it leaves, where nobody acknowledges it.
 const SAID: usize = 8;
 
+/// What the backend at the address of that number says of itself.
+pub fn beat(slot: usize, state: &str, calls: u64) -> String {
+    format!(
+        r#"{{"address":"10.0.3.{}:9000","details":{{"service":"ledger","version":"v1","zone":"a","capacity":4}},"observed":{{"state":"{state}","call_count":{calls},"warmup_left":"0ms"}}}}"#,
+        slot + 1
+    )
+}
+
 /// One life after the other at an address.
 pub async fn lives(run: Rc<Run>, slot: usize) {
     let mut life = 0;
@@ -92,11 +100,7 @@
 
     async fn say(&mut self, state: &str) -> bool {
         self.calls += 1;
-        let body = format!(
-            r#"{{"address":"10.0.3.{}:9000","details":{{"service":"ledger","version":"v1","zone":"a","capacity":4}},"observed":{{"state":"{state}","call_count":{},"warmup_left":"0ms"}}}}"#,
-            self.slot + 1,
-            self.calls
-        );
+        let body = beat(self.slot, state, self.calls);
         self.call(Method::PUT, body).await
     }
 
--- a/crates/starlinghill-mockup/tests/control.rs
+++ b/crates/starlinghill-mockup/tests/control.rs
@@ -8,6 +8,7 @@
 use hyper::Method;
 use starlinghill_catalog::State;
 use starlinghill_dovetail::call::Caller;
+use starlinghill_mockup::backends::beat;
 use starlinghill_mockup::check::{Attempt, Held, History, InForce, Items, Order, Read, APPLY};
 use starlinghill_mockup::play::{call, play, Play};
 use starlinghill_mockup::world::{ip, World};
@@ -281,10 +282,9 @@
         (0..3).for_each(|i| world.start_registry(i, true));
         sleep(s(2)).await;
         let net = world.fabric.at(ip(3, 0));
-        let beat = r#"{"address":"10.0.3.1:9000","details":{"service":"ledger","version":"v1","zone":"a","capacity":4},"observed":{"state":"ready","call_count":1,"warmup_left":"0ms"}}"#;
         let path = "/api/backends/b";
         let said = |method, body: &str| call(&net, world.control(0), method, path, body.as_bytes().to_vec());
-        assert_eq!(said(Method::PUT, beat).await.map(|answer| answer.0), Some(200));
+        assert_eq!(said(Method::PUT, &beat(0, "ready", 1)).await.map(|answer| answer.0), Some(200));
         sleep(s(1)).await;
         for other in [0, 2] {
             world.fabric.cut(ip(0, 1), ip(0, other));
@@ -357,14 +357,9 @@
             }
             calls += 1;
             for (core, id) in [(0, "b-0"), (1, "b-1"), (2, "b-2")] {
-                let beat = format!(
-                    r#"{{"address":"10.0.3.{}:9000","details":{{"service":"ledger","version":"v1","zone":"a","capacity":4}},"observed":{{"state":"ready","call_count":{calls},"warmup_left":"0ms"}}}}"#,
-                    core + 1
-                );
+                let body = beat(core, "ready", calls).into_bytes();
                 let path = format!("/api/backends/{id}");
-                let said = call(&net, world.control(core), Method::PUT, &path, beat.into_bytes())
-                    .await
-                    .map(|said| said.0);
+                let said = call(&net, world.control(core), Method::PUT, &path, body).await.map(|said| said.0);
                 assert_eq!(said, Some(200), "beat of {id} in second {second}");
             }
             sleep(s(1)).await;
