A proxy's words on what it refuses, and on services without a backend, have a test

Rereading: the lines that the incident lacked were looked at by hand alone. Real processes: not ready, then a quota that would let it through and no backend (limited=1, attempts=0), one that comes, one that falls silent.

--- a/crates/starlinghill-rig/tests/system.rs
+++ b/crates/starlinghill-rig/tests/system.rs
@@ -56,6 +56,33 @@
     assert!(answer.status == 503 && answer.headers.contains_key("retry-after"), "{answer:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_proxy_tells_its_log_why_it_refuses_and_which_services_have_no_backend() {
+    let system = System::start(&program(), 1);
+    let (client, front, proxy) =
+        (Client::new("key-1"), system.edges[0].front(), &system.edges[0].processes[0]);
+    let status = || async { client.try_once(front, "GET", "/read/1").await.1.map(|answer| answer.status) };
+    eventually("it is not ready", || async { status().await == Some(503) }).await;
+    let limit = Duration::from_secs(12);
+    let told = |text: &str| tokio::task::block_in_place(|| proxy.wait_for_log(text, limit).text);
+    let refusals = told("event=refusals not_ready=");
+    assert!(refusals.contains(" no_class=0 limited=0 no_room=0 failed=0 "), "{refusals}");
+    assert_eq!(system.change(&first_items(50)).await.status, 200);
+    system.ready().await;
+    // Its quota would let it through, and there is nowhere to send it.
+    assert_eq!(status().await, Some(429));
+    let refusals = told("limited=1");
+    assert!(
+        refusals.contains("event=refusals not_ready=0 no_class=0 limited=1 no_room=0 failed=0 "),
+        "{refusals}"
+    );
+    assert!(refusals.ends_with("draws_refused=0 attempts=0"), "{refusals}");
+    let backend = Backend::start("i-0", "ledger", system.backend(0), system.controls()).await;
+    told("event=backends service=ledger serving=1");
+    drop(backend);
+    told("event=no_backend service=ledger");
+}
+
 #[tokio::test]
 async fn nothing_goes_to_a_backend_whose_drain_was_acknowledged() {
     let (mut system, backends) = serving(2, 2, 0).await;
