Review: case 1 also shows what it means for a gateway that starts again; claims and report

Tried: after the verdict of case 1, one gateway gets SIGTERM and is started again. Two backends were added for that.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -107,6 +107,9 @@
     if send(&mut system, record, "the first call", &first_call(), 15, long) != Ok(200) {
         return Err("the first call was not acknowledged".into());
     }
+    let subnet = system.core[0].rsplit_once('.').unwrap().0.to_string();
+    backend::start(format!("{subnet}.21"), "i-7f3a91c2", SERVICES[0], system.core.clone());
+    backend::start(format!("{subnet}.22"), "i-1b0c44d8", SERVICES[1], system.core.clone());
     let mut acknowledged: Vec<(&str, usize)> = Vec::new();
     for (host, count) in [("lepu", 4_900), ("hulo", 4_900)] {
         let body = order(host, count, 9);
@@ -163,6 +166,28 @@
         let (lines, last) = system.logged("patternbook", "allowed: at most");
         record.line(format!("the stores logged {lines} times that a message is too long, last: {last}"));
     }
+    // What it means for traffic; the verdict is given without it.
+    let gateway = system.edge[0].clone();
+    system.restart(&gateway);
+    let from = Instant::now();
+    let mut ready = false;
+    while !ready && from.elapsed() < Duration::from_secs(15) {
+        ready = backend::is_ready(&gateway);
+        system.wait(Duration::from_millis(500));
+    }
+    record.line(format!(
+        "the gateway that was started again: ready {ready} after {:.0} s",
+        from.elapsed().as_secs_f64()
+    ));
+    let answer = backend::request(
+        &gateway,
+        "GET",
+        "jepu9.example",
+        "/r-first1/studio-nairobi/tables/1",
+        "after-1",
+        Some("xd9dnn2ctnfzs989anu6"),
+    );
+    record.line(format!("client GET on a route of the first call there -> {answer:?}"));
     Ok(ok)
 }
 
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -195,6 +195,21 @@
         }
     }
 
+    /// Planned work of the platform: SIGTERM to the processes of a machine, and a new start once they have ended.
+    pub fn restart(&mut self, ip: &str) {
+        for i in 0..self.processes.len() {
+            if self.processes[i].ip != ip {
+                continue;
+            }
+            let pid = self.processes[i].child.id().to_string();
+            let _ = Command::new("kill").args(["-TERM", &pid]).status();
+            let _ = self.processes[i].child.wait();
+            let role = self.processes[i].role.clone();
+            self.processes[i].child = self.spawn(ip, &role);
+            self.record.line(format!("platform: SIGTERM to {role} on {ip}, which ends and is started again"));
+        }
+    }
+
     /// What the logs of a role say with this text: how many lines, and the last one.
     pub fn logged(&self, role: &str, text: &str) -> (usize, String) {
         let logs = self
