--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -401,15 +401,20 @@
         "[".repeat(depth),
         "]".repeat(depth)
     );
-    let answer = send(
-        &mut system,
-        record,
-        &format!("invalid, {depth} lists in each other"),
-        &body,
-        8,
-        Duration::from_secs(1),
-    );
-    record.line(format!("the invalid order: {answer:?}"));
+    // Four sends at most, 0.81 s apart or more: the largest dose of `bad_config` on the site, should each count as one.
+    for i in 0..4 {
+        let ip = system.core[i % system.core.len()].clone();
+        let answer = call(&ip, "PATCH", "/api/config", body.as_bytes(), Duration::from_secs(1));
+        let shown =
+            answer.as_ref().map(|(status, text)| format!("{status} {}", String::from_utf8_lossy(text)));
+        record.line(format!(
+            "operator PATCH /api/config at {ip}: invalid, {depth} lists in each other -> {shown:?}"
+        ));
+        if answer.is_ok_and(|(status, _)| (400..500).contains(&status)) {
+            break;
+        }
+        system.wait(Duration::from_millis(850 + 100 * i as u64));
+    }
     system.wait(Duration::from_secs(2));
     let machines = system.core.clone();
     let ends = |ip: &String| system.processes.iter().filter(|p| p.ip == *ip).map(|p| p.own_ends).sum::<u32>();
