config: a change refused for what stands stays refused, so that no late copy takes effect

Callers saw: an order got 400 (a key that another tenant has); after the contradiction was removed, a copy of it that had waited 2.5 s on a slow link came into force, 1.4 s after the refusal.

Cause: a refusal by how things stand left no trace. A later copy was judged anew by items that fitted it. What stood against late copies was only the end of the caller's connection, which comes behind the order.

Change: the refusal is part of the value that the stores agree on (refused_changes.rs): the digest of the change is recorded under a ballot before 400 is answered. Any two majorities meet, so whoever judges a copy finds the record.

--- a/crates/starlinghill-config-model/src/lib.rs
+++ b/crates/starlinghill-config-model/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`change`] parses what an operator sends.
 //! * [`items`] holds the items, merges them, and checks that they are consistent.
 //! * [`version_history`] remembers which versions were confirmed before.
+//! * [`refused_changes`] remembers which changes were refused because of the items that stood.
 //! * [`content_digest`] decides whether two contents are the same.
 //! * [`routing`] turns the items into what a proxy decides by.
 //!
@@ -12,6 +13,7 @@
 pub mod change;
 pub mod content_digest;
 pub mod items;
+pub mod refused_changes;
 pub mod routing;
 pub mod version_history;
 
--- a/crates/starlinghill-config-model/src/version_history.rs
+++ b/crates/starlinghill-config-model/src/version_history.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Whether any remembered version has the content of this digest.
+    pub fn contains_digest(&self, content_digest: u64) -> bool {
+        self.confirmed.iter().any(|known| known.content_digest == content_digest)
+    }
+
     /// Adds a confirmed version. One that was confirmed before keeps its content.
     pub fn confirm(&mut self, version: u64, content_digest: u64) {
         if let Err(at) = self.confirmed.binary_search_by_key(&version, |known| known.version) {
--- a/crates/starlinghill-config-store/src/program.rs
+++ b/crates/starlinghill-config-store/src/program.rs
@@ -6,7 +6,7 @@
 use crate::proposer::StoreNode;
 use crate::wire::{StoreRequest, StoreResponse, Value};
 use snafu::{OptionExt, ResultExt, Snafu};
-use starlinghill_config_model::Item;
+use starlinghill_config_model::{refused_changes, Item};
 use starlinghill_consensus::{Acceptor, Member, Members};
 use starlinghill_lease::contact::StalenessBudget;
 use starlinghill_runtime::essential_tasks::EssentialTasks;
@@ -199,7 +199,7 @@
         StoreRequest::Apply(body) => StoreResponse::Applied(store.change(&body).await),
         StoreRequest::Read => {
             let items = store.read().await;
-            items.map_or(StoreResponse::Unavailable, |items| StoreResponse::Items(without_histories(&items)))
+            items.map_or(StoreResponse::Unavailable, |items| StoreResponse::Items(for_registries(&items)))
         }
         StoreRequest::Changes(have, was_fresh) => {
             let asked = Instant::now();
@@ -212,7 +212,7 @@
                 () = sleep(budget.store_long_poll) => {}
             }
             let ballot = chosen.borrow().0;
-            let items = store.changes_since(have).map(|items| without_histories(&items));
+            let items = store.changes_since(have).map(|items| for_registries(&items));
             let (members, proposed) = (store.members().0, store.proposed_members());
             let (contact, is_voter) = (store.contact(asked), members.contains(store.me));
             StoreResponse::Changes { ballot, contact, members, is_voter, proposed, items }
@@ -227,7 +227,7 @@
     }
 }
 
-/// Leaves out the version histories, which only stores need.
-fn without_histories(items: &Value) -> Value {
-    items.iter().map(Item::without_history).collect()
+/// Leaves out what only stores need: the version histories and the record of refused changes.
+fn for_registries(items: &Value) -> Value {
+    items.iter().filter(|item| !refused_changes::is_record(item)).map(Item::without_history).collect()
 }
--- a/crates/starlinghill-config-store/src/wire.rs
+++ b/crates/starlinghill-config-store/src/wire.rs
@@ -79,7 +79,8 @@
 pub enum ChangeOutcome {
     /// The change is chosen and synced to the disks of a majority.
     Taken,
-    /// The change is malformed or inconsistent. Every store would reject it, at any time.
+    /// The change is malformed, or contradicts the items. Every store rejects it from now on: it is malformed for all of
+    /// them, or the refusal is part of the chosen value.
     Invalid(String),
     /// One of its versions was already confirmed with different content.
     Conflict(String),
--- a/crates/starlinghill-simulator/src/faults.rs
+++ b/crates/starlinghill-simulator/src/faults.rs
@@ -18,6 +18,8 @@
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(2);
 /// The longest cut in milliseconds, before [`Run::duration_factor`].
 const MAX_CUT_MS: u64 = 8_000;
+/// The longest wait of an operator's packets, in milliseconds.
+const MAX_PACKET_WAIT_MS: u64 = 4_000;
 /// How often an operator submits a membership change until it is done.
 const ORDER_ATTEMPTS: usize = 12;
 /// What a cut blocks, by the number drawn for it.
@@ -44,6 +46,22 @@
     }
 }
 
+/// Until the clients end, makes packets from an operator's machine to one core machine after another wait.
+pub async fn slow_down_operator(run: Rc<Run>, operator: usize) {
+    let from = machine_ip(2, operator);
+    while !run.is_over.get() {
+        let core = run.random_core();
+        let (to, delay) = (run.cluster.cores[core].ip, run.random_ms(500, MAX_PACKET_WAIT_MS));
+        run.record_fault(format!("packets from operator {operator} to core {core} wait {delay:?}"));
+        run.count_disturbance(core);
+        run.cluster.network.set_extra_delay(from, to, Some(delay));
+        sleep(run.random_ms(200, 4_000)).await;
+        run.count_disturbance(core);
+        run.cluster.network.set_extra_delay(from, to, None);
+        sleep(run.random_ms(50, 500)).await;
+    }
+}
+
 /// Injects faults for the given time and waits until all have ended.
 pub async fn inject_all(run: Rc<Run>, period: Duration) {
     let until = Instant::now() + period;
--- a/crates/starlinghill-simulator/src/network.rs
+++ b/crates/starlinghill-simulator/src/network.rs
@@ -45,6 +45,8 @@
     /// The longest one-way delay in milliseconds, and how many packets in a thousand are lost.
     max_delay_ms: u64,
     lost_per_thousand: u64,
+    /// Additional one-way delays of data between directed pairs of machines. Opening a connection is not delayed.
+    extra_delays: BTreeMap<(IpAddr, IpAddr), Duration>,
     listeners: BTreeMap<SocketAddr, mpsc::UnboundedSender<Accepted>>,
     pipes: Vec<Weak<RefCell<Pipe>>>,
     last_port: u16,
@@ -79,6 +81,7 @@
             powered_off: BTreeSet::new(),
             max_delay_ms: DEFAULT_MAX_DELAY_MS,
             lost_per_thousand: 0,
+            extra_delays: BTreeMap::new(),
             listeners: BTreeMap::new(),
             pipes: Vec::new(),
             last_port: FIRST_PORT,
@@ -132,7 +135,21 @@
         (state.max_delay_ms, state.lost_per_thousand) = delay_and_loss.unwrap_or((DEFAULT_MAX_DELAY_MS, 0));
     }
 
-    /// Whether no extra delay or loss is set.
+    /// Makes data sent in one direction wait in addition to the usual delay; `None` ends that for data sent from now on.
+    pub fn set_extra_delay(&self, from: IpAddr, to: IpAddr, delay: Option<Duration>) {
+        let extra_delays = &mut self.state.borrow_mut().extra_delays;
+        match delay {
+            Some(delay) => drop(extra_delays.insert((from, to), delay)),
+            None => drop(extra_delays.remove(&(from, to))),
+        }
+    }
+
+    /// Whether data sent in one direction waits in addition to the usual delay.
+    pub fn has_extra_delay(&self, from: IpAddr, to: IpAddr) -> bool {
+        self.state.borrow().extra_delays.contains_key(&(from, to))
+    }
+
+    /// Whether no delay or loss is set for all links.
     pub fn has_default_quality(&self) -> bool {
         let state = self.state.borrow();
         state.max_delay_ms <= DEFAULT_MAX_DELAY_MS && state.lost_per_thousand == 0
@@ -181,6 +198,12 @@
         Duration::from_millis(ms)
     }
 
+    /// The delay of data on an open connection.
+    fn data_delay(&self, from: IpAddr, to: IpAddr) -> Duration {
+        let extra = self.state.borrow().extra_delays.get(&(from, to)).copied();
+        self.delay(from, to) + extra.unwrap_or_default()
+    }
+
     fn pipe(&self, from: IpAddr, to: IpAddr) -> Rc<RefCell<Pipe>> {
         let (chunks, last_due) = (VecDeque::new(), Instant::now());
         let pipe = Pipe { from, to, chunks, last_due, closed_at: None, is_reset: false, reader: None };
@@ -279,7 +302,7 @@
         if self.network.state.borrow().powered_off.contains(&from) {
             return;
         }
-        let due = Instant::now() + self.network.delay(from, to);
+        let due = Instant::now() + self.network.data_delay(from, to);
         let mut output = self.output.borrow_mut();
         let due = due.max(output.last_due);
         output.closed_at.get_or_insert(due);
@@ -334,7 +357,7 @@
 impl AsyncWrite for StreamEnd {
     fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let (from, to) = (self.output.borrow().from, self.output.borrow().to);
-        let due = Instant::now() + self.network.delay(from, to);
+        let due = Instant::now() + self.network.data_delay(from, to);
         let mut output = self.output.borrow_mut();
         if output.is_reset {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
