config: JSON nested deeper than 64 is refused before a value is built from it

Cause: orders and items were parsed by recursion with no limit of depth, on a stack of 8 MiB. Shown by each step alone on 50,000 lists: the parser's flat form is read, building the value overflows, a drop does not. Real processes bear 14,000 levels and end at 15,000. A valid tenant with an unknown field of 14,000 levels was taken and sent to every gateway.

Change: nested_json.rs is the one parser of JSON from outside (orders, items, heartbeats, the console's answers). It counts the depth on the text first; beyond 64 it answers 400 with what was found and what is allowed. An item that was accepted before there was a limit stays: its text is kept and read back as it was sent (upsert_json), what is too deep in it is read as null.

Guards for the other readers of nested input, which passed at once: TOML of settings and operators, JSON of the gateway and the group, metadata over gRPC, 50,000 levels each (gRPC 5,000).

--- a/crates/starlinghill-config-model/src/change.rs
+++ b/crates/starlinghill-config-model/src/change.rs
@@ -1,6 +1,7 @@
 //! Parses the order of an operator: items to set and items to remove, which take effect all together or not at all.
 
 use crate::items::{ChangeError, Item, ItemKind, ParsedItem};
+use crate::nested_json;
 use crate::version_history::VersionHistory;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -47,9 +48,9 @@
 impl ConfigChange {
     /// Parses the body of an operator's request.
     pub fn parse(body: &[u8]) -> Result<ConfigChange, ChangeError> {
-        let value = match simd_json::to_owned_value(&mut body.to_vec()) {
+        let value = match nested_json::parse(body) {
             Ok(value) => value,
-            Err(error) => return invalid(format!("not JSON: {error}")),
+            Err(error) => return invalid(error.to_string()),
         };
         if !value.is_object() {
             return invalid("found no object, allowed: {\"upsert\": ..., \"remove\": ...}");
--- a/crates/starlinghill-config-model/src/items.rs
+++ b/crates/starlinghill-config-model/src/items.rs
@@ -3,6 +3,7 @@
 
 use crate::change::ConfigChange;
 use crate::content_digest;
+use crate::nested_json;
 use crate::refused_changes;
 use crate::routing::{self, Parsed};
 use crate::version_history::{self, VersionHistory, VersionStatus};
@@ -110,7 +111,7 @@
 pub struct ParsedItem {
     /// The item as it was sent.
     pub item: Item,
-    /// The JSON of the body, or `None` if the item is removed.
+    /// The JSON of the body, or `None` if the item is removed. What is nested too deep is null here.
     pub value: Option<OwnedValue>,
     /// The meaning of the body, or `None` if the item is removed.
     pub parsed: Option<Parsed>,
@@ -121,8 +122,8 @@
     pub fn parse(item: Item) -> Result<ParsedItem, ChangeError> {
         let Some(body) = &item.body else { return Ok(ParsedItem { item, value: None, parsed: None }) };
         let invalid = |problem| ChangeError::Invalid { problem };
-        let value = simd_json::to_owned_value(&mut body.clone().into_bytes())
-            .map_err(|e| invalid(format!("{}: {e}", item.name)))?;
+        let value = nested_json::parse_pruned(body.as_bytes())
+            .map_err(|error| invalid(format!("{}: {error}", item.name)))?;
         let parsed = routing::parse(item.kind, &item.name, &item.host, &value).map_err(invalid)?;
         Ok(ParsedItem { value: Some(value), parsed: Some(parsed), item })
     }
@@ -328,33 +329,29 @@
         self.items.values().all(|parsed| refused_changes::is_record(&parsed.item))
     }
 
-    /// The items that are set, in the form of the "upsert" part of an operator's order.
-    pub fn to_upsert(&self) -> OwnedValue {
-        let mut hosts: BTreeMap<&str, Vec<OwnedValue>> = BTreeMap::new();
+    /// The items that are set, as the JSON of the "upsert" part of an operator's order. Each item is written as it was sent.
+    pub fn upsert_json(&self) -> String {
+        let mut hosts: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
         let (mut customers, mut groups, mut limits) = (Vec::new(), Vec::new(), None);
-        for parsed in self.items.values() {
-            let Some(value) = parsed.value.clone() else { continue };
-            match parsed.item.kind {
-                ItemKind::Route => hosts.entry(&parsed.item.host).or_default().push(value),
-                ItemKind::Customer => customers.push(value),
-                ItemKind::Service => groups.push(value),
-                ItemKind::Limits => limits = Some(value),
+        for item in self.items.values().map(|parsed| &parsed.item) {
+            let Some(body) = item.body.as_deref() else { continue };
+            match item.kind {
+                ItemKind::Route => hosts.entry(&item.host).or_default().push(body),
+                ItemKind::Customer => customers.push(body),
+                ItemKind::Service => groups.push(body),
+                ItemKind::Limits => limits = Some(body),
             }
         }
-        let port = |(host, rules): (&str, Vec<OwnedValue>)| {
-            let mut port = OwnedValue::object();
-            let _ = port.insert("hostname", host);
-            let _ = port.insert("policy", OwnedValue::from(rules));
-            port
+        let port = |(host, rules): (&str, Vec<&str>)| {
+            format!(r#"{{"hostname":{},"policy":[{}]}}"#, OwnedValue::from(host).encode(), rules.join(","))
         };
-        let ports: Vec<OwnedValue> = hosts.into_iter().map(port).collect();
-        let mut upsert = OwnedValue::object();
-        let _ = upsert.insert("customers", OwnedValue::from(customers));
-        if let Some(limits) = limits {
-            let _ = upsert.insert("limits", limits);
-        }
-        let _ = upsert.insert("ports", OwnedValue::from(ports));
-        let _ = upsert.insert("groups", OwnedValue::from(groups));
-        upsert
+        let ports: Vec<String> = hosts.into_iter().map(port).collect();
+        let limits = limits.map(|limits| format!(r#""limits":{limits},"#)).unwrap_or_default();
+        format!(
+            r#"{{"customers":[{}],{limits}"ports":[{}],"groups":[{}]}}"#,
+            customers.join(","),
+            ports.join(","),
+            groups.join(",")
+        )
     }
 }
--- a/crates/starlinghill-config-model/src/lib.rs
+++ b/crates/starlinghill-config-model/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`change`] parses what an operator sends.
 //! * [`items`] holds the items, merges them, and checks that they are consistent.
 //! * [`version_history`] remembers which versions were confirmed before.
+//! * [`nested_json`] parses JSON from outside, up to a depth.
 //! * [`refused_changes`] remembers which changes were refused because of the items that stood.
 //! * [`content_digest`] decides whether two contents are the same.
 //! * [`routing`] turns the items into what a proxy decides by.
@@ -13,6 +14,7 @@
 pub mod change;
 pub mod content_digest;
 pub mod items;
+pub mod nested_json;
 pub mod refused_changes;
 pub mod routing;
 pub mod version_history;
--- a/crates/starlinghill-config-model/tests/items.rs
+++ b/crates/starlinghill-config-model/tests/items.rs
@@ -140,8 +140,7 @@
 
 #[test]
 fn the_items_are_returned_in_a_form_that_can_be_sent_again() {
-    let upsert = base().to_upsert();
-    let text = simd_json::to_string(&upsert).unwrap_or_default();
+    let text = base().upsert_json();
     // Sending it again is a repeat of all six items, which changes nothing.
     let repeat = ConfigChange::parse(format!("{{\"upsert\":{text}}}").as_bytes());
     let repeat = repeat.unwrap_or_else(|error| panic!("{error}"));
--- a/crates/starlinghill-config-model/tests/refused_changes.rs
+++ b/crates/starlinghill-config-model/tests/refused_changes.rs
@@ -88,7 +88,7 @@
 fn the_record_of_refused_changes_is_no_item_of_the_operator() {
     let items = refuse(&base(), &route("r-2", 9, "/x/", "ledger"));
     assert_eq!(items.items().filter(|parsed| is_record(&parsed.item)).count(), 1);
-    assert_eq!(items.to_upsert().to_string(), base().to_upsert().to_string());
+    assert_eq!(items.upsert_json(), base().upsert_json());
     assert_eq!(RoutingTable::from_items(&items).limits, RoutingTable::from_items(&base()).limits);
     assert!(ItemSet::default().with_refusal(&parse(&service("lobby", 1))).is_empty());
 }
--- a/crates/starlinghill-console/src/client.rs
+++ b/crates/starlinghill-console/src/client.rs
@@ -8,6 +8,7 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use snafu::Snafu;
+use starlinghill_config_model::nested_json;
 use starlinghill_registry::wire::{RegistryRequest, RegistryResponse, RegistryStatus};
 use starlinghill_runtime::net;
 use starlinghill_runtime::rpc::RpcClient;
@@ -109,7 +110,7 @@
     /// The current configuration items.
     pub async fn items(&self) -> Result<OwnedValue, ClientError> {
         let body = self.call_http(Method::GET, Bytes::new()).await?;
-        simd_json::to_owned_value(&mut body.to_vec())
+        nested_json::parse_pruned(&body)
             .map_err(|error| ClientError::Other { problem: format!("the items: {error}") })
     }
 
@@ -128,7 +129,7 @@
             if status.is_success() {
                 return Ok(body);
             }
-            let reason = simd_json::to_owned_value(&mut body.to_vec()).ok();
+            let reason = nested_json::parse(&body).ok();
             let reason = reason.and_then(|v| v.get("error").and_then(|v| v.as_str()).map(str::to_string));
             let reason = reason.unwrap_or_else(|| String::from_utf8_lossy(&body).into_owned());
             let refused = ClientError::Refused { status: status.as_u16(), reason };
--- a/crates/starlinghill-failover/tests/state.rs
+++ b/crates/starlinghill-failover/tests/state.rs
@@ -369,3 +369,15 @@
         }
     }
 }
+
+/// Guards against a message that ends a member by an overflow of the stack.
+#[test]
+fn a_message_that_is_nested_very_deeply_is_refused() {
+    let nested = "[".repeat(50_000) + &"]".repeat(50_000);
+    let message = format!(r#"{{"v":1,"kind":"order","body":{nested}}}"#);
+    let refused = wire::decode::<Order>(message.as_bytes());
+    assert!(
+        matches!(&refused, Err(wire::WireError::Malformed(why)) if why.contains("recursion")),
+        "{refused:?}"
+    );
+}
--- a/crates/starlinghill-gateway/tests/operators.rs
+++ b/crates/starlinghill-gateway/tests/operators.rs
@@ -415,3 +415,11 @@
         assert!(Instant::now() < until, "the good file is not applied");
     }
 }
+
+/// Guards against a configuration file that ends the process by an overflow of the stack.
+#[test]
+fn a_configuration_file_that_is_nested_very_deeply_is_refused() {
+    let nested = "[".repeat(50_000) + &"]".repeat(50_000);
+    let refused = starlinghill_gateway::config::Config::parse(&nested, None, None).map(drop);
+    assert!(refused.as_ref().is_err_and(|error| error.to_string().contains("recursion")), "{refused:?}");
+}
--- a/crates/starlinghill-operator-config/tests/control.rs
+++ b/crates/starlinghill-operator-config/tests/control.rs
@@ -96,3 +96,12 @@
         read(&examples.join("\n")).expect("the file is valid").control.expect("the section is present");
     assert!(control.tls.is_some() && control.quotas.is_some() && control.proxies.len() == 1);
 }
+
+/// Guards against a file that ends the process by an overflow of the stack.
+#[test]
+fn a_file_that_is_nested_very_deeply_is_refused() {
+    for (open, close) in [("[", "]"), ("{a=", "}")] {
+        let text = format!("x = {}1{}\n{SMALLEST}", open.repeat(50_000), close.repeat(50_000));
+        assert!(read(&text).is_err());
+    }
+}
--- a/crates/starlinghill-registry/src/http.rs
+++ b/crates/starlinghill-registry/src/http.rs
@@ -14,7 +14,7 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use starlinghill_catalog::{BackendState, Instance};
-use starlinghill_config_model::ItemSet;
+use starlinghill_config_model::{nested_json, ItemSet};
 use starlinghill_config_store::wire::{ChangeOutcome, StoreRequest, StoreResponse};
 use starlinghill_lease::contact::ORDER_RESPONSE_TIMEOUT;
 use starlinghill_runtime::net::{Listener, NetworkHandle};
@@ -199,7 +199,7 @@
     async fn read(&self) -> Reply {
         match ask_store(&self.net, self.stores(), StoreRequest::Read, ORDER_RESPONSE_TIMEOUT).await {
             Some(StoreResponse::Items(items)) => {
-                reply(StatusCode::OK, ItemSet::from_items(items).to_upsert().encode().into_bytes())
+                reply(StatusCode::OK, ItemSet::from_items(items).upsert_json().into_bytes())
             }
             _ => error_reply(StatusCode::SERVICE_UNAVAILABLE, "no majority of stores in time"),
         }
@@ -208,8 +208,7 @@
 
 /// Parses a heartbeat; returns the instance and the remaining time of its warm-up in microseconds.
 fn read_heartbeat(id: &str, body: &[u8]) -> Result<(Instance, u64), String> {
-    let value =
-        simd_json::to_owned_value(&mut body.to_vec()).map_err(|error| format!("not JSON: {error}"))?;
+    let value = nested_json::parse(body).map_err(|error| error.to_string())?;
     let (root, mut errors) = (DocumentValue::root(&value), ValidationErrors::default());
     let f = &mut errors;
     let (details, observed) = (root.at("details"), root.at("observed"));
--- a/crates/starlinghill-runtime/tests/settings.rs
+++ b/crates/starlinghill-runtime/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Error messages for invalid settings files, and the rejection of malformed messages.
 
 use starlinghill_runtime::frame::{encode, Reader, MAX_MESSAGE_BYTES, PROTOCOL_VERSION};
-use starlinghill_runtime::settings::NodeSettings;
+use starlinghill_runtime::settings::{NodeSettings, SettingsError};
 use std::io::ErrorKind;
 use test_case::test_case;
 
@@ -47,6 +47,20 @@
     assert_eq!(node.max_peers(), 2_050);
 }
 
+// Guards against a settings file that ends the process by an overflow of the stack.
+#[test_case("[", "]"; "lists")]
+#[test_case("{a=", "}"; "inline tables")]
+fn a_file_that_is_nested_very_deeply_is_refused(open: &str, close: &str) {
+    let folder = std::env::temp_dir().join(format!("nested-settings-{}-{}", std::process::id(), open.len()));
+    std::fs::create_dir_all(&folder).unwrap_or_else(|error| panic!("{error}"));
+    let path = folder.join("node.toml");
+    let text = format!("x = {}1{}\n{VALID}", open.repeat(50_000), close.repeat(50_000));
+    std::fs::write(&path, text).unwrap_or_else(|error| panic!("{error}"));
+    let refused = NodeSettings::from_file(&path).map(drop);
+    let _ = std::fs::remove_dir_all(&folder);
+    assert!(matches!(refused, Err(SettingsError::Unparsable { .. })), "{refused:?}");
+}
+
 #[test_case("ip = \"10.1.0.37\"", "ip = \"ten\"", "self.ip: found \"ten\", allowed: an IP address"; "invalid address")]
 #[test_case("node = \"edge-1\"", "", "self.node: found nothing, allowed: a text that is not empty"; "missing value")]
 #[test_case("\"2500ms\"", "\"2500\"", "terms.bounds.drain: found \"2500\", allowed: a time"; "duration without unit")]
--- a/crates/starlinghill-simulator/src/scenario.rs
+++ b/crates/starlinghill-simulator/src/scenario.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
+use starlinghill_config_model::nested_json;
 use starlinghill_registry::wire::{RegistryRequest, RegistryResponse};
 use starlinghill_runtime::net::NetworkHandle;
 use starlinghill_runtime::rpc::RpcClient;
@@ -388,7 +389,7 @@
 
 /// Parses the reply to a read. `None` if it is malformed or two tenants have the same key.
 fn parse_items(body: &[u8]) -> Option<Items> {
-    let value = simd_json::to_owned_value(&mut body.to_vec()).ok()?;
+    let value = nested_json::parse(body).ok()?;
     let item = |customer: &OwnedValue| {
         let name = customer.get_str("name")?.to_string();
         Some((name, (customer.get_u64("burst")?, customer.get_u64("rate_per_s")?)))
--- a/crates/starlinghill-xds/tests/resources.rs
+++ b/crates/starlinghill-xds/tests/resources.rs
@@ -11,6 +11,7 @@
 use envoy_types::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
     http_filter, HttpConnectionManager,
 };
+use envoy_types::pb::google::protobuf::{value::Kind, ListValue, Value};
 use envoy_types::pb::xds::r#type::matcher::v3::matcher::on_match::OnMatch;
 use prost::Message;
 use starlinghill_control_state::fleet::{Endpoint, EndpointUse, FleetSnapshot};
@@ -263,3 +264,24 @@
     assert_eq!(listeners("edge-1", at, &settings(true)), listeners("edge-1", at, &settings(true)));
     assert_ne!(listeners("edge-1", at, &settings(true)), listeners("edge-2", at, &settings(true)));
 }
+
+/// Guards against a request whose metadata ends the control service by an overflow of the stack.
+#[test]
+fn metadata_that_is_nested_very_deeply_is_refused() {
+    // A list that holds one value, as its bytes: the tag of the field and the length of what is inside.
+    let list_in = |inner: &[u8]| {
+        let mut values = vec![0x0a];
+        prost::encoding::encode_varint(inner.len() as u64, &mut values);
+        values.extend(inner);
+        let mut value = vec![0x32];
+        prost::encoding::encode_varint(values.len() as u64, &mut value);
+        value.extend(values);
+        value
+    };
+    let mut bytes = Value { kind: Some(Kind::ListValue(ListValue::default())) }.encode_to_vec();
+    (0..20).for_each(|_| bytes = list_in(&bytes));
+    assert!(Value::decode(bytes.as_slice()).is_ok(), "the bytes are those of lists in each other");
+    (0..5_000).for_each(|_| bytes = list_in(&bytes));
+    let refused = Value::decode(bytes.as_slice()).map(drop);
+    assert!(refused.as_ref().is_err_and(|error| error.to_string().contains("recursion")), "{refused:?}");
+}
