registry: an order under which a store closes the connection goes to no other store

Cause: the registry took the end of a store's connection for 'no clear answer' and passed the same order to the next store at once.

Change: store_calls.rs (out of peers.rs) names how a call to a store ends: an answer, not reached, silent, connection lost. Weighed against it: a store that is killed from outside within an order costs that operator one more try, at another machine; a dead one still refuses the connection, and is passed over as before.

Tests: orders.rs, four rows in which a store ends (before: the next one was asked). The row 'rejected while a store that lost its connection may still accept' has its times moved, since a store that is lost first is no longer followed by another one: it is lost at 300 ms now, while a second one has been asked already, and the rejection at 350 ms is still not told.

--- a/crates/starlinghill-registry/src/http.rs
+++ b/crates/starlinghill-registry/src/http.rs
@@ -1,8 +1,9 @@
 //! The HTTP API for backends and for the operator.
 
-use crate::peers::{ask_store, Peers};
+use crate::peers::Peers;
 use crate::router::{Endpoint, RouteMatch, RouteNode};
 use crate::state::{refuses_new_work, Command, StateHandle};
+use crate::store_calls::ask_stores;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -178,7 +179,7 @@
     async fn change(&self, body: Bytes) -> Reply {
         let started = Instant::now();
         let asked =
-            ask_store(&self.net, self.stores(), StoreRequest::Apply(body.to_vec()), ORDER_RESPONSE_TIMEOUT);
+            ask_stores(&self.net, self.stores(), StoreRequest::Apply(body.to_vec()), ORDER_RESPONSE_TIMEOUT);
         let outcome = match asked.await {
             Some(StoreResponse::Applied(outcome)) => outcome,
             _ => ChangeOutcome::Unclear,
@@ -197,7 +198,7 @@
     }
 
     async fn read(&self) -> Reply {
-        match ask_store(&self.net, self.stores(), StoreRequest::Read, ORDER_RESPONSE_TIMEOUT).await {
+        match ask_stores(&self.net, self.stores(), StoreRequest::Read, ORDER_RESPONSE_TIMEOUT).await {
             Some(StoreResponse::Items(items)) => {
                 reply(StatusCode::OK, ItemSet::from_items(items).upsert_json().into_bytes())
             }
--- a/crates/starlinghill-registry/src/lib.rs
+++ b/crates/starlinghill-registry/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod program;
 pub mod router;
 pub mod state;
+pub mod store_calls;
 pub mod wire;
--- a/crates/starlinghill-registry/src/peers.rs
+++ b/crates/starlinghill-registry/src/peers.rs
@@ -1,22 +1,21 @@
-//! Communication with the other registries and with the configuration stores.
+//! Communication with the other registries, and following the configuration store on this machine.
 
 use crate::state::{Command, StateHandle, TickWork};
 use crate::wire::{PeerReport, RegistryRequest, RegistryResponse};
 use starlinghill_catalog::Instance;
 use starlinghill_config_store::wire as store;
 use starlinghill_consensus::{Ballot, Member, Members};
-use starlinghill_lease::contact::{may_confirm_drain, StalenessBudget, ORDER_HEDGE_DELAY};
+use starlinghill_lease::contact::{may_confirm_drain, StalenessBudget};
 use starlinghill_runtime::net::NetworkHandle;
 use starlinghill_runtime::rpc::RpcClient;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{spawn_local, JoinSet};
-use tokio::time::{interval, sleep, timeout_at, Instant, MissedTickBehavior};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
 
 /// Interval of the state's periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(60);
@@ -308,80 +307,3 @@
         }
     }
 }
-
-/// Asks the stores in order, the one on this machine first. One that can't be reached is skipped; one that is silent
-/// doesn't delay the others. Two stores may try the same change at once, which is harmless because a change that was
-/// already accepted counts as accepted.
-pub async fn ask_store(
-    net: &NetworkHandle,
-    stores: Vec<SocketAddr>,
-    request: store::StoreRequest,
-    within: Duration,
-) -> Option<store::StoreResponse> {
-    let net = net.clone();
-    let request = Rc::new(request);
-    first_conclusive_answer(stores.len(), within, move |i, left| {
-        let (client, request) = (RpcClient::new(&net, stores[i]), request.clone());
-        async move {
-            match client.call(request.as_ref(), left).await {
-                Ok(answer) => Some(answer),
-                Err(error) => {
-                    log::warn!("event=store_failed address={} error=\"{error}\"", client.address());
-                    (!error.is_not_sent()).then_some(store::StoreResponse::Unavailable)
-                }
-            }
-        }
-    })
-    .await
-}
-
-/// Returns the first conclusive answer of `stores` stores, or else an inconclusive one, if any came within the time
-/// limit.
-///
-/// `ask` gets the index of the store and the remaining time. It returns `None` if the store certainly did not receive
-/// the request. The next store is asked after `ORDER_HEDGE_DELAY` or as soon as one has answered inconclusively. A
-/// rejection counts only once no other store may still accept the request: otherwise the caller could be told of a
-/// rejection for a change that takes effect. Calls that are still running when this returns or is dropped are
-/// cancelled.
-pub async fn first_conclusive_answer<W>(
-    stores: usize,
-    within: Duration,
-    ask: impl Fn(usize, Duration) -> W,
-) -> Option<store::StoreResponse>
-where
-    W: Future<Output = Option<store::StoreResponse>> + 'static,
-{
-    let deadline = Instant::now() + within;
-    let (mut asked, mut next, mut inconclusive, mut refused) = (JoinSet::new(), 0, None, None);
-    loop {
-        if next < stores && refused.is_none() {
-            asked.spawn_local(ask(next, deadline.saturating_duration_since(Instant::now())));
-            next += 1;
-        }
-        let more = next < stores && refused.is_none();
-        let next_action_at = if more { deadline.min(Instant::now() + ORDER_HEDGE_DELAY) } else { deadline };
-        match timeout_at(next_action_at, asked.join_next()).await {
-            Ok(Some(Ok(Some(answer)))) if is_refusal(&answer) => refused = Some(answer),
-            Ok(Some(Ok(Some(answer)))) if is_conclusive(&answer) => return Some(answer),
-            Ok(Some(answer)) => inconclusive = answer.ok().flatten().or(inconclusive),
-            Ok(None) => {}
-            Err(_) if Instant::now() >= deadline => return inconclusive,
-            Err(_) => {}
-        }
-        if asked.is_empty() && (next == stores || refused.is_some()) {
-            return refused.filter(|_| inconclusive.is_none()).or(inconclusive);
-        }
-    }
-}
-
-/// The change was rejected by the current items, so another store may still accept it later.
-fn is_refusal(answer: &store::StoreResponse) -> bool {
-    matches!(answer, store::StoreResponse::Applied(store::ChangeOutcome::Invalid(_)))
-}
-
-fn is_conclusive(answer: &store::StoreResponse) -> bool {
-    !matches!(
-        answer,
-        store::StoreResponse::Unavailable | store::StoreResponse::Applied(store::ChangeOutcome::Unclear)
-    )
-}
--- a/crates/starlinghill-registry/tests/orders.rs
+++ b/crates/starlinghill-registry/tests/orders.rs
@@ -3,7 +3,7 @@
 
 use starlinghill_config_store::wire::{ChangeOutcome, StoreResponse};
 use starlinghill_lease::contact::{ORDER_COMMIT_TIMEOUT, ORDER_HEDGE_DELAY, ORDER_RESPONSE_TIMEOUT};
-use starlinghill_registry::peers::first_conclusive_answer;
+use starlinghill_registry::store_calls::{first_conclusive_answer, StoreReply};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,29 +22,33 @@
     Silent,
     /// Refuses the connection.
     Unreachable,
-    /// ConnectionLost the connection after the request was sent, so that it may accept the change.
-    ConnectionLost,
+    /// Closes the connection this many milliseconds after the request was sent: it may have accepted the change, or ended
+    /// because of it.
+    ConnectionLost(u64),
     /// Rejects it after this many milliseconds.
     Rejects(u64),
 }
 use StoreBehavior::*;
 
-async fn simulated_store(behavior: StoreBehavior) -> Option<StoreResponse> {
+async fn simulated_store(behavior: StoreBehavior) -> StoreReply {
     match behavior {
         Accepts(ms) => {
             sleep(Duration::from_millis(ms)).await;
-            Some(StoreResponse::Applied(ChangeOutcome::Taken))
+            StoreReply::Answer(StoreResponse::Applied(ChangeOutcome::Taken))
         }
         NoMajority => {
             sleep(ORDER_COMMIT_TIMEOUT).await;
-            Some(StoreResponse::Applied(ChangeOutcome::Unclear))
+            StoreReply::Answer(StoreResponse::Applied(ChangeOutcome::Unclear))
         }
         Silent => std::future::pending().await,
-        Unreachable => None,
-        ConnectionLost => Some(StoreResponse::Unavailable),
+        Unreachable => StoreReply::NotReached,
+        ConnectionLost(ms) => {
+            sleep(Duration::from_millis(ms)).await;
+            StoreReply::ConnectionLost
+        }
         Rejects(ms) => {
             sleep(Duration::from_millis(ms)).await;
-            Some(StoreResponse::Applied(rejection()))
+            StoreReply::Answer(StoreResponse::Applied(rejection()))
         }
     }
 }
@@ -66,7 +70,12 @@
 #[test_case(&[Unreachable, Rejects(20), Silent], Some(rejection()), 20, 2; "the local store is down and the next one rejects")]
 #[test_case(&[Silent, Rejects(20), Silent], None, 800, 2; "rejected while a silent store may still accept")]
 #[test_case(&[Accepts(400), Rejects(20), Silent], Some(ChangeOutcome::Taken), 400, 2; "rejected by one store and accepted by another")]
-#[test_case(&[ConnectionLost, Rejects(20), Silent], None, 20, 2; "rejected while a store that lost its connection may still accept")]
+#[test_case(&[ConnectionLost(300), Rejects(100), Silent], None, 350, 2; "rejected while a store that lost its connection may still accept")]
+// Guard against a request that ends one store after the other (FAULT, issue 64).
+#[test_case(&[ConnectionLost(1), Rejects(20), Silent], None, 1, 1; "the local store ends and no other one gets the change")]
+#[test_case(&[ConnectionLost(1), Accepts(20), Silent], None, 1, 1; "the local store ends though another one would accept")]
+#[test_case(&[Unreachable, ConnectionLost(1), Accepts(20)], None, 1, 2; "the second store ends and the third one does not get the change")]
+#[test_case(&[Accepts(600), ConnectionLost(1), Accepts(20)], Some(ChangeOutcome::Taken), 600, 2; "the second store ends and the first one still answers")]
 #[test_case(&[Rejects(400), Rejects(20), Silent], Some(rejection()), 400, 2; "rejected by both stores")]
 #[tokio::test(start_paused = true)]
 async fn a_change_is_answered_before_its_caller_times_out(
