console: an order that was not answered is neither told as refused nor passed on

And any order whose receiver closed the connection was handed to the next registry or store.

Change: the console stops after a lost connection and says so; after silence, a refusal is told as unclear, with the address that may still act. A store drops an order to change members when its caller has gone, as it does with changes of the configuration.

--- a/crates/starlinghill-config-store/src/program.rs
+++ b/crates/starlinghill-config-store/src/program.rs
@@ -149,13 +149,14 @@
     let current_seeds = move || latest_seeds().unwrap_or_else(|| first_seeds.clone());
     essentials.spawn("belong", store.clone().maintain_membership(current_seeds));
     let server = store.clone();
-    // Changes are dropped if their caller has gone: the caller may have been refused by another store in the meantime.
-    let is_change = |request: &StoreRequest| matches!(request, StoreRequest::Apply(_));
+    // Orders are dropped if their caller has gone: the caller may have been refused by another store in the meantime.
+    let is_order =
+        |request: &StoreRequest| matches!(request, StoreRequest::Apply(_) | StoreRequest::ChangeMembers(_));
     let handler = move |request, _| {
         let store = server.clone();
         async move { answer(request, &store, budget).await }
     };
-    essentials.spawn("calls", serve(listener, node.max_peers(), is_change, handler));
+    essentials.spawn("calls", serve(listener, node.max_peers(), is_order, handler));
     tokio::select! {
         biased;
         () = &mut end => {}
--- a/crates/starlinghill-console/src/client.rs
+++ b/crates/starlinghill-console/src/client.rs
@@ -26,6 +26,7 @@
 
 /// Why a request of the console failed.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum ClientError {
     /// No registry answered.
     #[snafu(display("no registry answered: asked {asked}"))]
@@ -41,6 +42,22 @@
         /// The error text of the response.
         reason: String,
     },
+    /// A registry or a store closed the connection instead of answering an order.
+    #[snafu(display(
+        "{address} closed the connection under the order and may have ended because of it: the order may have taken effect, and was sent to no other one"
+    ))]
+    ConnectionLost {
+        /// The address that was called.
+        address: SocketAddr,
+    },
+    /// No store carried out an order, and one that received it gave no answer.
+    #[snafu(display("{problem}; {address} gave no answer and may still carry the order out"))]
+    Unclear {
+        /// What another store answered.
+        problem: String,
+        /// The address without an answer.
+        address: SocketAddr,
+    },
     /// Anything else: wrong arguments, an unreadable file, or an answer that can't be used.
     #[snafu(display("{problem}"))]
     Other {
@@ -120,12 +137,19 @@
     }
 
     /// Calls the registries in turn until one answers with success or with a 4xx status. A 5xx status is returned only if
-    /// no other registry gives a definite answer.
+    /// no other registry gives a definite answer. A change whose receiver closes the connection instead of answering is
+    /// not sent to another one: the receiver may have ended because of it.
     async fn call_http(&self, method: Method, body: Bytes) -> Result<Bytes, ClientError> {
         let mut last = None;
         for address in &self.http_addresses {
             let called = timeout(REQUEST_TIMEOUT, call(*address, method.clone(), body.clone()));
-            let Ok(Some((status, body))) = called.await else { continue };
+            let (status, body) = match called.await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(CallFailure::ConnectionLost)) if method == Method::PATCH => {
+                    return ConnectionLostSnafu { address: *address }.fail();
+                }
+                Ok(Err(_)) | Err(_) => continue,
+            };
             if status.is_success() {
                 return Ok(body);
             }
@@ -143,24 +167,37 @@
     }
 }
 
-async fn call(to: SocketAddr, method: Method, body: Bytes) -> Option<(StatusCode, Bytes)> {
-    let stream = TcpStream::connect(to).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+/// Why an HTTP call got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFailure {
+    /// Nothing was sent.
+    NotSent,
+    /// The connection ended before the answer was complete.
+    ConnectionLost,
+}
+
+async fn call(to: SocketAddr, method: Method, body: Bytes) -> Result<(StatusCode, Bytes), CallFailure> {
+    let stream = TcpStream::connect(to).await.map_err(|_| CallFailure::NotSent)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|_| CallFailure::NotSent)?;
     let request = Request::builder()
         .method(method)
         .uri("/api/config")
         .header("host", to.to_string())
         .header("content-type", "application/json")
         .body(Full::new(body))
-        .ok()?;
+        .map_err(|_| CallFailure::NotSent)?;
     let answered = async {
-        let (head, body) = sender.send_request(request).await.ok()?.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
-        Some((head.status, body))
+        let response = sender.send_request(request).await.map_err(|_| CallFailure::ConnectionLost)?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        Ok((head.status, body.map_err(|_| CallFailure::ConnectionLost)?.to_bytes()))
     };
     tokio::select! {
         answer = answered => answer,
         // The connection may close right after the response: never treat that as a failure while the body is being read.
-        _ = async { let _ = connection.await; std::future::pending::<()>().await } => None,
+        () = async { let _ = connection.await; std::future::pending::<()>().await } => {
+            Err(CallFailure::ConnectionLost)
+        }
     }
 }
--- a/crates/starlinghill-console/src/membership.rs
+++ b/crates/starlinghill-console/src/membership.rs
@@ -1,12 +1,12 @@
 //! The `core` commands: shows which stores are voting members, and changes them.
 
-use crate::client::{ClientError, RegistryClient, REQUEST_TIMEOUT};
+use crate::client::{ClientError, ConnectionLostSnafu, RegistryClient, REQUEST_TIMEOUT};
 use starlinghill_config_store::wire::{
     MembershipDelay, MembershipOrder, MembershipOutcome, MembershipStatus, StoreRequest, StoreResponse,
 };
 use starlinghill_consensus::{Member, Members};
 use starlinghill_runtime::net;
-use starlinghill_runtime::rpc::RpcClient;
+use starlinghill_runtime::rpc::{RpcClient, RpcError};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
@@ -44,9 +44,11 @@
         all
     }
 
-    /// Sends a membership order to the voting stores in turn until one reports that it is done or was not needed.
+    /// Sends a membership order to the voting stores in turn until one reports that it is done or was not needed. A store
+    /// that received the order and gave no answer may still carry it out, whatever the others say. One that closes the
+    /// connection instead of answering may have ended because of the order, which then goes to no other store.
     pub async fn change_members(&self, order: MembershipOrder) -> Result<String, ClientError> {
-        let mut last = None;
+        let (mut last, mut silent) = (None, None);
         for (ip, status) in self.membership_statuses().await {
             if !status.is_some_and(|s| s.members.contains(s.me)) {
                 continue;
@@ -60,11 +62,17 @@
                     return Ok("nothing to change".into())
                 }
                 Ok(StoreResponse::Membership(MembershipOutcome::Waits(delay))) => last = Some(reason(delay)),
-                _ => {}
+                Ok(_) => {}
+                Err(RpcError::Timeout) => silent = Some(client.address()),
+                Err(error) if error.is_not_sent() => {}
+                Err(_) => return ConnectionLostSnafu { address: client.address() }.fail(),
             }
         }
         let problem = last.unwrap_or("no member answers").to_string();
-        Err(ClientError::Other { problem })
+        Err(match silent {
+            Some(address) => ClientError::Unclear { problem, address },
+            None => ClientError::Other { problem },
+        })
     }
 
     /// The address of the store on a machine. All stores listen on the same port.
