quota: a new counter reserves the shares that nobody has reported to it

Cause, second half: a counter that starts reserved an even share for a gateway that it does not hear, and gave the heard ones shares beside that. The counter before may have assigned the silent one more. All shares of one counter sum to one, so what the others report says how much may be out.

Change: a counter that is not the system's first keeps, for each bucket that it makes while in doubt, the part of the shares that nobody has reported, as long as there are gateways that have not reported. It is reserved for the silent ones among them, and no share is assigned beyond the rest.

--- a/crates/starlinghill-quota-counter/src/lib.rs
+++ b/crates/starlinghill-quota-counter/src/lib.rs
@@ -155,7 +155,8 @@
             reported: BTreeSet::new(),
             answered: BTreeSet::new(),
             heard_at: BTreeMap::new(),
-            gateways: Gateways { all: 1, unanswered: 0 },
+            // Until the first tick it is not known whether there are gateways beside those that report.
+            gateways: Gateways { all: 1, unanswered: 0, unreported: usize::from(!is_first) },
             known_since: BTreeMap::new(),
             silent: BTreeMap::new(),
             allowance,
@@ -247,11 +248,14 @@
         self.answered.retain(|gateway| gateways.contains(gateway));
         let is_unanswered = |gateway: &&u64| !self.answered.contains(gateway);
         let unanswered = gateways.iter().filter(is_unanswered).count();
-        self.gateways = Gateways { all: gateways.len().max(1), unanswered };
+        let is_unreported = |gateway: &&u64| !self.is_first && !self.reported.contains(gateway);
+        let unreported = gateways.iter().filter(is_unreported).count();
+        self.gateways = Gateways { all: gateways.len().max(1), unanswered, unreported };
         let all = self.gateways.all;
         let silence = |gateway: &u64| Silence {
             since: heard_at(gateway).or(self.known_since.get(gateway).copied()).unwrap_or(now),
             default_share: if is_unanswered(&gateway) { even_share(all) } else { unassigned_share(all) },
+            may_hold_share: is_unreported(&gateway),
         };
         // A gateway that was never heard may decide by itself from its start on.
         let is_silent =
@@ -304,6 +308,9 @@
             let mut bucket = TokenBucket::new(level, at, quota, self.allowance);
             let shares = self.shares.take(id);
             shares.into_iter().for_each(|(gateway, share)| bucket.recall_share(now, gateway, share));
+            if is_in_doubt {
+                bucket.expect_unreported_shares();
+            }
             // The bucket did not fill before `at`, so that there is nothing to take back for the time before.
             let since = |silence: &Silence| Silence { since: silence.since.max(at), ..*silence };
             let silent = self.silent.iter().map(|(gateway, silence)| (*gateway, since(silence))).collect();
--- a/crates/starlinghill-quota-counter/src/token_bucket.rs
+++ b/crates/starlinghill-quota-counter/src/token_bucket.rs
@@ -22,6 +22,8 @@
     pub(crate) since: Duration,
     /// The share by which the gateway decides if this counter assigned it none for the tenant.
     pub(crate) default_share: f64,
+    /// An earlier counter may have assigned it a share, which it has not reported to this one.
+    pub(crate) may_hold_share: bool,
 }
 
 /// The numbers of gateways that carry traffic.
@@ -30,6 +32,8 @@
     pub(crate) all: usize,
     /// The gateways that this counter has never answered. Each may decide by a share that an earlier counter assigned.
     pub(crate) unanswered: usize,
+    /// The gateways that have not reported their shares to this counter.
+    pub(crate) unreported: usize,
 }
 
 /// The units that were recently asked for, with exponential decay.
@@ -72,6 +76,8 @@
     share_sum: f64,
     /// The demand that the gateways are assumed to have had before the bucket was created, split evenly among them.
     assumed_demand: Demand,
+    /// The sum of the shares that an earlier counter may have assigned to gateways that have not reported them.
+    unreported_shares: f64,
     /// The shares of silent gateways, which may be deciding by themselves.
     reserved: HashMap<u64, f64>,
     /// The fraction of the rate that is left beside the reserved shares.
@@ -92,6 +98,7 @@
             total_demand: Demand::default(),
             share_sum: 0.0,
             assumed_demand: Demand { units: quota.rate, at },
+            unreported_shares: 0.0,
             reserved: HashMap::new(),
             fill_fraction: 1.0,
             audit: Audit::new(quota, allowance),
@@ -112,7 +119,8 @@
     /// The share of a gateway: its part of the recent demand, but no more than is left beside the shares that the other
     /// gateways decide by. Shares assigned at different moments are each right for their moment, and without this limit
     /// could sum to more than the whole.
-    fn share(&self, now: Duration, gateway: u64, Gateways { all, unanswered }: Gateways) -> f64 {
+    fn share(&self, now: Duration, gateway: u64, gateways: Gateways) -> f64 {
+        let Gateways { all, unanswered, unreported } = gateways;
         let known = self.clients.get(&gateway).copied();
         let Client { demand, share } = known.unwrap_or_default();
         let other_clients = self.clients.len() - usize::from(known.is_some());
@@ -123,7 +131,8 @@
         let assumed = self.assumed_demand.at(now);
         let own_demand = demand.at(now) + assumed * even_share(all);
         let by_demand = own_share(own_demand, self.total_demand.at(now) + assumed, all);
-        by_demand.min(1.0 - (self.share_sum - share) - default_shares).max(0.0)
+        let unreported_shares = if unreported > 0 { self.unreported_shares } else { 0.0 };
+        by_demand.min(1.0 - (self.share_sum - share) - default_shares.max(unreported_shares)).max(0.0)
     }
 
     fn assign_share(&mut self, gateway: u64, share: f64) {
@@ -131,8 +140,15 @@
         self.share_sum += share - std::mem::replace(&mut client.share, share);
     }
 
+    /// Takes note that an earlier counter assigned the shares. All shares of one counter sum to one at most: those that no
+    /// gateway has reported so far may be in use.
+    pub(crate) fn expect_unreported_shares(&mut self) {
+        self.unreported_shares = (1.0 - self.share_sum).max(0.0);
+    }
+
     /// Takes note that a gateway decides by a share that an earlier counter assigned.
     pub(crate) fn recall_share(&mut self, now: Duration, gateway: u64, share: f64) {
+        self.unreported_shares = (self.unreported_shares - share).max(0.0);
         if self.clients.contains_key(&gateway) {
             return self.assign_share(gateway, share);
         }
@@ -166,12 +182,17 @@
         self.fill(now);
         self.reserved.retain(|gateway, _| silent.contains_key(gateway));
         self.fill_fraction = self.unreserved_fraction();
+        let unreported_share = self.mean_unreported_share(silent);
         for (gateway, silence) in silent {
             if self.reserved.contains_key(gateway) {
                 continue;
             }
             let assigned = self.clients.get(gateway).map(|client| client.share);
-            self.reserved.insert(*gateway, assigned.unwrap_or(silence.default_share));
+            let default_share = match silence.may_hold_share {
+                true => silence.default_share.max(unreported_share),
+                false => silence.default_share,
+            };
+            self.reserved.insert(*gateway, assigned.unwrap_or(default_share));
             let before = self.fill_fraction;
             self.fill_fraction = self.unreserved_fraction();
             // The bucket has been filling with this share since the gateway was last heard: take that back.
@@ -181,6 +202,12 @@
         self.level = self.level.max(-MAX_DEFICIT_BURSTS * self.quota.burst);
     }
 
+    /// The share that each silent gateway that has not reported one may hold, on average.
+    fn mean_unreported_share(&self, silent: &BTreeMap<u64, Silence>) -> f64 {
+        let unreported = silent.values().filter(|silence| silence.may_hold_share).count();
+        self.unreported_shares / unreported.max(1) as f64
+    }
+
     fn unreserved_fraction(&self) -> f64 {
         fill_fraction_beside(self.reserved.values().sum(), self.allowance)
     }
--- a/crates/starlinghill-quota-counter/tests/quota.rs
+++ b/crates/starlinghill-quota-counter/tests/quota.rs
@@ -424,3 +424,37 @@
         assert!(assigned.values().sum::<f64>() > 0.5, "{assigned:?}");
     }
 }
+
+/// The level that a bucket fills up to within a second at a new counter, with four gateways that have reported shares of
+/// `reported` each, and seven that were never heard. They hold the rest of the shares and decide by it.
+fn level_beside_unheard_gateways(reported: f64) -> f64 {
+    let (heard, all) = (1..=4, BTreeSet::from_iter(1..=11));
+    let mut counter = QuotaCounter::start(ms(0), 2, false, ALLOWANCE, heard.clone());
+    for gateway in heard.clone() {
+        let reading = LevelReading { bucket: BUCKET, level: 0.0, at_us: 1, share: reported };
+        counter.apply_readings(ms(0), gateway, &[reading]);
+    }
+    let mut level = 0.0;
+    for step in 0..=20 {
+        let now = ms(50 * step);
+        for gateway in heard.clone() {
+            let levels = counter.draw(now, gateway, &[draw(0.0, 0.0)]);
+            level = levels.expect("open")[0].level;
+        }
+        counter.tick(now, &all);
+    }
+    level
+}
+
+// Guards against a counter that starts while most gateways are cut off, and grants their shares once more (QUOTA, issue 58).
+#[test_case(0.05, 0.2; "the gateways that are heard hold little")]
+#[test_case(0.09, 4.0 / 11.0; "the shares are even")]
+#[test_case(0.25, 4.0 / 11.0; "the gateways that are heard hold all")]
+fn a_new_counter_reserves_the_shares_that_were_not_reported_for_the_gateways_that_it_does_not_hear(
+    reported: f64,
+    free: f64,
+) {
+    let level = level_beside_unheard_gateways(reported);
+    let expected = RATE * (free + 0.1 / 3.0);
+    assert!((level - expected).abs() < 2.0, "{level}, expected {expected}");
+}
