registry: gateways that only others know are counted after all registries restart

Cause, first half: registries keep gateways in memory. After all restart, they know only those that reach them: 'count_held gateways=4' of 11 in the logs. The new counter granted the whole rate to the four while the seven went on by their shares.

Change: a proxy remembers whom a registry listed before it restarted, and reports them with its next poll, as sightings, a few milliseconds after the restart. A registry counts gateways that are reported and that it never heard of. Messages are as they were; an older registry passes such sightings over.

Test, failing before: simulator control.rs, registries_that_all_restart_still_count_a_gateway_that_is_cut_off_from_them (1 in place of 2 counted). The surge in simulator quota.rs is a guard that passed at once: there the counter knows all gateways.

--- a/crates/starlinghill-catalog/src/catalog.rs
+++ b/crates/starlinghill-catalog/src/catalog.rs
@@ -170,6 +170,16 @@
         }
     }
 
+    /// Takes in that another gateway knows of a gateway that has sent nothing to this registry. All registries may have
+    /// started again while it was cut off from them; it goes on by its shares of the quotas, so it has to be counted.
+    pub fn record_reported_gateway(&mut self, now: Duration, ip: IpAddr, incarnation: u64, ago: Duration) {
+        // A gateway that has left is still remembered here, and does not return.
+        if !self.gateways.contains_key(&ip) && ago < GATEWAY_TIMEOUT {
+            let gateway = Gateway { ip, incarnation, zone: String::new(), node: String::new() };
+            self.record_gateway(now, gateway, ago);
+        }
+    }
+
     /// Takes in that a gateway announces its leave. It counts as a gateway until it has sent no request for a moment: a
     /// gateway takes client requests for seconds after SIGTERM, and the quota counter would refuse its draws if it no
     /// longer counted.
--- a/crates/starlinghill-proxy/src/lib.rs
+++ b/crates/starlinghill-proxy/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backend_protocol;
 pub mod decision_settings;
+pub mod delisted_gateways;
 pub mod heartbeat;
 pub mod program;
 pub mod quota_client;
--- a/crates/starlinghill-proxy/src/registry_client.rs
+++ b/crates/starlinghill-proxy/src/registry_client.rs
@@ -2,6 +2,7 @@
 //! queue.
 
 use crate::decision_settings::{DecisionIndex, FleetPosition, WARMUP};
+use crate::delisted_gateways::DelistedGateways;
 use crate::heartbeat::HeartbeatRing;
 use crate::quota_client::{CounterClient, CounterHolder};
 use hyper::header::HeaderValue;
@@ -105,6 +106,7 @@
     let term = Rc::new(std::cell::Cell::new(0));
     let items_digest = Rc::new(std::cell::Cell::new(0));
     let staleness = StalenessBudget::from_apply_bound(node.bounds.apply);
+    let delisted = Rc::new(DelistedGateways::default());
     let poller = Poller {
         registry: 0,
         client: Rc::new(RpcClient::new(&net, node.internal_address(node.ip, REGISTRY_PORT_OFFSET))),
@@ -112,6 +114,7 @@
         term: term.clone(),
         items_digest: items_digest.clone(),
         ring: ring.clone(),
+        delisted: delisted.clone(),
         counter: counter.clone(),
         updates: updates_out,
         stopping: shared.stopping.clone(),
@@ -138,6 +141,7 @@
         term,
         items_digest,
         ring,
+        delisted,
         isolated: false,
         start: Instant::now(),
         items: ItemSet::default(),
@@ -209,6 +213,7 @@
     term: Rc<std::cell::Cell<u64>>,
     items_digest: Rc<std::cell::Cell<u64>>,
     ring: Rc<HeartbeatRing>,
+    delisted: Rc<DelistedGateways>,
     counter: Rc<CounterClient>,
     updates: mpsc::Sender<(usize, Instant, RegistryUpdate)>,
     stopping: watch::Receiver<bool>,
@@ -228,7 +233,7 @@
                 counter_term: self.term.get(),
                 leaving: *self.stopping.borrow(),
                 items_digest: self.items_digest.get(),
-                sightings: self.ring.sightings(),
+                sightings: self.delisted.add_to(self.ring.sightings()),
             };
             let asked = Instant::now();
             match self.client.call(&RegistryRequest::Poll(known), self.poll_timeout).await {
@@ -237,6 +242,8 @@
                     if self.updates.send((self.registry, asked, *update)).await.is_err() {
                         return;
                     }
+                    // The receiver records whom a registry that has restarted does not list any more.
+                    tokio::task::yield_now().await;
                 }
                 Ok(_) => sleep(RETRY_DELAY).await,
                 Err(error) => {
@@ -262,6 +269,7 @@
     /// Digest of the items that this gateway applies.
     items_digest: Rc<std::cell::Cell<u64>>,
     ring: Rc<HeartbeatRing>,
+    delisted: Rc<DelistedGateways>,
     /// Whether the decision module was last told that this gateway is isolated: it reaches neither the counter nor
     /// another gateway.
     isolated: bool,
@@ -318,6 +326,11 @@
             return;
         }
         self.counter.observe_system_time(update.time);
+        if update.complete {
+            // Before anything is waited for: the next poll of this registry reports them.
+            let list = self.gateway_lists.get(&registry).into_iter().flat_map(BTreeMap::values);
+            self.delisted.record(list);
+        }
         for gone in update.members.as_ref().map(|members| self.registries.follow(members)).unwrap_or_default()
         {
             self.backends.remove_registry(gone);
@@ -348,7 +361,10 @@
             for (gateway, here) in update.gateways {
                 match here {
                     true => drop(list.insert(gateway.ip, gateway)),
-                    false => drop(list.remove(&gateway.ip)),
+                    false => {
+                        list.remove(&gateway.ip);
+                        self.delisted.forget(gateway.ip);
+                    }
                 }
             }
             self.count_gateways();
@@ -480,6 +496,8 @@
         let mut all: BTreeSet<IpAddr> =
             self.gateway_lists.values().flat_map(|list| list.keys().copied()).collect();
         all.insert(self.node.ip);
+        self.delisted.retain_missing(GATEWAY_COUNT_WINDOW, self.gateway_lists.values());
+        all.extend(self.delisted.addresses());
         self.ring.follow(all.iter().copied());
         let (now, count) = (Instant::now(), all.len() as u32);
         self.gateway_counts.retain(|(at, _)| now.duration_since(*at) < GATEWAY_COUNT_WINDOW);
--- a/crates/starlinghill-registry/src/state.rs
+++ b/crates/starlinghill-registry/src/state.rs
@@ -313,6 +313,10 @@
                     known.gateway.incarnation,
                     &known.sightings,
                 );
+                for seen in &known.sightings {
+                    let ago = Duration::from_millis(seen.ago_ms);
+                    self.catalog.record_reported_gateway(now, seen.ip, seen.incarnation, ago);
+                }
                 if known.leaving {
                     self.catalog.mark_gateway_leaving(now, &known.gateway);
                 } else {
--- a/crates/starlinghill-registry/src/wire.rs
+++ b/crates/starlinghill-registry/src/wire.rs
@@ -68,7 +68,8 @@
     pub leaving: bool,
     /// Digest of the configuration items that the gateway applies.
     pub items_digest: u64,
-    /// The gateways whose heartbeats it received, and how long ago.
+    /// The gateways whose heartbeats it received, and how long ago. After a restart of registries also those that they
+    /// listed before and do not list now, and how long ago they did.
     pub sightings: Vec<PeerSighting>,
 }
 
--- a/crates/starlinghill-simulator/tests/control.rs
+++ b/crates/starlinghill-simulator/tests/control.rs
@@ -420,6 +420,48 @@
     });
 }
 
+/// The number of gateways that a registry counts.
+async fn counted_gateways(cluster: &Cluster, core: usize) -> usize {
+    let net = cluster.network.handle_for(machine_ip(0, core));
+    let client = RpcClient::new(&net, cluster.registry_address(core));
+    match client.call(&RegistryRequest::Status, secs(1)).await {
+        Ok(RegistryResponse::Status(status)) => status.gateways.len(),
+        answer => panic!("{answer:?}"),
+    }
+}
+
+// Guards against too many requests of a tenant when gateways are cut off and then all core machines lose power: registries
+// that have forgotten these gateways would grant their shares to the others once more (QUOTA, issue 58).
+#[test]
+fn registries_that_all_restart_still_count_a_gateway_that_is_cut_off_from_them() {
+    simulated(async {
+        let cluster = Cluster::new(1, 3, 0, 2);
+        (0..3).for_each(|i| cluster.start_store(i));
+        (0..3).for_each(|i| cluster.start_registry(i, true));
+        (0..2).for_each(|i| cluster.start_gateway(i));
+        sleep(secs(3)).await;
+        let (connected, cut_off) = (cluster.gateways[0].ip, cluster.gateways[1].ip);
+        for core in 0..3 {
+            cluster.network.block(cluster.cores[core].ip, cut_off);
+            cluster.network.block(cut_off, cluster.cores[core].ip);
+        }
+        sleep(secs(1)).await;
+        (0..3).for_each(|core| cluster.power_off(core, true));
+        sleep(secs(1)).await;
+        (0..3).for_each(|core| cluster.power_on(core));
+        sleep(secs(2)).await;
+        for core in 0..3 {
+            assert_eq!(counted_gateways(&cluster, core).await, 2, "core {core}, beside {connected}");
+        }
+        // It leaves the count as any other gateway does that nothing is heard of.
+        cluster.gateways[1].process.borrow().kill();
+        sleep(secs(31)).await;
+        for core in 0..3 {
+            assert_eq!(counted_gateways(&cluster, core).await, 1, "core {core}, beside {connected}");
+        }
+    });
+}
+
 /// Cuts a core machine off from the others for longer than a registry waits for a silent backend, while backends call
 /// both sides.
 #[test]
--- a/crates/starlinghill-simulator/tests/quota.rs
+++ b/crates/starlinghill-simulator/tests/quota.rs
@@ -76,3 +76,19 @@
         fleet
     });
 }
+
+/// Guards against too many requests of a tenant when most gateways are cut off in a surge and then the counter is lost
+/// for all of them, so that within one window each gateway begins to decide by its share (QUOTA, issue 58).
+#[test]
+fn a_surge_stays_within_its_quota_when_most_gateways_are_cut_off_and_then_the_counter_is_lost() {
+    assert_within_quota(SEEDS, |seed| {
+        let mut fleet = Fleet::new(FleetScenario { seed, gateways: 11, late_one_in: 2_000 });
+        fleet.run(Duration::from_secs(4), 60.0);
+        fleet.run(Duration::from_millis(100 * (seed % 8)), 800.0);
+        fleet.cut_off_first(7, Duration::from_secs(12));
+        fleet.run(Duration::from_millis(500 + 300 * seed), 800.0);
+        fleet.move_counter(Duration::from_secs(8));
+        fleet.run(Duration::from_secs(10), 800.0);
+        fleet
+    });
+}
