catalog: a gateway that is cut off counts for as long as other gateways hear it

Change: what another gateway heard of it keeps it in the count, and it leaves 30 s after the last of both. A gateway that has announced its leave goes by its own requests alone, as before; a new counter still waits only for those that asked a registry.

Test, failing before at 30 s: catalog.rs, a_gateway_that_is_cut_off_counts_for_as_long_as_other_gateways_hear_it.

--- a/crates/starlinghill-catalog/src/catalog.rs
+++ b/crates/starlinghill-catalog/src/catalog.rs
@@ -19,7 +19,10 @@
 #[derive(Debug)]
 struct GatewayEntry {
     gateway: Gateway,
+    /// When it last sent a request to a registry.
     heard_at: Duration,
+    /// When another gateway last heard it. While it is cut off from all registries it still carries traffic.
+    seen_at: Duration,
     /// Whether it carries traffic. If not, it has left or timed out, and is only remembered.
     is_present: bool,
     /// It has announced its leave. While it still sends requests it also carries traffic.
@@ -165,18 +168,26 @@
         if is_new {
             self.seq += 1;
             let (is_present, is_leaving, changed) = (true, false, self.seq);
-            let entry = GatewayEntry { gateway, heard_at, is_present, is_leaving, changed };
+            let entry =
+                GatewayEntry { gateway, heard_at, seen_at: heard_at, is_present, is_leaving, changed };
             self.gateways.insert(entry.gateway.ip, entry);
         }
     }
 
-    /// Takes in that another gateway knows of a gateway that has sent nothing to this registry. All registries may have
-    /// started again while it was cut off from them; it goes on by its shares of the quotas, so it has to be counted.
+    /// Takes in that another gateway heard a gateway, or knew of it. It may be cut off from all registries, and all of them
+    /// may have started again meanwhile; it goes on by its shares of the quotas, so it has to be counted.
     pub fn record_reported_gateway(&mut self, now: Duration, ip: IpAddr, incarnation: u64, ago: Duration) {
-        // A gateway that has left is still remembered here, and does not return.
-        if !self.gateways.contains_key(&ip) && ago < GATEWAY_TIMEOUT {
-            let gateway = Gateway { ip, incarnation, zone: String::new(), node: String::new() };
-            self.record_gateway(now, gateway, ago);
+        match self.gateways.get_mut(&ip) {
+            Some(known) if known.gateway.incarnation == incarnation => {
+                known.seen_at = known.seen_at.max(now.saturating_sub(ago));
+            }
+            // A gateway that has left is still remembered here, and does not return.
+            Some(_) => {}
+            None if ago < GATEWAY_TIMEOUT => {
+                let gateway = Gateway { ip, incarnation, zone: String::new(), node: String::new() };
+                self.record_gateway(now, gateway, ago);
+            }
+            None => {}
         }
     }
 
@@ -210,14 +221,18 @@
         }
         self.backends.retain(|_, entry| now.saturating_sub(entry.heard_at) < TOMBSTONE_LIFETIME);
         for entry in self.gateways.values_mut() {
-            let timeout = if entry.is_leaving { LEAVING_GATEWAY_TIMEOUT } else { GATEWAY_TIMEOUT };
-            if entry.is_present && now.saturating_sub(entry.heard_at) >= timeout {
+            let (last, timeout) = match entry.is_leaving {
+                true => (entry.heard_at, LEAVING_GATEWAY_TIMEOUT),
+                false => (entry.heard_at.max(entry.seen_at), GATEWAY_TIMEOUT),
+            };
+            if entry.is_present && now.saturating_sub(last) >= timeout {
                 entry.is_present = false;
                 seq += 1;
                 entry.changed = seq;
             }
         }
-        self.gateways.retain(|_, entry| now.saturating_sub(entry.heard_at) < TOMBSTONE_LIFETIME);
+        self.gateways
+            .retain(|_, entry| now.saturating_sub(entry.heard_at.max(entry.seen_at)) < TOMBSTONE_LIFETIME);
         self.seq = seq;
         lost
     }
--- a/crates/starlinghill-catalog/tests/catalog.rs
+++ b/crates/starlinghill-catalog/tests/catalog.rs
@@ -537,3 +537,60 @@
     }
     assert_eq!(later, []);
 }
+
+/// The addresses of the gateways that carry traffic.
+fn present(catalog: &Catalog) -> Vec<IpAddr> {
+    catalog.gateways().map(|gateway| gateway.ip).collect()
+}
+
+// Guards against a gateway whose share of the quotas is granted to others because it is cut off from all registries for
+// long, though other gateways hear it (QUOTA, issue 58).
+#[test]
+fn a_gateway_that_is_cut_off_counts_for_as_long_as_other_gateways_hear_it() {
+    let mut catalog = Catalog::new(BEAT_INTERVAL);
+    let (cut_off, silent) = (gateway(1, 7), gateway(2, 8));
+    catalog.record_gateway(ms(0), cut_off.clone(), ms(0));
+    catalog.record_gateway(ms(0), silent, ms(0));
+    for second in 1..=400 {
+        catalog.record_reported_gateway(ms(1_000 * second), cut_off.ip, 7, ms(300));
+        if second < 60 {
+            // A report on an earlier process of the other one.
+            catalog.record_reported_gateway(ms(1_000 * second), IpAddr::from([10, 0, 1, 2]), 6, ms(300));
+        }
+        catalog.tick(ms(1_000 * second));
+        let expected = if second < 30 { 2 } else { 1 };
+        assert_eq!(present(&catalog).len(), expected, "after {second} s");
+    }
+    assert_eq!(present(&catalog), [cut_off.ip]);
+    // It was not heard by the registry itself, so that a new counter does not wait for it.
+    assert!(catalog.gateways_heard_within(ms(400_000), ms(1_500)).is_empty());
+    let seq = catalog.seq();
+    for second in 401..=440 {
+        catalog.tick(ms(1_000 * second));
+    }
+    assert!(present(&catalog).is_empty());
+    assert_eq!(catalog.changes_since(seq).gateways, [(cut_off, false)], "its end is told");
+}
+
+#[test]
+fn a_reported_gateway_counts_until_its_time_is_over_and_none_returns_after_it_has_left() {
+    let mut catalog = Catalog::new(BEAT_INTERVAL);
+    let (unknown, left) = (gateway(1, 7), gateway(2, 8));
+    catalog.record_reported_gateway(ms(100_000), unknown.ip, 7, ms(29_000));
+    catalog.record_reported_gateway(ms(100_000), IpAddr::from([10, 0, 1, 9]), 9, ms(30_000));
+    assert_eq!(present(&catalog), [unknown.ip], "one was heard of too long ago");
+    catalog.record_gateway(ms(100_000), left.clone(), ms(0));
+    catalog.mark_gateway_leaving(ms(100_000), &left);
+    for second in 101..=160 {
+        catalog.record_reported_gateway(ms(1_000 * second), left.ip, 8, ms(0));
+        catalog.tick(ms(1_000 * second));
+        assert_eq!(
+            present(&catalog),
+            if second < 102 { vec![left.ip] } else { vec![] },
+            "in second {second}"
+        );
+    }
+    // A request of its own makes it known in full.
+    catalog.record_gateway(ms(161_000), unknown.clone(), ms(0));
+    assert_eq!(catalog.gateways().collect::<Vec<_>>(), [&unknown]);
+}
