proxy: a delisted gateway is as old as its registry's last answer

A proxy that had been cut off itself for long reported gateways of an old list as if they had just been listed. A registry now passes over those that it would have dropped by now.

--- a/crates/starlinghill-proxy/src/delisted_gateways.rs
+++ b/crates/starlinghill-proxy/src/delisted_gateways.rs
@@ -19,10 +19,10 @@
 }
 
 impl DelistedGateways {
-    /// Records the list of a registry that has restarted, as it was before.
-    pub fn record<'a>(&self, list: impl Iterator<Item = &'a Gateway>) {
-        let now = Instant::now();
-        self.gateways.borrow_mut().extend(list.map(|gateway| (gateway.ip, (gateway.incarnation, now))));
+    /// Records the list of a registry that has restarted, as it was at `confirmed_at`, when that registry last answered.
+    pub fn record<'a>(&self, list: impl Iterator<Item = &'a Gateway>, confirmed_at: Instant) {
+        let entry = |gateway: &Gateway| (gateway.ip, (gateway.incarnation, confirmed_at));
+        self.gateways.borrow_mut().extend(list.map(entry));
     }
 
     /// Forgets a gateway that a registry has seen leave or time out.
--- a/crates/starlinghill-proxy/src/registry_client.rs
+++ b/crates/starlinghill-proxy/src/registry_client.rs
@@ -148,6 +148,7 @@
         backends: MergedView::default(),
         changed_services: BTreeSet::new(),
         gateway_lists: BTreeMap::new(),
+        updated_at: BTreeMap::new(),
         gateway_counts: VecDeque::new(),
         position: FleetPosition::default(),
         first_update: None,
@@ -280,6 +281,8 @@
     changed_services: BTreeSet<String>,
     /// The gateways that each registry reports.
     gateway_lists: BTreeMap<usize, BTreeMap<IpAddr, Gateway>>,
+    /// When each registry last answered a poll.
+    updated_at: BTreeMap<usize, Instant>,
     /// Numbers of gateways, each with the time when it last applied.
     gateway_counts: VecDeque<(Instant, u32)>,
     position: FleetPosition,
@@ -329,12 +332,15 @@
         if update.complete {
             // Before anything is waited for: the next poll of this registry reports them.
             let list = self.gateway_lists.get(&registry).into_iter().flat_map(BTreeMap::values);
-            self.delisted.record(list);
+            let confirmed_at = self.updated_at.get(&registry).copied().unwrap_or_else(Instant::now);
+            self.delisted.record(list, confirmed_at);
         }
+        self.updated_at.insert(registry, Instant::now());
         for gone in update.members.as_ref().map(|members| self.registries.follow(members)).unwrap_or_default()
         {
             self.backends.remove_registry(gone);
             self.gateway_lists.remove(&gone);
+            self.updated_at.remove(&gone);
         }
         let changed = !self.items.merge(update.items).is_empty();
         if changed {
