--- a/review/stand-2/src/gone_core.rs
+++ b/review/stand-2/src/gone_core.rs
@@ -4,6 +4,7 @@
 use crate::net::wait_for;
 use crate::system::{ask, change, customer, names, route, Backend, Deployment, Record, System};
 use crate::Verdict;
+use std::collections::BTreeMap;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,6 +84,7 @@
     thread::sleep(Duration::from_secs_f64(APPLY + 0.5));
     let (mut broken, until, mut number) = (0, Instant::now() + Duration::from_secs(10), 0);
     let mut by_edge = vec![(0, 0); system.edges.len()];
+    let mut answers = vec![BTreeMap::new(); system.edges.len()];
     while Instant::now() < until {
         number += 1;
         for (i, edge) in system.edges.iter().enumerate() {
@@ -107,6 +109,7 @@
                     _ => !ran.is_empty(),
                 };
                 by_edge[i].0 += 1;
+                *answers[i].entry((what, status, services.clone())).or_insert(0) += 1;
                 if is_old {
                     by_edge[i].1 += 1;
                     broken += 1;
@@ -125,6 +128,11 @@
         record
             .line(format!("{}: {asked} requests, {old} handled as only an older version allows", edge.name));
     }
+    for (edge, answers) in system.edges.iter().zip(&answers) {
+        for ((what, status, services), count) in answers {
+            record.line(format!("{}, {what}: answered {status}, run by [{services}]: {count}", edge.name));
+        }
+    }
     let cut_one = system.edges.last().expect("an edge machine");
     record.line(format!("{} still answers 200 at /api/ready: {}", cut_one.name, cut_one.is_ready()));
     for line in cut_one.log_lines("workbench", &["event=members", "event=rack_silent", "event=settings_read"])
--- a/review/stand-2/src/last_customer.rs
+++ b/review/stand-2/src/last_customer.rs
@@ -46,15 +46,17 @@
                 let attempt = format!("{}-{step}-{what}", edge.name);
                 let (_, answer) = ask(&system, edge, ("POST", "/pay/out"), key, &attempt);
                 let status = answer.map_or(0, |answer| answer.status());
-                let ran =
-                    backends.iter().flat_map(Backend::runs).filter(|run| run.attempt == attempt).count();
+                let runs: Vec<_> =
+                    backends.iter().flat_map(Backend::runs).filter(|run| run.attempt == attempt).collect();
+                let ran = runs.len();
+                let customer = runs.first().map_or("-", |run| run.customer.as_str());
                 let holds = key.and_then(|key| key.strip_prefix("key-"));
                 let allowed =
                     holds.is_some_and(|name| ["hall", "studio"].contains(&name) && !dropped.contains(&name));
                 let wrong = ran > 0 && !allowed;
                 broken += usize::from(wrong);
                 record.line(format!(
-                    "dropped {dropped:?}: {} with {what}: answered {status}, ran {ran}{}",
+                    "dropped {dropped:?}: {} with {what}: answered {status}, ran {ran}, Customer {customer:?}{}",
                     edge.name,
                     if wrong { " AGAINST THE RULE" } else { "" }
                 ));
--- a/review/stand-2/src/two_disks.rs
+++ b/review/stand-2/src/two_disks.rs
@@ -51,6 +51,7 @@
         record.line("both start again at their old addresses, with empty disks");
     }
     let (until, mut number, mut newest_read, mut older) = (Instant::now() + READ_FOR, 0, 0, 0);
+    let mut statuses = std::collections::BTreeMap::new();
     while Instant::now() < until {
         number += 1;
         // One core machine after the other, so that the first that answers does not hide the rest.
@@ -58,6 +59,7 @@
             let answer =
                 crate::net::call(core.control(), "GET", "/api/config", &[], "", Duration::from_secs(1));
             let (status, text) = answer.map_or((0, String::new()), |answer| (answer.status(), answer.text()));
+            *statuses.entry(status).or_insert(0) += 1;
             let is_newest = status == 200 && text.contains("key-second");
             newest_read += usize::from(is_newest);
             older += usize::from(status == 200 && !is_newest);
@@ -73,6 +75,7 @@
         }
         thread::sleep(Duration::from_millis(500));
     }
+    record.line(format!("all reads by status, 0 for none within a second: {statuses:?}"));
     record.line(format!(
         "{number} rounds of reads: {newest_read} hold the acknowledged change, {older} an older one"
     ));
